Add the design, the messages and the first version of the decision packages

Cause: the repository was empty. Change: the design page, the wire messages, frames with count and digest, ids, resources with validation, listeners with limits and TLS, settings, timeline, and simple first versions of slots, admission, placement, retry and permits. Before: nothing. Conclusion: the interfaces are fixed; each part can be built on them.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# The test command is `make test`; .ci/run adds the formatter, the linter and the check of generated code.
+MODULES := . ./cmd/agent ./cmd/bench ./cmd/entry ./cmd/shallotring ./cmd/soak ./cmd/standin
+PACKAGES := $(addsuffix /...,$(MODULES))
+SEED ?= 1
+DURATION ?= 10m
+
+.PHONY: build local test soak bench generate format lint
+
+build:
+	go build -o bin/ ./cmd/agent ./cmd/bench ./cmd/entry ./cmd/shallotring ./cmd/soak ./cmd/standin
+
+local:
+	go run ./cmd/shallotring local
+
+test:
+	go test -race $(PACKAGES)
+
+soak:
+	go run ./cmd/soak --seed=$(SEED) --duration=$(DURATION)
+
+bench:
+	go run ./cmd/bench
+
+generate:
+	go generate ./protocol/wire
+
+format:
+	gofmt -w $(MODULES)
+
+lint:
+	golangci-lint run $(PACKAGES)
--- /dev/null
+++ b/cmd/agent/main.go
@@ -0,0 +1,4 @@
+// Command agent is part of shallotring.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench is part of shallotring.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/entry/main.go
@@ -0,0 +1,4 @@
+// Command entry is part of shallotring.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/shallotring/main.go
@@ -0,0 +1,4 @@
+// Command shallotring is part of shallotring.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,4 @@
+// Command soak is part of shallotring.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is part of shallotring.
+package main
+
+func main() {}
--- /dev/null
+++ b/protocol/frame/reader.go
@@ -0,0 +1,132 @@
+package frame
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"hash"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"shallotring.dev/protocol/wire"
+)
+
+// Errors of a stream that cannot be trusted as a whole answer.
+var (
+	ErrTruncated = eris.New("stream ended without its last frame")
+	ErrForeign   = eris.New("frame of another try")
+	ErrSequence  = eris.New("frame out of sequence")
+	ErrDigest    = eris.New("answer does not match its count or digest")
+)
+
+// MaxFrameBytes bounds the memory that one frame can take.
+const MaxFrameBytes = 8 << 20
+
+// Checker verifies the frames of one try in the order of their arrival.
+type Checker struct {
+	id       *wire.TryID
+	count    uint64
+	digest   hash.Hash
+	accepted bool
+	ended    bool
+}
+
+// NewChecker returns a checker that takes frames of the given try only.
+func NewChecker(id *wire.TryID) *Checker { return &Checker{id: id, digest: sha256.New()} }
+
+// Check verifies the next frame; an error means that the frame must not reach the caller.
+func (c *Checker) Check(f *wire.Frame) (err error) {
+	if !sameTry(f.GetID(), c.id) {
+		return ErrForeign
+	}
+	if c.ended {
+		return ErrSequence
+	}
+	switch f.GetKind() {
+	case wire.FrameKind_FRAME_KIND_ACCEPTED:
+		return c.accept()
+	case wire.FrameKind_FRAME_KIND_REFUSED:
+		return c.refuse()
+	case wire.FrameKind_FRAME_KIND_DATA:
+		return c.data(f)
+	case wire.FrameKind_FRAME_KIND_END:
+		return c.end(f.GetEnd())
+	}
+	return ErrSequence
+}
+
+// Ended reports whether the whole answer has been verified.
+func (c *Checker) Ended() bool { return c.ended }
+
+func (c *Checker) accept() (err error) {
+	if c.accepted {
+		return ErrSequence
+	}
+	c.accepted = true
+	return nil
+}
+
+func (c *Checker) refuse() (err error) {
+	if c.accepted {
+		return ErrSequence
+	}
+	c.ended = true
+	return nil
+}
+
+func (c *Checker) data(f *wire.Frame) (err error) {
+	if !c.accepted || f.GetNumber() != c.count+1 {
+		return ErrSequence
+	}
+	c.count++
+	c.digest.Write(f.GetData())
+	return nil
+}
+
+func (c *Checker) end(e *wire.End) (err error) {
+	if !c.accepted {
+		return ErrSequence
+	}
+	if e.GetCount() != c.count || !bytes.Equal(e.GetDigest(), c.digest.Sum(nil)) {
+		return ErrDigest
+	}
+	c.ended = true
+	return nil
+}
+
+func sameTry(a, b *wire.TryID) bool {
+	return a.GetRequestID() == b.GetRequestID() && a.GetTry() == b.GetTry() && a.GetIncarnation() == b.GetIncarnation()
+}
+
+// Reader reads and verifies the frames of one try.
+type Reader struct {
+	in      *bufio.Reader
+	checker *Checker
+}
+
+// NewReader returns a reader that takes frames of the given try only.
+func NewReader(in io.Reader, id *wire.TryID) *Reader {
+	return &Reader{in: bufio.NewReader(in), checker: NewChecker(id)}
+}
+
+// Next returns the next verified frame, io.EOF after the last one, and ErrTruncated if the stream stops before it.
+func (r *Reader) Next() (f *wire.Frame, err error) {
+	if r.checker.Ended() {
+		return nil, io.EOF
+	}
+	f = &wire.Frame{}
+	err = protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}.UnmarshalFrom(r.in, f)
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return nil, ErrTruncated
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "read frame")
+	}
+	if err = r.checker.Check(f); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
--- /dev/null
+++ b/state/outcome/outcome.go
@@ -0,0 +1,53 @@
+package outcome
+
+import "time"
+
+// Outcome tells whether a request ran.
+type Outcome string
+
+const (
+	// Completed means that the request ran and its whole answer was delivered.
+	Completed Outcome = "completed"
+	// NotRun means that the request did not run and never will.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Reason says why a try or a request was refused.
+type Reason string
+
+// Reasons of refusal; each of them means that nothing ran.
+const (
+	Leaving        Reason = "leaving"         // the endpoint is being drained
+	QueueFull      Reason = "queue-full"      // the bounded queue has no room
+	CallerLimit    Reason = "caller-limit"    // the caller is over its fair share
+	Deadline       Reason = "deadline"        // the expected wait passes the deadline, or it has expired
+	LoadFailed     Reason = "load-failed"     // the adapter cannot be loaded at this endpoint
+	StaleRevision  Reason = "stale-revision"  // the resource changed after the sender resolved the request
+	StaleClaim     Reason = "stale-claim"     // the try names another incarnation of the agent
+	ClaimLost      Reason = "claim-lost"      // the agent may no longer give orders to its endpoint
+	Tombstoned     Reason = "tombstoned"      // the try was settled as never started
+	Duplicate      Reason = "duplicate"       // the try was already received
+	Isolated       Reason = "isolated"        // the process cannot confirm its configuration
+	EngineDown     Reason = "engine-down"     // the endpoint cannot be reached
+	UnknownAdapter Reason = "unknown-adapter" // the adapter or version is not declared
+	NoEndpoint     Reason = "no-endpoint"     // no endpoint can take the request
+	LedgerDown     Reason = "ledger-down"     // the idempotency record cannot be written
+)
+
+// Refusal is a refusal before anything ran.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter is the time after which a repeat is likely to be accepted; zero if a repeat makes no sense.
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// Error returns the reason and the detail.
+func (r *Refusal) Error() string {
+	if r.Detail == "" {
+		return "not run: " + string(r.Reason)
+	}
+	return "not run: " + string(r.Reason) + ": " + r.Detail
+}
--- /dev/null
+++ b/state/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement decides at which endpoint a request runs.
+package placement
--- /dev/null
+++ b/state/resource/policy.go
@@ -0,0 +1,20 @@
+package resource
+
+import "time"
+
+// DefaultPolicyName is the name of the policy that is in force.
+const DefaultPolicyName = "default"
+
+// DefaultPolicy returns the policy of a deployment that declares none.
+func DefaultPolicy() Policy {
+	return Policy{
+		Name:                  DefaultPolicyName,
+		LoadStallWeight:       1,
+		BatchEfficiencyWeight: 1,
+		LoadsPerSecond:        4,
+		LoadsInFlight:         8,
+		QueuePerEndpoint:      64,
+		RetryRatio:            0.1,
+		KeyRetention:          Duration(24 * time.Hour),
+	}
+}
--- /dev/null
+++ b/state/retry/budget.go
@@ -0,0 +1,44 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// burst lets a few retries through while there is little fresh traffic.
+	burst = 10
+	// baseBackoff and maxBackoff bound the full-jitter backoff.
+	baseBackoff = 20 * time.Millisecond
+	maxBackoff  = time.Second
+)
+
+// Budget allows retries as a fraction of fresh requests; it belongs to one goroutine.
+type Budget struct {
+	ratio  float64
+	tokens float64
+	random *rand.Rand
+}
+
+// New returns a budget with the given share of retries and source of jitter.
+func New(ratio float64, random *rand.Rand) *Budget {
+	return &Budget{ratio: ratio, tokens: burst, random: random}
+}
+
+// Fresh records a first try.
+func (b *Budget) Fresh() { b.tokens = min(b.tokens+b.ratio, burst) }
+
+// Take reports whether one more retry is allowed and counts it.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Backoff returns the time to wait before the given try, with full jitter.
+func (b *Budget) Backoff(try int) time.Duration {
+	limit := min(baseBackoff<<min(try, 10), maxBackoff)
+	return time.Duration(b.random.Int64N(int64(limit) + 1))
+}
--- /dev/null
+++ b/state/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds the retries of one entry to a fraction of its fresh requests.
+package retry
--- /dev/null
+++ b/state/slots/doc.go
@@ -0,0 +1,2 @@
+// Package slots keeps track of the adapters in one engine's slots and picks the adapter to evict.
+package slots
--- /dev/null
+++ b/transport/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin serves the admin port: metrics, health and readiness.
+package admin
--- /dev/null
+++ b/transport/server/doc.go
@@ -0,0 +1,2 @@
+// Package server runs HTTP listeners with limits on headers, bodies, time and connections.
+package server
--- /dev/null
+++ b/transport/server/server.go
@@ -0,0 +1,129 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/transport/settings"
+)
+
+// Limits bound what one peer can make a listener hold.
+type Limits struct {
+	// HeaderBytes bounds the request header; a larger one is answered with 431.
+	HeaderBytes int
+	// BodyBytes bounds the request body; handlers see http.MaxBytesError past it.
+	BodyBytes int64
+	// HeaderTimeout bounds the time to send the header, in time.Duration.
+	HeaderTimeout time.Duration
+	// BodyTimeout bounds the time to send header and body together.
+	BodyTimeout time.Duration
+	IdleTimeout time.Duration
+	// Connections bounds the open connections; further ones wait in the accept queue of the kernel.
+	Connections int
+}
+
+// DefaultLimits returns the limits of a listener that sets none.
+func DefaultLimits() Limits {
+	return Limits{
+		HeaderBytes:   32 << 10,
+		BodyBytes:     4 << 20,
+		HeaderTimeout: 5 * time.Second,
+		BodyTimeout:   30 * time.Second,
+		IdleTimeout:   2 * time.Minute,
+		Connections:   10_000,
+	}
+}
+
+// Server is one HTTP listener.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// Option changes how a server is built.
+type Option func(*config)
+
+type config struct {
+	limits        Limits
+	tls           settings.TLS
+	allowInsecure bool
+}
+
+// WithLimits replaces the default limits.
+func WithLimits(l Limits) Option { return func(c *config) { c.limits = l } }
+
+// WithTLS serves TLS with the named files; client certificates are required if a CA file is named.
+func WithTLS(t settings.TLS) Option { return func(c *config) { c.tls = t } }
+
+// AllowInsecure permits a listener off loopback without TLS.
+func AllowInsecure(allow bool) Option { return func(c *config) { c.allowInsecure = allow } }
+
+// Listen opens the address; a listener off loopback without TLS is refused unless allowed.
+func Listen(address string, handler http.Handler, options ...Option) (s *Server, err error) {
+	defer func() { err = eris.Wrapf(err, "listen on %s", address) }()
+	c := config{limits: DefaultLimits()}
+	for _, o := range options {
+		o(&c)
+	}
+	if !c.tls.Enabled() && !c.allowInsecure && !isLoopback(address) {
+		return nil, eris.New("address is not on loopback and no TLS keys are set; set CertFile and KeyFile, or AllowInsecure = true")
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	l = limitConnections(l, c.limits.Connections)
+	if c.tls.Enabled() {
+		tc, err := ListenerTLS(c.tls)
+		if err != nil {
+			return nil, errors.Join(err, l.Close())
+		}
+		l = tls.NewListener(l, tc)
+	}
+	return &Server{listener: l, http: newHTTPServer(handler, c.limits)}, nil
+}
+
+// Serve accepts connections until Shutdown or Close.
+func (s *Server) Serve() (err error) {
+	err = s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "serve")
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Shutdown stops accepting and waits for the requests in progress.
+func (s *Server) Shutdown(ctx context.Context) (err error) {
+	return eris.Wrap(s.http.Shutdown(ctx), "shut down listener")
+}
+
+// Close ends the listener and all connections at once.
+func (s *Server) Close() (err error) { return eris.Wrap(s.http.Close(), "close listener") }
+
+func newHTTPServer(handler http.Handler, l Limits) *http.Server {
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(handler, l.BodyBytes),
+		MaxHeaderBytes:    l.HeaderBytes,
+		ReadHeaderTimeout: l.HeaderTimeout,
+		ReadTimeout:       l.BodyTimeout,
+		IdleTimeout:       l.IdleTimeout,
+	}
+}
+
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
--- /dev/null
+++ b/transport/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads the TOML settings files of the programs.
+package settings
--- /dev/null
+++ b/transport/timeline/timeline.go
@@ -0,0 +1,146 @@
+package timeline
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+)
+
+// Kind names what happened; it is the message of the log line.
+type Kind string
+
+// Kinds of events.
+const (
+	RequestReceived   Kind = "request received"
+	TryDispatched     Kind = "try dispatched"
+	TryAccepted       Kind = "try accepted"
+	TryStarted        Kind = "try started"
+	TryRefused        Kind = "try refused"
+	TryEnded          Kind = "try ended"
+	TrySettled        Kind = "try settled"
+	RequestFinished   Kind = "request finished"
+	LoadStarted       Kind = "load started"
+	LoadFinished      Kind = "load finished"
+	LoadFailed        Kind = "load failed"
+	AdapterEvicted    Kind = "adapter evicted"
+	EngineRestarted   Kind = "engine restarted"
+	EndpointClaimed   Kind = "endpoint claimed"
+	EndpointReleased  Kind = "endpoint released"
+	DrainStarted      Kind = "drain started"
+	DrainFinished     Kind = "drain finished"
+	ConfigurationSet  Kind = "configuration in force"
+	BucketTaken       Kind = "bucket taken"
+	BucketReleased    Kind = "bucket released"
+	InvariantViolated Kind = "invariant violated"
+	ProcessStarted    Kind = "process started"
+	ProcessStopping   Kind = "process stopping"
+	ProcessStopped    Kind = "process stopped"
+)
+
+// Event is one entry of the time line; empty fields are left out of the line.
+type Event struct {
+	Kind             Kind
+	RequestID        ident.RequestID
+	Try              ident.Try
+	Caller           ident.Caller
+	Adapter          ident.Adapter
+	Version          ident.Version
+	Endpoint         ident.Endpoint
+	Incarnation      ident.Incarnation
+	Outcome          outcome.Outcome
+	Reason           outcome.Reason
+	Status           int
+	PromptTokens     ident.Tokens
+	CompletionTokens ident.Tokens
+	Stall            time.Duration
+	Duration         time.Duration
+	Revision         ident.Revision
+	Detail           string
+}
+
+// Process identifies the writer of a time line.
+type Process struct {
+	ID   ident.Process
+	Role string
+	Host ident.Host
+	Zone ident.Zone
+}
+
+// Log writes events and ordinary log lines as JSON lines with the same fixed fields.
+type Log struct {
+	*slog.Logger
+}
+
+// New returns a log that names the process on each line.
+func New(out io.Writer, p Process, level slog.Level) *Log {
+	h := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: pascalCase})
+	return &Log{Logger: slog.New(h).With(
+		slog.String("Process", string(p.ID)),
+		slog.String("Role", p.Role),
+		slog.String("Host", string(p.Host)),
+		slog.String("Zone", string(p.Zone)),
+	)}
+}
+
+// Discard returns a log that writes nothing.
+func Discard() *Log { return &Log{Logger: slog.New(slog.DiscardHandler)} }
+
+// Event writes one event.
+func (l *Log) Event(e Event) {
+	level := slog.LevelInfo
+	if e.Kind == InvariantViolated {
+		level = slog.LevelError
+	}
+	l.LogAttrs(context.Background(), level, string(e.Kind), e.attrs()...)
+}
+
+func (e Event) attrs() (list []slog.Attr) {
+	list = append(list, slog.Bool("Event", true))
+	text := func(key, value string) {
+		if value != "" {
+			list = append(list, slog.String(key, value))
+		}
+	}
+	number := func(key string, value int64) {
+		if value != 0 {
+			list = append(list, slog.Int64(key, value))
+		}
+	}
+	text("RequestID", string(e.RequestID))
+	number("Try", int64(e.Try))
+	text("Caller", string(e.Caller))
+	text("Adapter", string(e.Adapter))
+	text("Version", string(e.Version))
+	text("Endpoint", string(e.Endpoint))
+	number("Incarnation", int64(e.Incarnation))
+	text("Outcome", string(e.Outcome))
+	text("Reason", string(e.Reason))
+	number("Status", int64(e.Status))
+	number("PromptTokens", int64(e.PromptTokens))
+	number("CompletionTokens", int64(e.CompletionTokens))
+	number("StallMilli", e.Stall.Milliseconds())
+	number("DurationMilli", e.Duration.Milliseconds())
+	number("Revision", int64(e.Revision))
+	text("Detail", e.Detail)
+	return list
+}
+
+// pascalCase renames the built-in keys of slog to the project's form.
+func pascalCase(groups []string, a slog.Attr) slog.Attr {
+	if len(groups) > 0 {
+		return a
+	}
+	switch a.Key {
+	case slog.TimeKey:
+		a.Key = "Time"
+	case slog.LevelKey:
+		a.Key = "Level"
+	case slog.MessageKey:
+		a.Key = "Message"
+	}
+	return a
+}
