--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,76 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+type instantLoader struct{}
+
+func (instantLoader) Load(context.Context, string) (err error) { return nil }
+
+func call(t *testing.T, url, fencing, body string) (status int, answer string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(HeaderFencing, fencing)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(b)
+}
+
+// Guards against a stand-in that is more lenient than a real engine, which would hide faults of the agent.
+func TestEngineRefusesWhatARealEngineRefuses(t *testing.T) {
+	e := New("base", instantLoader{}, WithSlots(1, 2), WithFencing(true), WithTokenInterval(0))
+	s := httptest.NewServer(e.Handler())
+	defer s.Close()
+	steps := []struct {
+		name, path, fencing, body string
+		status                    int
+		contains                  string
+	}{
+		{"absent adapter", "/v1/completions", "5", `{"model":"a@1","prompt":"hi"}`, 404, "model_not_found"},
+		{"load", "/v1/load_lora_adapter", "5", `{"lora_name":"a@1","lora_path":"a/1"}`, 200, ""},
+		{"no free slot", "/v1/load_lora_adapter", "5", `{"lora_name":"b@1","lora_path":"b/1"}`, 409, "no_slot"},
+		{"old fencing number", "/v1/unload_lora_adapter", "4", `{"lora_name":"a@1"}`, 412, "old_fencing_number"},
+		{"run", "/v1/completions", "5", `{"model":"a@1","prompt":"hi","max_tokens":2}`, 200, "a@1 " + PromptDigest("hi")},
+		{"stream", "/v1/chat/completions", "5", `{"model":"a@1","stream":true,"messages":[{"role":"user","content":"hi"}]}`, 200, "data: [DONE]"},
+		{"unload", "/v1/unload_lora_adapter", "6", `{"lora_name":"a@1"}`, 200, ""},
+		{"unload again", "/v1/unload_lora_adapter", "6", `{"lora_name":"a@1"}`, 404, "not_loaded"},
+	}
+	for _, st := range steps {
+		status, answer := call(t, s.URL+st.path, st.fencing, st.body)
+		if status != st.status || !strings.Contains(answer, st.contains) {
+			t.Errorf("%s: got %d %s, want %d with %q", st.name, status, answer, st.status, st.contains)
+		}
+	}
+	if n := len(e.Journal()); n != 2 {
+		t.Errorf("journal has %d runs, want 2", n)
+	}
+}
+
+// Guards against a restart that keeps adapters or the start id, which would hide the agent's handling of restarts.
+func TestRestartLosesEverything(t *testing.T) {
+	e := New("base", instantLoader{}, WithTokenInterval(0))
+	if err := e.load(context.Background(), "a@1", "a/1"); err != nil {
+		t.Fatal(err)
+	}
+	before := e.startID
+	e.Restart()
+	if len(e.Loaded()) != 0 || e.startID == before {
+		t.Errorf("after the restart: loaded %v, start id %s, before %s", e.Loaded(), e.startID, before)
+	}
+}
--- /dev/null
+++ b/standin/weights/doc.go
@@ -0,0 +1,2 @@
+// Package weights is a stand-in of the rate-limited weight store.
+package weights
