Add the agent: gate, engine client, claim and daemon

Cause: no process sends commands to an endpoint yet.

Change: state/gate decides in a step function, protocol/engine calls the endpoint and reports the effect of each call, coordination/claim holds the endpoint by compare-and-swap under a lease, daemon/agent joins them, cmd/agent starts it. The program has no client of the key-value service yet; New refuses to start without one.

Before: cmd/agent was empty. After: the tests run tries, a drain, a keyed try without its sender, and a tombstone in process against an HTTP engine: go test -race ./daemon/agent is ok.

--- /dev/null
+++ b/coordination/claim/keep.go
@@ -0,0 +1,79 @@
+package claim
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/state/ident"
+)
+
+// Keep renews the claim until ctx ends, takes it again when it was lost, and reports each change of status.
+func (c *Claim) Keep(ctx context.Context, report func(Status, ident.Incarnation)) (err error) {
+	last, _ := c.Status()
+	next := c.clock.Now().Add(KeepAlive)
+	for {
+		if err = c.sleep(ctx, retryEvery); err != nil {
+			return err
+		}
+		if !c.clock.Now().Before(next) {
+			started := c.clock.Now()
+			if err = c.Renew(ctx); err == nil {
+				next = started.Add(KeepAlive)
+			}
+		}
+		s, i := c.Status()
+		if s != last {
+			report(s, i)
+		}
+		if s == Lost {
+			if i, err = c.Acquire(ctx); err != nil {
+				return err
+			}
+			next = c.clock.Now().Add(KeepAlive)
+			s = Held
+			report(s, i)
+		}
+		last = s
+	}
+}
+
+// Renew sends one keep-alive. The new term counts from before the call, because the service may have carried it out at once.
+func (c *Claim) Renew(ctx context.Context) (err error) {
+	defer func() { err = eris.Wrap(err, "renew claim") }()
+	c.mu.Lock()
+	lease, i, s := c.lease, c.incarnation, c.status
+	c.mu.Unlock()
+	if s != Held {
+		return ErrLost
+	}
+	started := c.clock.Now()
+	err = c.keepAlive(ctx, lease)
+	switch {
+	case err == nil:
+		c.set(Held, lease, i, started)
+	case errors.Is(err, keyvalue.ErrLeaseExpired):
+		c.set(Lost, 0, i, started)
+	}
+	return err
+}
+
+// Release gives the claim up; no command may be in flight.
+func (c *Claim) Release(ctx context.Context) {
+	c.mu.Lock()
+	lease, s := c.lease, c.status
+	c.status = Lost
+	c.mu.Unlock()
+	if s == Held {
+		c.revoke(ctx, lease)
+	}
+}
+
+// Invalidate marks the claim as lost, for example because the endpoint has seen a newer fencing number.
+func (c *Claim) Invalidate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.status = Lost
+}
--- /dev/null
+++ b/daemon/agent/configuration.go
@@ -0,0 +1,124 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"shallotring.dev/coordination/claim"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/gate"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
+	"shallotring.dev/transport/timeline"
+)
+
+// refreshTimeout bounds the wait of a try for a newer configuration.
+const refreshTimeout = 2 * time.Second
+
+// declared waits until the endpoint is declared and not leaving.
+func (a *Agent) declared(ctx context.Context) (e *resource.Endpoint, err error) {
+	a.notReady("waiting for the declaration of the endpoint")
+	for {
+		e, ok := a.configuration.Current().Endpoint(a.settings.Endpoint)
+		if ok && !e.Leaving {
+			return e, nil
+		}
+		if err = a.sleep(ctx, configurationPoll); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// watchConfiguration passes changes of the Endpoint resource to the gate. A resource that is gone means leaving.
+func (a *Agent) watchConfiguration() {
+	var seen *resource.Set
+	for a.sleep(a.work, configurationPoll) == nil {
+		set := a.configuration.Current()
+		if set == seen {
+			continue
+		}
+		seen = set
+		a.log.Event(timeline.Event{Kind: timeline.ConfigurationSet, Revision: set.Newest()})
+		e, ok := set.Endpoint(a.settings.Endpoint)
+		if !ok || e.Leaving {
+			a.drain()
+			continue
+		}
+		a.post(gate.Configure{BatchSize: e.BatchSize})
+	}
+}
+
+// known looks up the resource that a try names, after fetching it if the sender's revision is newer.
+func (a *Agent) known(ctx context.Context, r *wire.RunRequest) (k gate.Known) {
+	want := ident.Revision(r.GetResourceRevision())
+	k = a.lookUp(r)
+	if want <= k.Revision {
+		return k
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if err := a.configuration.Refresh(ctx, want); err != nil {
+		a.log.WarnContext(ctx, "configuration refresh failed", errorAttr(err))
+	}
+	return a.lookUp(r)
+}
+
+func (a *Agent) lookUp(r *wire.RunRequest) (k gate.Known) {
+	set := a.configuration.Current()
+	e, ok := set.Endpoint(a.settings.Endpoint)
+	if !ok {
+		return k
+	}
+	if e.Kind == resource.Service {
+		k.Declared = true
+		k.Revision = set.ResourceRevision(resource.Name{Kind: resource.KindEndpoint, Name: string(e.Name)})
+		return k
+	}
+	k.Revision = set.ResourceRevision(resource.Name{Kind: resource.KindAdapter, Name: r.GetAdapter()})
+	ad, ok := set.Adapter(ident.Adapter(r.GetAdapter()))
+	if !ok || r.GetVersion() == "" || ad.BaseModel != e.BaseModel {
+		return k
+	}
+	v, ok := ad.Version(ident.Version(r.GetVersion()))
+	k.Declared, k.Path, k.Digest = ok, v.Path, v.Digest
+	return k
+}
+
+func (a *Agent) share(c ident.Caller) float64 {
+	for _, x := range a.configuration.Current().Callers() {
+		if x.Name == c && x.Share > 0 {
+			return x.Share
+		}
+	}
+	return 1
+}
+
+// keepClaim renews the claim and tells the gate what it allows.
+func (a *Agent) keepClaim() {
+	err := a.claim.Keep(a.work, func(s claim.Status, i ident.Incarnation) {
+		status := gate.ClaimLost
+		switch s {
+		case claim.Held:
+			status = gate.ClaimHeld
+			a.held.Store(int64(i))
+			a.log.Event(timeline.Event{Kind: timeline.EndpointClaimed, Endpoint: a.settings.Endpoint, Incarnation: i})
+		case claim.Unsure:
+			status = gate.ClaimUnsure
+		}
+		a.post(gate.Claim{Status: status, Incarnation: i})
+	})
+	if a.work.Err() == nil {
+		a.check(err)
+	}
+}
+
+func (a *Agent) sleep(ctx context.Context, d time.Duration) (err error) {
+	t := a.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/daemon/agent/fake_test.go
@@ -0,0 +1,191 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
+)
+
+// fakeStore is a key-value service in memory without expiry.
+type fakeStore struct {
+	mu   sync.Mutex
+	at   ident.Revision
+	data map[string]keyvalue.Record
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (r keyvalue.Record, found bool, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, found = f.data[key]
+	return r, found, nil
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, s keyvalue.Swap) (at ident.Revision, swapped bool, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.data[s.Key].ModRevision != s.Expect {
+		return f.at, false, nil
+	}
+	f.at++
+	f.data[s.Key] = keyvalue.Record{Key: s.Key, Value: s.Value, ModRevision: f.at, Lease: s.Lease}
+	return f.at, true, nil
+}
+
+func (f *fakeStore) Grant(context.Context, time.Duration) (id keyvalue.LeaseID, err error) {
+	return 1, nil
+}
+
+func (f *fakeStore) KeepAlive(context.Context, keyvalue.LeaseID) (err error) { return nil }
+
+func (f *fakeStore) Revoke(_ context.Context, id keyvalue.LeaseID) (err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k, r := range f.data {
+		if r.Lease == id {
+			delete(f.data, k)
+		}
+	}
+	return nil
+}
+
+// fixedConfiguration never changes.
+type fixedConfiguration struct{ set *resource.Set }
+
+func (f fixedConfiguration) Current() *resource.Set { return f.set }
+
+func (f fixedConfiguration) Refresh(context.Context, ident.Revision) (err error) { return nil }
+
+const digest = "00"
+
+func declare(kind resource.EndpointKind) fixedConfiguration {
+	e := resource.Endpoint{Name: "e1", Kind: kind, BaseModel: "base", Service: "custody", Slots: 1, BatchSize: 4, ChecksFencing: true}
+	ad := func(name ident.Adapter) resource.Adapter {
+		return resource.Adapter{
+			Name: name, BaseModel: "base", Default: "v1",
+			Versions: []resource.AdapterVersion{{Version: "v1", Path: "/" + string(name), Digest: digest}},
+		}
+	}
+	p := resource.DefaultPolicy()
+	p.LoadsPerSecond = 1000
+	set := resource.NewSet()
+	for i, r := range []any{&e, new(ad("a1")), new(ad("a2")), &p} {
+		n, _ := resource.NameOf(r)
+		old, _ := set.Shard(n.Shard())
+		sh := &resource.Shard{}
+		if old != nil {
+			*sh = *old
+		}
+		sh.Put(r)
+		set = set.Apply(n.Shard(), ident.Revision(i+1), sh)
+	}
+	return fixedConfiguration{set}
+}
+
+// fakeEngine answers as an engine and as a plain service.
+type fakeEngine struct {
+	*httptest.Server
+	mu       sync.Mutex
+	loaded   map[string]bool
+	running  map[string]int
+	evicted  []string
+	requests []string
+	fencing  map[string]bool
+	// hold blocks requests until it is closed.
+	hold chan struct{}
+	// entered gets the id of each request that has reached the engine.
+	entered chan string
+	status  int
+}
+
+func newFakeEngine(t *testing.T) *fakeEngine {
+	f := &fakeEngine{
+		loaded: make(map[string]bool), running: make(map[string]int), fencing: make(map[string]bool), entered: make(chan string, 100),
+	}
+	f.Server = httptest.NewServer(f)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Engine-Start-Id", "s1")
+	body := make(map[string]string)
+	text, _ := io.ReadAll(r.Body)
+	_ = json.Unmarshal(text, &body)
+	if r.Method == http.MethodPost {
+		f.mu.Lock()
+		f.fencing[r.Header.Get("Fencing-Number")] = true
+		f.mu.Unlock()
+	}
+	switch r.URL.Path {
+	case "/v1/models":
+		f.models(w)
+	case "/running":
+		io.WriteString(w, `{"requests":[]}`)
+	case "/v1/load_lora_adapter":
+		f.mu.Lock()
+		f.loaded[body["lora_name"]] = true
+		f.mu.Unlock()
+	case "/v1/unload_lora_adapter":
+		f.mu.Lock()
+		delete(f.loaded, body["lora_name"])
+		f.evicted = append(f.evicted, body["lora_name"])
+		f.mu.Unlock()
+	case "/cancel":
+	default:
+		f.complete(w, r, body["model"])
+	}
+}
+
+func (f *fakeEngine) models(w io.Writer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for name := range f.loaded {
+		list = append(list, fmt.Sprintf(`{"id":%q,"digest":%q}`, name, digest))
+	}
+	fmt.Fprintf(w, `{"data":[%s]}`, strings.Join(list, ","))
+}
+
+func (f *fakeEngine) complete(w http.ResponseWriter, r *http.Request, model string) {
+	f.mu.Lock()
+	f.requests = append(f.requests, r.Header.Get("X-Request-Id"))
+	hold, status, known := f.hold, f.status, model == "" || f.loaded[model]
+	f.mu.Unlock()
+	f.entered <- r.Header.Get("X-Request-Id")
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	fmt.Fprintf(w, "data: %s %s\n\n", model, r.Header.Get("X-Request-Id"))
+	http.NewResponseController(w).Flush()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	io.WriteString(w, "data: {\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":5}}\n\ndata: [DONE]\n\n")
+}
+
+func (f *fakeEngine) ran() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.requests...)
+}
--- /dev/null
+++ b/daemon/agent/options.go
@@ -0,0 +1,49 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/coder/quartz"
+
+	"shallotring.dev/coordination/claim"
+	"shallotring.dev/state/gate"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
+	"shallotring.dev/transport/timeline"
+)
+
+// Configuration is the agent's view of the declared resources.
+type Configuration interface {
+	// Current returns the configuration in force.
+	Current() *resource.Set
+	// Refresh brings the configuration up to the revision or returns an error.
+	Refresh(ctx context.Context, revision ident.Revision) (err error)
+}
+
+// Option changes how an agent is built.
+type Option func(*Agent)
+
+// WithStore sets the key-value service that holds the claim.
+func WithStore(s claim.Store) Option { return func(a *Agent) { a.store = s } }
+
+// WithConfiguration sets the source of the declared resources.
+func WithConfiguration(c Configuration) Option { return func(a *Agent) { a.configuration = c } }
+
+// WithPermits replaces the fixed share of the load budget.
+func WithPermits(p Permits) Option { return func(a *Agent) { a.permits = p } }
+
+// WithClock replaces the clock of the control loop and of the claim.
+func WithClock(c quartz.Clock) Option { return func(a *Agent) { a.clock = c } }
+
+// WithLog sets the time line.
+func WithLog(l *timeline.Log) Option { return func(a *Agent) { a.log = l } }
+
+// WithProcess sets the process id, which is random otherwise.
+func WithProcess(p ident.Process) Option { return func(a *Agent) { a.process = p } }
+
+// WithTransport replaces the HTTP transport to the endpoint.
+func WithTransport(t http.RoundTripper) Option { return func(a *Agent) { a.transport = t } }
+
+// WithLimits changes the limits of the gate; the fields that describe the endpoint are set by its resource.
+func WithLimits(fn func(*gate.Config)) Option { return func(a *Agent) { a.limits = fn } }
--- /dev/null
+++ b/daemon/agent/permits.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/permit"
+	"shallotring.dev/state/resource"
+)
+
+// Permits hands out the right to load; it is safe for concurrent use.
+type Permits interface {
+	// Take asks for up to wanted permits; unused ones are void after the expiry.
+	Take(ctx context.Context, e ident.Endpoint, wanted int) (granted int, expiry time.Duration, err error)
+	// Done reports that a load has ended.
+	Done(e ident.Endpoint)
+}
+
+// FixedShare is this agent's part of the load budget: the load rate divided by the number of declared engines.
+type FixedShare struct {
+	configuration Configuration
+	clock         quartz.Clock
+
+	mu     sync.Mutex
+	rate   float64
+	budget *permit.Budget
+}
+
+// NewFixedShare returns a share that follows the configuration.
+func NewFixedShare(c Configuration, clock quartz.Clock) *FixedShare {
+	return &FixedShare{configuration: c, clock: clock}
+}
+
+// Take grants at most one permit at a time.
+func (f *FixedShare) Take(_ context.Context, e ident.Endpoint, _ int) (granted int, expiry time.Duration, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	if rate := f.share(); rate != f.rate || f.budget == nil {
+		f.rate, f.budget = rate, permit.New(rate, 1, now)
+	}
+	if f.budget.Take(now, e) {
+		granted = 1
+	}
+	return granted, permit.Expiry, nil
+}
+
+// Done ends the load of one permit.
+func (f *FixedShare) Done(e ident.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.budget != nil {
+		f.budget.Done(e)
+	}
+}
+
+func (f *FixedShare) share() float64 {
+	set := f.configuration.Current()
+	engines := 0
+	for _, e := range set.Endpoints() {
+		if e.Kind == resource.Engine {
+			engines++
+		}
+	}
+	return set.Policy().LoadsPerSecond / float64(max(engines, 1))
+}
--- /dev/null
+++ b/daemon/agent/service.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/twitchtv/twirp"
+
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/gate"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+	"shallotring.dev/transport/timeline"
+)
+
+// RunPath is the path that takes tries.
+const RunPath = "/run"
+
+func (a *Agent) handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post(RunPath, a.run)
+	s := wire.NewAgentServer(&service{agent: a})
+	r.Mount(s.PathPrefix(), s)
+	return r
+}
+
+// service answers the unary calls of entries and of the command line.
+type service struct{ agent *Agent }
+
+// Settle says what became of a try.
+func (s *service) Settle(ctx context.Context, r *wire.SettleRequest) (resp *wire.SettleResponse, err error) {
+	id := tryID(r.GetID())
+	commands, err := s.agent.ask(ctx, gate.Settle{ID: id, Cancel: r.GetCancel()}, nil)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	for _, c := range commands {
+		if x, ok := c.(gate.Settled); ok {
+			resp = settleResponse(id, x)
+		}
+	}
+	s.agent.log.Event(timeline.Event{
+		Kind: timeline.TrySettled, RequestID: id.RequestID, Try: id.Try, Incarnation: id.Incarnation, Detail: resp.GetState().String(),
+	})
+	return resp, nil
+}
+
+// Report returns the load of the endpoint.
+func (s *service) Report(ctx context.Context, _ *wire.ReportRequest) (resp *wire.ReportResponse, err error) {
+	var r gate.Report
+	if err = s.agent.look(ctx, func(g *gate.Gate) { r = g.Report() }); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	resp = &wire.ReportResponse{
+		Endpoint:    string(s.agent.settings.Endpoint),
+		Incarnation: int64(r.Incarnation),
+		Leaving:     r.Leaving,
+		Running:     uint32(r.Running),
+		Queued:      uint32(r.Queued),
+		BatchSize:   uint32(r.BatchSize),
+		Slots:       uint32(r.Slots),
+		Generation:  int64(s.agent.configuration.Current().Newest()),
+		QueueMilli:  r.Wait.Milliseconds(),
+	}
+	for _, x := range r.Adapters {
+		resp.Adapters = append(resp.Adapters, &wire.AdapterState{
+			Adapter: string(x.Adapter.Adapter), Version: string(x.Adapter.Version),
+			Loading: x.Loading, Running: uint32(x.Running), Failing: x.Failing,
+		})
+	}
+	return resp, nil
+}
+
+// Drain starts a drain and returns the number of tries in progress.
+func (s *service) Drain(ctx context.Context, _ *wire.DrainRequest) (resp *wire.DrainResponse, err error) {
+	s.agent.drain()
+	var r gate.Report
+	if err = s.agent.look(ctx, func(g *gate.Gate) { r = g.Report() }); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &wire.DrainResponse{Running: uint32(r.Running + r.Queued)}, nil
+}
+
+// InForce returns the newest configuration revision in force.
+func (s *service) InForce(context.Context, *wire.InForceRequest) (resp *wire.InForceResponse, err error) {
+	return &wire.InForceResponse{
+		Process: string(s.agent.process), Role: string(registry.RoleAgent), Generation: int64(s.agent.configuration.Current().Newest()),
+	}, nil
+}
+
+func tryID(id *wire.TryID) ident.TryID {
+	return ident.TryID{
+		RequestID: ident.RequestID(id.GetRequestID()), Try: ident.Try(id.GetTry()), Incarnation: ident.Incarnation(id.GetIncarnation()),
+	}
+}
+
+func wireOutcome(o outcome.Outcome) wire.Outcome {
+	switch o {
+	case outcome.Completed:
+		return wire.Outcome_OUTCOME_COMPLETED
+	case outcome.NotRun:
+		return wire.Outcome_OUTCOME_NOT_RUN
+	}
+	return wire.Outcome_OUTCOME_UNKNOWN
+}
+
+func wireRefusal(r *outcome.Refusal) *wire.Refusal {
+	return &wire.Refusal{Reason: string(r.Reason), RetryAfterMilli: r.RetryAfter.Milliseconds(), Detail: r.Detail}
+}
+
+func settleResponse(id ident.TryID, x gate.Settled) *wire.SettleResponse {
+	switch x.State {
+	case gate.NeverStarted:
+		return &wire.SettleResponse{State: wire.TryState_TRY_STATE_NEVER_STARTED}
+	case gate.Running:
+		return &wire.SettleResponse{State: wire.TryState_TRY_STATE_RUNNING}
+	case gate.Completed:
+		resp := &wire.SettleResponse{State: wire.TryState_TRY_STATE_COMPLETED, Outcome: wire.Outcome_OUTCOME_COMPLETED}
+		if x.Answer != nil {
+			resp.Answer = &wire.Answer{
+				Status: int32(x.Answer.Status), ContentType: x.Answer.ContentType, Body: x.Answer.Body, Truncated: x.Answer.Truncated,
+				RequestID: string(id.RequestID), Adapter: string(x.Answer.Adapter.Adapter), Version: string(x.Answer.Adapter.Version),
+			}
+		}
+		return resp
+	}
+	return &wire.SettleResponse{State: wire.TryState_TRY_STATE_UNKNOWN}
+}
--- /dev/null
+++ b/protocol/engine/effect.go
@@ -0,0 +1,69 @@
+package engine
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// Effect says what a call did at the endpoint.
+type Effect int
+
+const (
+	// MayHaveEffect means that the call may have been carried out, wholly or in part.
+	MayHaveEffect Effect = iota
+	// NoEffect means that the call certainly was not and will not be carried out.
+	NoEffect
+	// Done means that the endpoint answered the call completely.
+	Done
+)
+
+// ErrFenced means that the endpoint has seen a newer fencing number.
+var ErrFenced = eris.New("endpoint refuses the fencing number")
+
+// CallError is a call that did not succeed.
+type CallError struct {
+	Effect Effect
+	// Status is the status of the endpoint's answer; zero if there was none.
+	Status int
+	Err    error
+}
+
+// Error returns the text of the cause.
+func (e *CallError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// EffectOf returns what a call that returned err did; no error means that it was done.
+func EffectOf(err error) Effect {
+	var c *CallError
+	switch {
+	case err == nil:
+		return Done
+	case errors.As(err, &c):
+		return c.Effect
+	}
+	return MayHaveEffect
+}
+
+// connectTrace records whether a connection was handed to a request; before that no byte of it can have left.
+type connectTrace struct{ connected atomic.Bool }
+
+func (t *connectTrace) attach(r *http.Request) *http.Request {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) }}
+	return r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+}
+
+// effect classifies an error of the transport.
+func (t *connectTrace) effect(err error) Effect {
+	var op *net.OpError
+	if !t.connected.Load() || (errors.As(err, &op) && op.Op == "dial") {
+		return NoEffect
+	}
+	return MayHaveEffect
+}
--- /dev/null
+++ b/protocol/engine/run.go
@@ -0,0 +1,142 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/state/ident"
+)
+
+// partBytes is the size of the buffer that answers are read with.
+const partBytes = 32 << 10
+
+// Call is one request to an endpoint.
+type Call struct {
+	ID      ident.TryID
+	Adapter ident.AdapterVersion
+	// Service is set for plain services, whose answers are passed on whatever their status.
+	Service     bool
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	Key         ident.Key
+	Priority    int32
+}
+
+// Answer is the head of an endpoint's answer.
+type Answer struct {
+	Status      int
+	ContentType string
+}
+
+// Usage is the number of tokens that the engine counted.
+type Usage struct {
+	PromptTokens     ident.Tokens
+	CompletionTokens ident.Tokens
+}
+
+// Run sends a request and passes each part of the answer on as it arrives; a part is valid during the call of fn only.
+// An error of fn ends the call. The effect of an error tells whether the request may have run.
+func (c *Client) Run(ctx context.Context, f ident.Incarnation, call Call, fn func(Answer, []byte) error) (a Answer, u Usage, err error) {
+	defer func() { err = eris.Wrap(err, "run request") }()
+	r, err := c.request(ctx, call)
+	if err != nil {
+		return a, u, &CallError{Effect: NoEffect, Err: err}
+	}
+	resp, err := c.send(r, f)
+	if err != nil {
+		return a, u, err
+	}
+	defer resp.Body.Close()
+	a = Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
+	if !call.Service {
+		if err = engineStatus(a.Status); err != nil {
+			return a, u, err
+		}
+	}
+	stream := !call.Service && strings.HasPrefix(a.ContentType, "text/event-stream")
+	u, err = passOn(resp.Body, a, stream, fn)
+	return a, u, err
+}
+
+// engineStatus classifies answers that are not the engine's result. An engine without the adapter answers 404 and an
+// overloaded one 429, both before the request runs; after a server error it may have run.
+func engineStatus(status int) error {
+	switch {
+	case status == http.StatusNotFound || status == http.StatusTooManyRequests:
+		return &CallError{Effect: NoEffect, Status: status, Err: eris.Errorf("status %d", status)}
+	case status >= http.StatusInternalServerError:
+		return &CallError{Effect: MayHaveEffect, Status: status, Err: eris.Errorf("status %d", status)}
+	}
+	return nil
+}
+
+func passOn(body io.Reader, a Answer, stream bool, fn func(Answer, []byte) error) (u Usage, err error) {
+	buf := make([]byte, partBytes)
+	reader := usageReader{stream: stream}
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			reader.write(buf[:n])
+			if err := fn(a, buf[:n]); err != nil {
+				return u, &CallError{Effect: MayHaveEffect, Status: a.Status, Err: err}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return reader.close()
+		}
+		if err != nil {
+			return u, &CallError{Effect: MayHaveEffect, Status: a.Status, Err: err}
+		}
+	}
+}
+
+func (c *Client) request(ctx context.Context, call Call) (r *http.Request, err error) {
+	body := call.Body
+	if !call.Service {
+		if body, err = renameModel(body, call.Adapter); err != nil {
+			return nil, err
+		}
+	}
+	r, err = http.NewRequestWithContext(ctx, call.Method, c.url(call.Path), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if call.ContentType != "" {
+		r.Header.Set("Content-Type", call.ContentType)
+	}
+	r.Header.Set(HeaderRequestID, RequestName(call.ID))
+	if call.Key != "" {
+		r.Header.Set(HeaderIdempotencyKey, string(call.Key))
+	}
+	if call.Priority != 0 {
+		r.Header.Set(HeaderPriority, strconv.FormatInt(int64(call.Priority), 10))
+	}
+	return r, nil
+}
+
+// RequestName is the id under which an endpoint knows a try.
+func RequestName(id ident.TryID) string {
+	return string(id.RequestID) + "/" + strconv.FormatUint(uint64(id.Try), 10)
+}
+
+// renameModel makes the request name the exact version, so that no other version can answer it.
+func renameModel(body []byte, av ident.AdapterVersion) (renamed []byte, err error) {
+	fields := make(map[string]json.RawMessage)
+	if err = json.Unmarshal(body, &fields); err != nil {
+		return nil, eris.Wrap(err, "read request body")
+	}
+	if fields["model"], err = json.Marshal(av.String()); err != nil {
+		return nil, err
+	}
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/state/gate/event.go
@@ -0,0 +1,147 @@
+package gate
+
+import (
+	"time"
+
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+)
+
+// Event is one input of the gate.
+type Event interface{ event() }
+
+// Known is what the configuration in force says about the resource that a try names.
+type Known struct {
+	Declared bool
+	Revision ident.Revision
+	// Path and Digest describe the weights; they are empty for plain services.
+	Path   string
+	Digest string
+}
+
+// Run asks to run one try; the answer in the same step is Accept, Refuse or Abandon.
+type Run struct {
+	ID       ident.TryID
+	Endpoint ident.Endpoint
+	// Adapter is zero for plain services.
+	Adapter  ident.AdapterVersion
+	Caller   ident.Caller
+	Share    float64
+	Key      ident.Key
+	Priority int32
+	Deadline time.Time
+	// Revision is the revision of the resource that the sender resolved the request with.
+	Revision ident.Revision
+	Known    Known
+}
+
+// Ended reports the end of a started try; Outcome is NotRun only if the endpoint certainly did nothing.
+type Ended struct {
+	ID      ident.TryID
+	Outcome outcome.Outcome
+	// Answer is kept for Settle if the try has a key.
+	Answer *Answer
+	Detail string
+}
+
+// Gone reports that the sender of a try has disconnected.
+type Gone struct{ ID ident.TryID }
+
+// Settle asks what became of a try; the answer in the same step is Settled.
+type Settle struct {
+	ID     ident.TryID
+	Cancel bool
+}
+
+// LoadEnded reports the end of a load; a load that was not listed with its digest has failed.
+type LoadEnded struct {
+	Number uint64
+	Digest string
+	Failed bool
+	// NoEffect is set on a failed load that certainly changed nothing at the engine.
+	NoEffect bool
+	Detail   string
+}
+
+// UnloadEnded reports the end of an unload; one that the engine's list does not confirm has failed.
+type UnloadEnded struct {
+	Number uint64
+	Failed bool
+	Detail string
+}
+
+// Permits answers AskPermits; unused permits are void after Until.
+type Permits struct {
+	Granted int
+	Until   time.Time
+}
+
+// Model is one adapter that the engine lists.
+type Model struct {
+	Adapter ident.AdapterVersion
+	Digest  string
+}
+
+// Request is one request that the engine lists as running.
+type Request struct {
+	// ID has the form "<RequestID>/<Try>".
+	ID      string
+	Adapter ident.AdapterVersion
+}
+
+// Surveyed answers Survey.
+type Surveyed struct {
+	Number  uint64
+	Failed  bool
+	StartID ident.StartID
+	Models  []Model
+	Running []Request
+}
+
+// Observed reports the start id in an answer of the engine.
+type Observed struct{ StartID ident.StartID }
+
+// ClaimStatus tells what the claim allows.
+type ClaimStatus int
+
+// States of the claim.
+const (
+	// ClaimHeld allows all work.
+	ClaimHeld ClaimStatus = iota
+	// ClaimUnsure allows work at endpoints that check fencing numbers and repeatable work at plain services.
+	ClaimUnsure
+	// ClaimLost allows nothing new.
+	ClaimLost
+)
+
+// Claim reports a change of the claim; a higher incarnation makes the gate read the state of the engine again.
+type Claim struct {
+	Status      ClaimStatus
+	Incarnation ident.Incarnation
+}
+
+// Configure reports the parts of the Endpoint resource that can change while the agent runs.
+type Configure struct {
+	BatchSize int
+	Leaving   bool
+}
+
+// Drain stops new work for good.
+type Drain struct{}
+
+// Tick lets time pass; the daemon sends it at the time that NextWake names.
+type Tick struct{}
+
+func (Run) event()         {}
+func (Ended) event()       {}
+func (Gone) event()        {}
+func (Settle) event()      {}
+func (LoadEnded) event()   {}
+func (UnloadEnded) event() {}
+func (Permits) event()     {}
+func (Surveyed) event()    {}
+func (Observed) event()    {}
+func (Claim) event()       {}
+func (Configure) event()   {}
+func (Drain) event()       {}
+func (Tick) event()        {}
--- /dev/null
+++ b/state/gate/try.go
@@ -0,0 +1,274 @@
+package gate
+
+import (
+	"time"
+
+	"shallotring.dev/state/admission"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+	"shallotring.dev/state/slots"
+)
+
+type tryState int
+
+const (
+	waiting tryState = iota
+	running
+	// finished tries have run or may have run.
+	finished
+	// tombstoned tries have not run and are refused for ever.
+	tombstoned
+)
+
+// try is what the gate remembers of one try.
+//
+// A try is forgotten only when a late copy of its Run is refused without the memory: a Run of an older incarnation is
+// always refused, and one of this incarnation is refused once its deadline plus ClockSkew has passed. A tombstone whose
+// deadline is not known was settled after the request arrived at its entry, so its deadline is at most MaxDeadline later.
+// Settle of a forgotten try would answer NeverStarted; keyed tries, which can be settled long after the request by the
+// next owner of their ledger bucket, are therefore kept for the retention of the ledger, and others for KeepFinished.
+// When the memory is full, nothing is forgotten early: calls end without a promise.
+type try struct {
+	Run
+	state    tryState
+	outcome  outcome.Outcome
+	admitted time.Time
+	canceled bool
+	forget   time.Time
+	answer   *Answer
+}
+
+// callerKey is an idempotency key, which is scoped to its caller.
+type callerKey struct {
+	caller ident.Caller
+	key    ident.Key
+}
+
+func (g *Gate) run(r Run) {
+	if t, ok := g.tries[r.ID]; ok {
+		g.repeated(t)
+		return
+	}
+	if r.ID.Incarnation < g.Incarnation {
+		g.emit(Refuse{ID: r.ID, Refusal: &outcome.Refusal{Reason: outcome.StaleClaim}})
+		return
+	}
+	if len(g.tries) >= g.MaxRemembered {
+		g.emit(Abandon{ID: r.ID, Reason: outcome.QueueFull})
+		return
+	}
+	if refusal := g.refusal(r); refusal != nil {
+		g.remember(&try{Run: r, state: tombstoned, outcome: outcome.NotRun})
+		g.emit(Refuse{ID: r.ID, Refusal: refusal})
+		return
+	}
+	g.remember(&try{Run: r, state: waiting, admitted: g.now})
+	if g.leaving {
+		g.violate(Violation{Guarantee: G6, ID: r.ID, Detail: "try admitted while leaving"})
+	}
+	g.emit(Accept{ID: r.ID})
+}
+
+// repeated answers a copy of a Run. Only a tombstoned try may be refused, because a refusal promises that it never ran.
+func (g *Gate) repeated(t *try) {
+	if t.state == tombstoned {
+		g.emit(Refuse{ID: t.ID, Refusal: &outcome.Refusal{Reason: outcome.Tombstoned}})
+		return
+	}
+	g.emit(Abandon{ID: t.ID, Reason: outcome.Duplicate})
+}
+
+// refusal says why a try that was not seen before must not run; on success the try is in the queue.
+func (g *Gate) refusal(r Run) *outcome.Refusal {
+	retry := g.queue.RetryAfter(g.now)
+	switch {
+	case r.ID.Incarnation != g.Incarnation || r.Endpoint != g.Endpoint:
+		return &outcome.Refusal{Reason: outcome.StaleClaim}
+	case g.leaving:
+		return &outcome.Refusal{Reason: outcome.Leaving, RetryAfter: retry}
+	case g.stopped():
+		return &outcome.Refusal{Reason: outcome.ClaimLost, RetryAfter: retry}
+	case g.claim != ClaimHeld && r.Key != "":
+		return &outcome.Refusal{Reason: outcome.LedgerDown, RetryAfter: retry}
+	case r.Deadline.IsZero():
+		return &outcome.Refusal{Reason: outcome.Deadline, Detail: "a try must have a deadline"}
+	case r.Deadline.Sub(g.now) > g.MaxDeadline:
+		return &outcome.Refusal{Reason: outcome.Deadline, Detail: "the deadline is too far ahead"}
+	case r.Revision != r.Known.Revision:
+		return &outcome.Refusal{Reason: outcome.StaleRevision, RetryAfter: retry}
+	case !r.Known.Declared || r.Adapter.IsZero() != g.Service:
+		return &outcome.Refusal{Reason: outcome.UnknownAdapter}
+	case r.Key != "" && g.keyUsed(r):
+		return &outcome.Refusal{Reason: outcome.Duplicate, Detail: "another try with this key may have run here"}
+	}
+	if a := g.adapters[r.Adapter]; a != nil && a.failing(g.now) {
+		return &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: a.notBefore.Sub(g.now), Detail: a.detail}
+	}
+	return g.queue.Push(g.now, admission.Item{
+		ID: r.ID, Caller: r.Caller, Share: r.Share, Adapter: r.Adapter, Priority: r.Priority, Deadline: r.Deadline,
+	})
+}
+
+func (g *Gate) keyUsed(r Run) bool {
+	_, ok := g.keys[callerKey{r.Caller, r.Key}]
+	return ok
+}
+
+// admit starts waiting tries while the endpoint has room for them.
+func (g *Gate) admit() {
+	if g.stopped() || g.blocked() || g.pastGrace() {
+		return
+	}
+	for len(g.active) < g.BatchSize {
+		it, ok := g.queue.Pop(g.now, g.ready)
+		if !ok {
+			return
+		}
+		g.start(g.tries[it.ID])
+	}
+}
+
+func (g *Gate) pastGrace() bool { return g.leaving && !g.now.Before(g.leftAt.Add(g.DrainGrace)) }
+
+func (g *Gate) ready(it admission.Item) bool {
+	t := g.tries[it.ID]
+	if t == nil || (t.Key != "" && g.keyUsed(t.Run)) {
+		return false
+	}
+	return g.Service || (g.slots.State(t.Adapter) == slots.Resident && g.adapters[t.Adapter].digest == t.Known.Digest)
+}
+
+func (g *Gate) start(t *try) {
+	if v, ok := g.checkStart(t); !ok {
+		g.violate(v)
+		g.end(t, &outcome.Refusal{Reason: outcome.EngineDown, Detail: v.Detail})
+		return
+	}
+	if !g.Service {
+		g.slots.Acquire(g.now, t.Adapter)
+	}
+	t.state = running
+	g.active[t.ID] = t
+	if t.Key != "" {
+		g.keys[callerKey{t.Caller, t.Key}] = t.ID
+	}
+	g.emit(Start{ID: t.ID, Adapter: t.Adapter, Stall: g.now.Sub(t.admitted)})
+}
+
+// ended applies the end of a try; a late or repeated report about a try that is not running changes nothing.
+func (g *Gate) ended(e Ended) {
+	t, ok := g.tries[e.ID]
+	if !ok || t.state != running {
+		return
+	}
+	if t.Key != "" && e.Outcome == outcome.Completed {
+		g.keep(t, e.Answer)
+	}
+	g.stopRunning(t, e.Outcome)
+	var refusal *outcome.Refusal
+	if e.Outcome == outcome.NotRun {
+		refusal = &outcome.Refusal{Reason: outcome.EngineDown, RetryAfter: g.queue.RetryAfter(g.now), Detail: e.Detail}
+	}
+	g.emit(Finish{ID: t.ID, Outcome: e.Outcome, Refusal: refusal, Detail: e.Detail})
+}
+
+// stopRunning releases what a running try holds and records its outcome.
+func (g *Gate) stopRunning(t *try, o outcome.Outcome) {
+	if !g.Service {
+		g.slots.Release(g.now, t.Adapter)
+	}
+	delete(g.active, t.ID)
+	g.queue.Served(g.now)
+	t.outcome, t.state = o, finished
+	if o == outcome.NotRun {
+		t.state = tombstoned
+		delete(g.keys, callerKey{t.Caller, t.Key})
+	}
+	g.setForget(t)
+}
+
+// end finishes an admitted try that has not started and never will.
+func (g *Gate) end(t *try, r *outcome.Refusal) {
+	if t.state != waiting {
+		g.violate(Violation{Guarantee: G4, ID: t.ID, Detail: "a started try would be reported as not run"})
+		return
+	}
+	t.state, t.outcome = tombstoned, outcome.NotRun
+	g.setForget(t)
+	g.emit(Finish{ID: t.ID, Outcome: outcome.NotRun, Refusal: r})
+}
+
+func (g *Gate) returnWaiting(reason outcome.Reason, match func(*try) bool) {
+	var list []*try
+	g.queue.Each(func(it admission.Item) {
+		if t := g.tries[it.ID]; t != nil && match(t) {
+			list = append(list, t)
+		}
+	})
+	for _, t := range list {
+		g.queue.Remove(t.ID)
+		g.end(t, &outcome.Refusal{Reason: reason, RetryAfter: g.queue.RetryAfter(g.now)})
+	}
+}
+
+// gone cancels a try whose sender has left. A keyed try goes on, so that its answer can be recorded.
+func (g *Gate) gone(id ident.TryID) {
+	t, ok := g.tries[id]
+	if !ok {
+		return
+	}
+	if t.state == waiting {
+		g.queue.Remove(id)
+		g.end(t, &outcome.Refusal{Reason: outcome.Tombstoned, Detail: "sender disconnected"})
+	} else if t.Key == "" {
+		g.cancel(t)
+	}
+}
+
+func (g *Gate) cancel(t *try) {
+	if t.state == running && !t.canceled {
+		t.canceled = true
+		g.emit(Cancel{ID: t.ID})
+	}
+}
+
+func (g *Gate) settle(s Settle) {
+	t, ok := g.tries[s.ID]
+	if !ok {
+		g.settleUnseen(s.ID)
+		return
+	}
+	answer := Settled{ID: s.ID}
+	switch t.state {
+	case waiting:
+		answer.State = Running
+		if s.Cancel {
+			g.queue.Remove(s.ID)
+			g.end(t, &outcome.Refusal{Reason: outcome.Tombstoned, Detail: "canceled"})
+			answer.State = NeverStarted
+		}
+	case running:
+		answer.State = Running
+		if s.Cancel {
+			g.cancel(t)
+		}
+	case finished:
+		answer.State = Unknown
+		if t.outcome == outcome.Completed {
+			answer.State, answer.Answer = Completed, t.answer
+		}
+	case tombstoned:
+		answer.State = NeverStarted
+	}
+	g.emit(answer)
+}
+
+// settleUnseen promises that a try of this incarnation never runs; about other incarnations nothing is known here.
+func (g *Gate) settleUnseen(id ident.TryID) {
+	if id.Incarnation != g.Incarnation || len(g.tries) >= g.MaxRemembered {
+		g.emit(Settled{ID: id, State: Unknown})
+		return
+	}
+	g.remember(&try{Run: Run{ID: id}, state: tombstoned, outcome: outcome.NotRun})
+	g.emit(Settled{ID: id, State: NeverStarted})
+}
