--- a/state/retry/budget.go
+++ b/state/retry/budget.go
@@ -11,6 +11,8 @@
 	// baseBackoff and maxBackoff bound the full-jitter backoff.
 	baseBackoff = 20 * time.Millisecond
 	maxBackoff  = time.Second
+	// maxDoublings keeps the shift below the width of a duration.
+	maxDoublings = 10
 )
 
 // Budget allows retries as a fraction of fresh requests; it belongs to one goroutine.
@@ -22,7 +24,7 @@
 
 // New returns a budget with the given share of retries and source of jitter.
 func New(ratio float64, random *rand.Rand) *Budget {
-	return &Budget{ratio: ratio, tokens: burst, random: random}
+	return &Budget{ratio: max(ratio, 0), tokens: burst, random: random}
 }
 
 // Fresh records a first try.
@@ -39,6 +41,12 @@
 
 // Backoff returns the time to wait before the given try, with full jitter.
 func (b *Budget) Backoff(try int) time.Duration {
-	limit := min(baseBackoff<<min(try, 10), maxBackoff)
+	limit := min(baseBackoff<<min(max(try, 0), maxDoublings), maxBackoff)
 	return time.Duration(b.random.Int64N(int64(limit) + 1))
 }
+
+// Worthwhile reports whether a try after the given wait can still end before the deadline; a zero deadline sets no bound.
+// It is asked before Take, so that hopeless retries do not use up the budget.
+func Worthwhile(now time.Time, wait time.Duration, deadline time.Time) bool {
+	return deadline.IsZero() || now.Add(wait).Before(deadline)
+}
