--- /dev/null
+++ b/state/admission/callers.go
@@ -0,0 +1,128 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"shallotring.dev/state/ident"
+)
+
+const (
+	// window is the time constant of a caller's arrival rate.
+	window = 10 * time.Second
+	// idle is the decayed number of arrivals below which a caller with nothing in the queue is forgotten.
+	idle = 0.05
+	// sample is the decayed number of arrivals below which a caller is never over its share: too few to tell a burst from a flood.
+	sample = 8
+)
+
+// caller is what the queue knows of one caller.
+type caller struct {
+	share    float64
+	waiting  int
+	arrivals float64
+	updated  time.Time
+	tag      float64
+}
+
+// callers keeps the shares of the callers that are active.
+type callers struct {
+	known map[ident.Caller]*caller
+	// start is the tag of the item served last; a caller that comes back starts there and gains nothing from its absence.
+	start float64
+}
+
+func newCallers() callers { return callers{known: make(map[ident.Caller]*caller)} }
+
+func (c *callers) arrived(now time.Time, name ident.Caller, share float64) {
+	x, ok := c.known[name]
+	if !ok {
+		c.forget(now)
+		x = &caller{updated: now}
+		c.known[name] = x
+	}
+	x.share = weight(share)
+	x.arrivals = x.decayed(now) + 1
+	x.updated = now
+	if x.waiting == 0 {
+		x.tag = max(x.tag, c.start)
+	}
+}
+
+func (c *callers) forget(now time.Time) {
+	for name, x := range c.known {
+		if x.waiting == 0 && x.decayed(now) < idle {
+			delete(c.known, name)
+		}
+	}
+}
+
+func (c *callers) queued(name ident.Caller, n int) {
+	if x, ok := c.known[name]; ok {
+		x.waiting += n
+	}
+}
+
+func (c *callers) waiting(name ident.Caller) int {
+	if x, ok := c.known[name]; ok {
+		return x.waiting
+	}
+	return 0
+}
+
+func (c *callers) tag(name ident.Caller) float64 {
+	if x, ok := c.known[name]; ok {
+		return x.tag
+	}
+	return c.start
+}
+
+func (c *callers) served(name ident.Caller, share float64) {
+	if x, ok := c.known[name]; ok {
+		c.start = max(c.start, x.tag)
+		x.tag += 1 / weight(share)
+	}
+}
+
+// fraction is the caller's part of all shares; a caller alone leaves room for one more.
+func (c *callers) fraction(now time.Time, name ident.Caller) float64 {
+	own, sum, active := 1.0, 0.0, 0
+	for x, y := range c.known {
+		if x == name {
+			own = y.share
+		}
+		if x == name || y.waiting > 0 || y.decayed(now) >= idle {
+			sum += y.share
+			active++
+		}
+	}
+	if active <= 1 {
+		sum += own
+	}
+	return own / max(sum, own)
+}
+
+// excess is the caller's arrivals divided by its fair part of all arrivals; 1 while there is nobody to compare with.
+func (c *callers) excess(now time.Time, name ident.Caller) float64 {
+	own, ok := c.known[name]
+	if !ok || len(c.known) < 2 || own.decayed(now) < sample {
+		return 1
+	}
+	arrivals, shares := 0.0, 0.0
+	for _, x := range c.known {
+		arrivals += x.decayed(now)
+		shares += x.share
+	}
+	return own.decayed(now) / arrivals * shares / own.share
+}
+
+func (x *caller) decayed(now time.Time) float64 {
+	return x.arrivals * math.Exp(-max(now.Sub(x.updated), 0).Seconds()/window.Seconds())
+}
+
+func weight(share float64) float64 {
+	if share <= 0 {
+		return 1
+	}
+	return share
+}
