placement: one cost per endpoint, replicas by demand, two weights

Cause: the first version looked at all endpoints, knew only the number of requests and an adapter's residency, and followed stale reports. Added: options, Report.Pinned, Query.PrefixTokens, Table.Cached, Terms. Result: table tests pass with the race detector.

--- /dev/null
+++ b/state/placement/choose.go
@@ -0,0 +1,205 @@
+package placement
+
+import (
+	"time"
+
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
+)
+
+const (
+	// scanned bounds the holders whose cost is compared for one request.
+	scanned = 6
+	// batchCharge is the cost in milliseconds of joining an empty batch.
+	batchCharge = 60.0
+	// affinity is the cost in milliseconds of an endpoint that is not preferred for an absent adapter.
+	affinity = 20.0
+	// extraReplica is the cost in milliseconds of using a holder beyond the wanted replicas, so that it falls idle.
+	extraReplica = 40.0
+)
+
+// choice is the state of one decision.
+type choice struct {
+	t       *Table
+	q       *Query
+	seconds float64
+	prefix  uint64
+	best    *endpoint
+	cost    float64
+}
+
+// Choose returns the endpoint with the least cost; ok is false if none can take the request.
+func (t *Table) Choose(now time.Time, q Query) (name ident.Endpoint, ok bool) {
+	c := choice{t: t, q: &q, seconds: t.seconds(now)}
+	if q.Service != "" {
+		c.any(t.pools[poolKey{kind: resource.Service, service: q.Service}])
+	} else {
+		c.engine(t.pools[poolKey{kind: resource.Engine, base: q.BaseModel}])
+	}
+	if c.best == nil {
+		return "", false
+	}
+	return c.best.Endpoint, true
+}
+
+// any compares two random endpoints, and all of them if neither takes the request.
+func (c *choice) any(p *pool) {
+	if p == nil || len(p.members) == 0 {
+		return
+	}
+	for range 2 {
+		c.consider(p.members[c.t.random.IntN(len(p.members))], c.seconds, 0)
+	}
+	if c.best == nil {
+		for _, e := range p.members {
+			c.consider(e, c.seconds, 0)
+		}
+	}
+}
+
+func (c *choice) engine(p *pool) {
+	if p == nil || len(p.members) == 0 {
+		return
+	}
+	a := c.t.adapters[c.q.Adapter]
+	hash := uint64(0)
+	if a != nil {
+		hash = a.hash
+	} else {
+		hash = adapterHash(c.q.Adapter)
+	}
+	c.prefix = prefixKey(hash, c.q.Prefix)
+	c.holders(a)
+	c.absent(p, a, hash)
+	if c.best == nil {
+		for _, e := range p.members {
+			c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e)))
+		}
+	}
+}
+
+// holders compares the endpoints that have the adapter or are loading it.
+func (c *choice) holders(a *adapter) {
+	if a == nil || len(a.holders) == 0 {
+		return
+	}
+	n := len(a.holders)
+	offset := 0
+	if n > scanned {
+		offset = c.t.random.IntN(n)
+	}
+	for i := range min(n, scanned) {
+		rank := (offset + i) % n
+		e := a.holders[rank]
+		extra := 0.0
+		if rank >= a.replicas && c.t.has(ReplicaTerm) {
+			extra = extraReplica
+		}
+		if h := e.find(a); h != nil && h.loading {
+			extra += c.t.stall(max(h.ready-c.seconds, 0.02) * 1000)
+		}
+		c.consider(e, c.seconds, extra)
+	}
+}
+
+// absent compares endpoints that would have to load the adapter: the preferred ones and two random ones.
+func (c *choice) absent(p *pool, a *adapter, hash uint64) {
+	duplicate := 0.0
+	if a != nil && len(a.holders) >= a.replicas && c.t.has(ReplicaTerm) {
+		duplicate = c.t.stall(c.t.absentTime())
+	}
+	if c.t.has(AffinityTerm) {
+		for i, e := range p.prefer(a, hash) {
+			if e != nil && !holds(e, a) {
+				c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e))+duplicate+float64(i)*affinity)
+			}
+		}
+	}
+	for range 2 {
+		if e := p.members[c.t.random.IntN(len(p.members))]; !holds(e, a) {
+			c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e))+duplicate+2*affinity)
+		}
+	}
+}
+
+func holds(e *endpoint, a *adapter) bool { return a != nil && e.find(a) != nil }
+
+// consider keeps the endpoint if it is cheaper than the best so far; extra is the part of the cost that depends on the adapter.
+func (c *choice) consider(e *endpoint, s, extra float64) {
+	if !e.takes(*c.q) {
+		return
+	}
+	cost := extra + c.t.queueCost(e) + c.t.batchCost(e)
+	if c.t.has(PrefixTerm) && e.caches(s, c.prefix) {
+		cost -= c.t.prefixGain(c.q)
+	}
+	if c.best == nil || cost < c.cost {
+		c.best, c.cost = e, cost
+	}
+}
+
+func (t *Table) has(term Terms) bool { return t.terms&term != 0 }
+
+// stall weighs a wait for an adapter in milliseconds.
+func (t *Table) stall(wait float64) float64 {
+	if !t.has(StallTerm) {
+		return 0
+	}
+	return t.weights.LoadStall * wait
+}
+
+// absentTime is the wait for the load budget and the load itself, in milliseconds.
+func (t *Table) absentTime() float64 {
+	crowd := max(1, float64(t.loads+1)/float64(t.loadsInFlight))
+	return max(float64(t.loads)-1, 0)/t.loadRate*1000 + t.loadTime*crowd
+}
+
+// absentWait adds the wait for a slot if all of them are pinned.
+func (t *Table) absentWait(e *endpoint) float64 {
+	wait := t.absentTime()
+	if e.Slots > 0 && e.Pinned+e.loads >= e.Slots {
+		wait += t.service.time() * 1000 / 2
+	}
+	return wait
+}
+
+func (t *Table) load(e *endpoint) int {
+	n := e.Running + e.Queued
+	if t.has(CorrectionTerm) {
+		n += e.delta
+	}
+	return max(n, 0)
+}
+
+// queueCost is the expected time in the queue in milliseconds.
+func (t *Table) queueCost(e *endpoint) float64 {
+	if !t.has(QueueTerm) {
+		return 0
+	}
+	ahead := t.load(e) + 1 - e.BatchSize
+	if e.BatchSize <= 0 || ahead <= 0 {
+		return 0
+	}
+	each := t.service.time() * 1000 / float64(e.BatchSize)
+	if e.QueueWait > 0 && e.Queued > 0 {
+		each = max(each, milli(e.QueueWait)/float64(e.Queued))
+	}
+	return float64(ahead) * each
+}
+
+// batchCost charges for the places of the batch that stay empty, which favours filling one batch before starting another.
+func (t *Table) batchCost(e *endpoint) float64 {
+	if !t.has(BatchTerm) || e.BatchSize <= 0 {
+		return 0
+	}
+	free := max(e.BatchSize-t.load(e)-1, 0)
+	return t.weights.BatchEfficiency * batchCharge * float64(free) / float64(e.BatchSize)
+}
+
+func (t *Table) prefixGain(q *Query) float64 {
+	tokens := q.PrefixTokens
+	if tokens == 0 {
+		tokens = q.PromptTokens
+	}
+	return float64(tokens) * t.prefill
+}
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -1,12 +1,24 @@
 package placement
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/resource"
 )
 
+const (
+	defaultLoadsPerSecond = 4
+	defaultLoadsInFlight  = 8
+	defaultLoadTime       = 250 * time.Millisecond
+	defaultServiceTime    = 2 * time.Second
+	defaultPrefill        = 100 * time.Microsecond
+	// pendingExpiry is the time after which a load that no report confirms is no longer expected.
+	pendingExpiry = 2.0
+)
+
 // Report is what an entry knows of an endpoint from the agent's latest load report.
 type Report struct {
 	Endpoint  ident.Endpoint
@@ -19,7 +31,10 @@
 	Queued    int
 	BatchSize int
 	Slots     int
-	Resident  []ident.AdapterVersion
+	// Pinned is the number of slots that cannot be emptied now.
+	Pinned   int
+	Resident []ident.AdapterVersion
+	// Loading lists the loads in flight and those that wait for a permit.
 	Loading   []ident.AdapterVersion
 	Failing   []ident.AdapterVersion
 	QueueWait time.Duration
@@ -33,93 +48,205 @@
 	Service   ident.Service
 	// Prefix is a hash of the beginning of the prompt; zero if the prompt is short.
 	Prefix uint64
+	// PrefixTokens is an estimate of the length of that beginning; zero means the whole prompt.
+	PrefixTokens ident.Tokens
 	// PromptTokens is an estimate.
 	PromptTokens ident.Tokens
 	// Exclude lists endpoints that refused or failed this request before.
 	Exclude []ident.Endpoint
 }
 
-type endpoint struct {
-	Report
-	sent int
-}
-
 // Table is an entry's view of the endpoints; it belongs to one goroutine.
 type Table struct {
-	endpoints map[ident.Endpoint]*endpoint
-	order     []ident.Endpoint
+	weights       Weights
+	terms         Terms
+	random        *rand.Rand
+	loadRate      float64
+	loadsInFlight int
+	loadTime      float64
+	prefill       float64
+	epoch         time.Time
+	names         map[ident.Endpoint]*endpoint
+	pools         map[poolKey]*pool
+	adapters      map[ident.AdapterVersion]*adapter
+	list          []*adapter
+	sweep         int
+	loads         int
+	service       service
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{endpoints: make(map[ident.Endpoint]*endpoint)} }
+func New(options ...Option) *Table {
+	t := &Table{
+		weights: Weights{LoadStall: 1, BatchEfficiency: 1}, terms: AllTerms,
+		loadRate: defaultLoadsPerSecond, loadsInFlight: defaultLoadsInFlight, loadTime: milli(defaultLoadTime),
+		prefill: milli(defaultPrefill), service: service{assumed: defaultServiceTime.Seconds(), scale: 1},
+		names: make(map[ident.Endpoint]*endpoint), pools: make(map[poolKey]*pool),
+		adapters: make(map[ident.AdapterVersion]*adapter),
+	}
+	for _, o := range options {
+		o(t)
+	}
+	if t.random == nil {
+		t.random = rand.New(rand.NewPCG(1, 1))
+	}
+	return t
+}
+
+// seconds returns the time on the table's own scale, which starts with its first event.
+func (t *Table) seconds(now time.Time) float64 {
+	if t.epoch.IsZero() {
+		t.epoch = now
+	}
+	return now.Sub(t.epoch).Seconds()
+}
 
 // Observe replaces what is known of an endpoint.
-func (t *Table) Observe(_ time.Time, r Report) {
-	if _, ok := t.endpoints[r.Endpoint]; !ok {
-		t.order = append(t.order, r.Endpoint)
+func (t *Table) Observe(now time.Time, r Report) {
+	s := t.seconds(now)
+	e, ok := t.names[r.Endpoint]
+	if ok && (e.Kind != r.Kind || e.BaseModel != r.BaseModel || e.Service != r.Service) {
+		t.Remove(r.Endpoint)
+		ok = false
+	}
+	if !ok {
+		e = t.add(r)
 	}
-	t.endpoints[r.Endpoint] = &endpoint{Report: r}
+	t.service.reported(e, r)
+	e.Report = r
+	e.reported(s)
+	t.replaceHolders(s, e)
+	t.service.rescale()
 }
 
-// Remove forgets an endpoint.
-func (t *Table) Remove(name ident.Endpoint) {
-	delete(t.endpoints, name)
-	for i, x := range t.order {
-		if x == name {
-			t.order = append(t.order[:i], t.order[i+1:]...)
-			return
-		}
+func (t *Table) add(r Report) *endpoint {
+	e := &endpoint{Report: r, hash: hashOf(string(r.Endpoint))}
+	t.names[r.Endpoint] = e
+	key := keyOf(r)
+	p, ok := t.pools[key]
+	if !ok {
+		p = &pool{}
+		t.pools[key] = p
 	}
+	p.members = append(p.members, e)
+	p.generation++
+	return e
 }
 
-// Choose returns the endpoint with the least cost; ok is false if none can take the request.
-func (t *Table) Choose(_ time.Time, q Query) (name ident.Endpoint, ok bool) {
-	best := 0
-	for _, x := range t.order {
-		e := t.endpoints[x]
-		if !e.takes(q) {
+// replaceHolders takes over residency from a report and keeps loads that this entry has caused and no report can show yet.
+func (t *Table) replaceHolders(s float64, e *endpoint) {
+	old := e.holds
+	e.holds = e.spare[:0]
+	for _, h := range old {
+		if h.own && h.loading && s-h.since < pendingExpiry && !slices.Contains(e.Resident, h.adapter.name) {
+			e.holds = append(e.holds, h)
 			continue
 		}
-		cost := e.Running + e.Queued + e.sent
-		if !contains(e.Resident, q.Adapter) {
-			cost += e.BatchSize
+		t.unlink(h.adapter, e)
+	}
+	for _, av := range e.Resident {
+		t.hold(e, hold{adapter: t.adapter(s, av)})
+	}
+	for _, av := range e.Loading {
+		t.hold(e, hold{adapter: t.adapter(s, av), loading: true, since: s, ready: s + readyOf(old, av, s, t.loadTime)})
+	}
+	e.spare = old[:0]
+	t.countLoads(e)
+}
+
+// readyOf returns the remaining time of a load in seconds, from the earlier estimate if there is one.
+func readyOf(old []hold, av ident.AdapterVersion, s, loadTime float64) float64 {
+	for _, h := range old {
+		if h.loading && h.adapter.name == av {
+			return max(h.ready-s, loadTime/4000)
 		}
-		if !ok || cost < best {
-			name, best, ok = x, cost, true
+	}
+	return loadTime / 1000
+}
+
+func (t *Table) hold(e *endpoint, h hold) {
+	for i := range e.holds {
+		if e.holds[i].adapter == h.adapter {
+			e.holds[i].own = false
+			return
 		}
 	}
-	return name, ok
+	e.holds = append(e.holds, h)
+	t.link(h.adapter, e)
 }
 
-// Sent corrects the view by a try that was dispatched after the latest report.
-func (t *Table) Sent(_ time.Time, name ident.Endpoint, _ Query) {
-	if e, ok := t.endpoints[name]; ok {
-		e.sent++
+func (t *Table) countLoads(e *endpoint) {
+	n := 0
+	for _, h := range e.holds {
+		if h.loading {
+			n++
+		}
 	}
+	t.loads += n - e.loads
+	e.loads = n
 }
 
-// Done corrects the view by a try that has ended.
-func (t *Table) Done(_ time.Time, name ident.Endpoint, _ Query) {
-	if e, ok := t.endpoints[name]; ok && e.sent > 0 {
-		e.sent--
+// Remove forgets an endpoint.
+func (t *Table) Remove(name ident.Endpoint) {
+	e, ok := t.names[name]
+	if !ok {
+		return
 	}
+	delete(t.names, name)
+	for _, h := range e.holds {
+		t.unlink(h.adapter, e)
+	}
+	e.holds = nil
+	t.countLoads(e)
+	t.service.reported(e, Report{})
+	p := t.pools[keyOf(e.Report)]
+	p.members = slices.DeleteFunc(p.members, func(x *endpoint) bool { return x == e })
+	p.generation++
 }
 
-func (e *endpoint) takes(q Query) bool {
-	if e.Leaving || contains(q.Exclude, e.Endpoint) {
-		return false
+// Sent corrects the view by a try that was dispatched after the latest report.
+func (t *Table) Sent(now time.Time, name ident.Endpoint, q Query) {
+	s := t.seconds(now)
+	t.service.began(s)
+	e, ok := t.names[name]
+	if !ok {
+		return
+	}
+	e.changed(s, 1)
+	if q.Adapter.IsZero() {
+		return
 	}
-	if q.Service != "" {
-		return e.Kind == resource.Service && e.Service == q.Service
+	a := t.adapter(s, q.Adapter)
+	t.demand(s, a, e)
+	e.remember(s, prefixKey(a.hash, q.Prefix))
+	if e.find(a) == nil {
+		ready := s + t.absentWait(e)/1000
+		t.hold(e, hold{adapter: a, loading: true, own: true, since: s, ready: ready})
+		e.find(a).own = true
+		t.countLoads(e)
 	}
-	return e.Kind == resource.Engine && e.BaseModel == q.BaseModel && !contains(e.Failing, q.Adapter)
 }
 
-func contains[T comparable](list []T, x T) bool {
-	for _, y := range list {
-		if y == x {
-			return true
-		}
+// Done corrects the view by a try that has ended.
+func (t *Table) Done(now time.Time, name ident.Endpoint, _ Query) {
+	s := t.seconds(now)
+	t.service.ended(s)
+	if e, ok := t.names[name]; ok {
+		e.changed(s, -1)
+	}
+}
+
+// Cached records a cache event of an engine: the beginning of a prompt of an adapter has entered or left its prefix cache.
+// Events may be lost; what the entry has sent itself and an expiry make up for the gaps.
+func (t *Table) Cached(now time.Time, name ident.Endpoint, av ident.AdapterVersion, prefix uint64, present bool) {
+	e, ok := t.names[name]
+	if !ok || prefix == 0 {
+		return
+	}
+	key := prefixKey(adapterHash(av), prefix)
+	if present {
+		e.remember(t.seconds(now), key)
+		return
 	}
-	return false
+	e.forget(key)
 }
--- /dev/null
+++ b/state/placement/table_test.go
@@ -0,0 +1,227 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func version(name string) ident.AdapterVersion {
+	return ident.AdapterVersion{Adapter: ident.Adapter(name), Version: "1"}
+}
+
+func engine(name string, running int, resident ...string) Report {
+	r := Report{Endpoint: ident.Endpoint(name), Kind: resource.Engine, BaseModel: "m", Running: running, BatchSize: 8, Slots: 4}
+	for _, x := range resident {
+		r.Resident = append(r.Resident, version(x))
+	}
+	return r
+}
+
+func query(adapter string) Query { return Query{BaseModel: "m", Adapter: version(adapter)} }
+
+func observe(t *Table, seconds float64, reports ...Report) {
+	for _, r := range reports {
+		t.Observe(at(seconds), r)
+	}
+}
+
+func with(r Report, change func(*Report)) Report {
+	change(&r)
+	return r
+}
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name    string // the failure that the case guards against
+		weights Weights
+		prepare func(t *Table)
+		query   Query
+		want    ident.Endpoint
+	}{
+		{"loads an adapter again although it is resident elsewhere", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, engine("a", 0), engine("b", 6, "x"))
+		}, query("x"), "b"},
+		{"queues for seconds where a load takes a quarter of one", Weights{1, 0}, func(t *Table) {
+			observe(t, 0, engine("a", 0), with(engine("b", 8, "x"), func(r *Report) { r.Queued, r.QueueWait = 20, 5*time.Second }))
+		}, query("x"), "a"},
+		{"starts a second load while the first is in flight", Weights{1, 0}, func(t *Table) {
+			observe(t, 0, engine("a", 0), engine("b", 0), engine("c", 0))
+			t.Sent(at(0.5), "b", query("x"))
+		}, query("x"), "b"},
+		{"waits for a load that the endpoint has lost", Weights{1, 0}, func(t *Table) {
+			observe(t, -5, engine("a", 0, "x"), engine("b", 0))
+			t.Sent(at(-4.9), "b", query("x"))
+			observe(t, 0.9, engine("b", 0))
+		}, query("x"), "a"},
+		{"spreads work over batches that are half empty", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, engine("a", 0, "x"), engine("b", 7, "x"))
+		}, query("x"), "b"},
+		{"ignores the weight of batch efficiency", Weights{1, 0}, func(t *Table) {
+			observe(t, 0, engine("a", 5, "x"), with(engine("b", 8, "x"), func(r *Report) { r.Queued = 1 }))
+		}, query("x"), "a"},
+		{"ignores the prompt beginning in an endpoint's cache", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, engine("a", 0, "x"), engine("b", 7, "x"))
+			t.Cached(at(0), "a", version("x"), 7, true)
+		}, Query{BaseModel: "m", Adapter: version("x"), Prefix: 7, PrefixTokens: 2000}, "a"},
+		{"trusts a cache event that has been withdrawn", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, engine("a", 0, "x"), engine("b", 7, "x"))
+			t.Cached(at(0), "a", version("x"), 7, true)
+			t.Cached(at(0.5), "a", version("x"), 7, false)
+		}, Query{BaseModel: "m", Adapter: version("x"), Prefix: 7, PrefixTokens: 2000}, "b"},
+		{"shares cached values between adapters", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, engine("a", 0, "x", "y"), engine("b", 7, "x", "y"))
+			t.Cached(at(0), "a", version("y"), 7, true)
+		}, Query{BaseModel: "m", Adapter: version("x"), Prefix: 7, PrefixTokens: 2000}, "b"},
+		{"follows a stale report after sending a burst", Weights{1, 0}, func(t *Table) {
+			observe(t, 0, engine("a", 0, "x"), engine("b", 7, "x"))
+			for range 12 {
+				t.Sent(at(0.5), "a", query("x"))
+			}
+		}, query("x"), "b"},
+		{"loads where every slot is pinned", Weights{1, 0}, func(t *Table) {
+			observe(t, 0, with(engine("a", 0), func(r *Report) { r.Pinned = 4 }), engine("b", 0))
+		}, query("x"), "b"},
+		{"sends to an endpoint that is leaving", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, with(engine("a", 0, "x"), func(r *Report) { r.Leaving = true }), engine("b", 0))
+		}, query("x"), "b"},
+		{"sends to an endpoint where the load fails", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, with(engine("a", 0), func(r *Report) { r.Failing = append(r.Failing, version("x")) }), engine("b", 8))
+		}, query("x"), "b"},
+		{"sends to an endpoint that has refused the request", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, engine("a", 0, "x"), engine("b", 8))
+		}, Query{BaseModel: "m", Adapter: version("x"), Exclude: []ident.Endpoint{"a"}}, "b"},
+		{"misses the only endpoint left in a large pool", Weights{1, 1}, func(t *Table) {
+			for i := range 50 {
+				observe(t, 0, with(engine(fmt.Sprint("l", i), 0), func(r *Report) { r.Leaving = i != 20 }))
+			}
+		}, query("x"), "l20"},
+		{"sends to another base model", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, with(engine("a", 0, "x"), func(r *Report) { r.BaseModel = "other" }), engine("b", 8))
+		}, query("x"), "b"},
+		{"sends a service call to an engine", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, engine("a", 0), Report{Endpoint: "s", Kind: resource.Service, Service: "custody"})
+		}, Query{Service: "custody"}, "s"},
+		{"sends to an endpoint that was removed", Weights{1, 1}, func(t *Table) {
+			observe(t, 0, engine("a", 0, "x"), engine("b", 8))
+			t.Remove("a")
+		}, query("x"), "b"},
+		{"finds an endpoint where there is none", Weights{1, 1}, func(*Table) {}, query("x"), ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := New(WithWeights(c.weights), WithRandom(rand.New(rand.NewPCG(1, 1))))
+			c.prepare(table)
+			if got, ok := table.Choose(at(1), c.query); got != c.want || ok != (c.want != "") {
+				t.Errorf("chose %q %v, want %q", got, ok, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an adapter of the tail that moves between endpoints, and against more than its part moving when one leaves.
+func TestPreferredEndpointIsStable(t *testing.T) {
+	table := New()
+	for i := range 20 {
+		observe(table, 0, engine(fmt.Sprint("e", i), 0))
+	}
+	before := map[string]ident.Endpoint{}
+	counts := map[ident.Endpoint]int{}
+	for i := range 1000 {
+		name := fmt.Sprint("x", i)
+		before[name], _ = table.Choose(at(1), query(name))
+		counts[before[name]]++
+	}
+	for e, n := range counts {
+		if n > 100 {
+			t.Errorf("%s is preferred for %d of 1000 adapters", e, n)
+		}
+	}
+	table.Remove("e7")
+	for name, e := range before {
+		if got, _ := table.Choose(at(1), query(name)); got != e && e != "e7" {
+			t.Errorf("%s moved from %s to %s", name, e, got)
+		}
+	}
+}
+
+// Guards against replicas that flap with each burst or stay after the demand has gone.
+func TestReplicasFollowDemandWithHysteresis(t *testing.T) {
+	table := New(WithServiceTime(2 * time.Second))
+	observe(table, 0, engine("a", 0, "x"))
+	send := func(from, to, perSecond float64) int {
+		for s := from; s < to; s += 1 / perSecond {
+			table.Sent(at(s), "a", query("x"))
+		}
+		return table.adapters[version("x")].replicas
+	}
+	if n := send(0, 200, 10); n < 4 || n > 5 {
+		t.Errorf("%d replicas for 20 running requests in batches of 8 that are planned to three quarters, want 4", n)
+	}
+	high := send(200, 300, 9)
+	if again := send(300, 400, 10); again != high {
+		t.Errorf("replicas went from %d to %d on a change of a tenth", high, again)
+	}
+	if n := send(400, 700, 0.5); n > 2 {
+		t.Errorf("%d replicas after the demand has gone", n)
+	}
+}
+
+// Guards against memory that grows with every adapter ever requested.
+func TestIdleAdaptersAreForgotten(t *testing.T) {
+	table := New()
+	observe(table, 0, engine("a", 0))
+	for i := range 40_000 {
+		table.Sent(at(float64(i)/10), "a", query(fmt.Sprint("x", i)))
+		if i%50 == 0 {
+			observe(table, float64(i)/10, engine("a", 0))
+		}
+	}
+	if n := len(table.adapters); n > 5000 || n != len(table.list) {
+		t.Errorf("%d adapters known, %d listed", n, len(table.list))
+	}
+}
+
+// Guards against all entries choosing the same endpoint from the same view.
+func TestEntriesDoNotFollowEachOther(t *testing.T) {
+	chosen := map[ident.Endpoint]int{}
+	for i := range 40 {
+		table := New(WithRandom(rand.New(rand.NewPCG(uint64(i), 1))))
+		for e := range 20 {
+			observe(table, 0, engine(fmt.Sprint("e", e), 4, "x"))
+		}
+		for range 20 {
+			table.Sent(at(0.1), "e0", query("x"))
+		}
+		name, _ := table.Choose(at(0.2), query("x"))
+		chosen[name]++
+	}
+	for e, n := range chosen {
+		if n > 20 {
+			t.Errorf("%d of 40 entries chose %s", n, e)
+		}
+	}
+}
+
+// Guards against allocations in the routing decision, which would show as pauses at the target size.
+func TestChooseDoesNotAllocate(t *testing.T) {
+	table := New()
+	for e := range 100 {
+		observe(table, 0, engine(fmt.Sprint("e", e), 4, "x"))
+	}
+	known, unknown := query("x"), query("y")
+	if n := testing.AllocsPerRun(100, func() {
+		table.Choose(at(1), known)
+		table.Choose(at(1), unknown)
+	}); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
