--- /dev/null
+++ b/protocol/keyvalue/watch.go
@@ -0,0 +1,62 @@
+package keyvalue
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/protocol/keyvalue/gateway"
+	"shallotring.dev/state/ident"
+)
+
+// Watch calls fn for each change after the revision until ctx ends or an error occurs.
+func (c *Client) Watch(ctx context.Context, prefix string, after ident.Revision, fn func([]Change, ident.Revision) error) (err error) {
+	defer func() { err = eris.Wrapf(err, "watch %s", prefix) }()
+	q := gateway.WatchRequest{Create: gateway.WatchCreate{
+		Key:            []byte(prefix),
+		RangeEnd:       gateway.PrefixEnd(prefix),
+		StartRevision:  int64(after) + 1,
+		ProgressNotify: true,
+	}}
+	answer, err := c.open(ctx, reads, gateway.PathWatch, q)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return statusError(reads, answer)
+	}
+	lines := json.NewDecoder(answer.Body)
+	for {
+		var a gateway.WatchResponse
+		if err = lines.Decode(&a); err != nil {
+			return eris.Wrap(ErrUnavailable, err.Error())
+		}
+		if err = deliver(a, fn); err != nil {
+			return err
+		}
+	}
+}
+
+func deliver(a gateway.WatchResponse, fn func([]Change, ident.Revision) error) (err error) {
+	switch {
+	case a.Error != nil:
+		return eris.Wrap(ErrUnavailable, a.Error.Message)
+	case a.Result == nil:
+		return eris.Wrap(ErrUnavailable, "watch answer without a result")
+	case a.Result.CompactRevision > 0:
+		return ErrCompacted
+	case a.Result.Canceled:
+		return eris.Wrap(ErrUnavailable, "watch cancelled by the service")
+	case a.Result.Created && len(a.Result.Events) == 0:
+		// The revision of this answer is not progress: older changes may still follow.
+		return nil
+	}
+	changes := make([]Change, len(a.Result.Events))
+	for i, e := range a.Result.Events {
+		changes[i] = Change{Record: record(e.KV), Deleted: e.Type == gateway.EventDelete}
+	}
+	return fn(changes, ident.Revision(a.Result.Header.Revision))
+}
