Test the gate and the claim against random schedules and single faults

Cause: the guarantees of the agent were stated but not shown.

Change: table tests and seeded schedules of the gate with a model of an engine that checks G1, G2, G4, G5 and G6 by itself; tests of the claim with lost, late and refused calls, pauses and three competing agents, on simulated time.

--- /dev/null
+++ b/coordination/claim/fake_test.go
@@ -0,0 +1,147 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/state/ident"
+)
+
+// fault says what happens to one call of the fake store.
+type fault int
+
+const (
+	none fault = iota
+	// refused means that the call has no effect and the caller knows.
+	refused
+	// lost means that the call takes effect and its answer is lost.
+	lost
+	// late means that the call takes effect after the caller has given up.
+	late
+)
+
+const lateBy = 1500 * time.Millisecond
+
+// fakeStore is a key-value service in memory with leases on the clock of the test.
+type fakeStore struct {
+	mu     sync.Mutex
+	at     ident.Revision
+	lease  keyvalue.LeaseID
+	data   map[string]keyvalue.Record
+	leases map[keyvalue.LeaseID]time.Time
+	// fail chooses the fault of a call.
+	fail func(operation string) fault
+	// delay is the time that each successful call takes after it took effect.
+	delay time.Duration
+}
+
+func newStore() *fakeStore {
+	return &fakeStore{
+		data: make(map[string]keyvalue.Record), leases: make(map[keyvalue.LeaseID]time.Time), fail: func(string) fault { return none },
+	}
+}
+
+// call applies effect with the chosen fault.
+func (f *fakeStore) call(ctx context.Context, operation string, effect func() error) (err error) {
+	apply := func() error {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.expire()
+		return effect()
+	}
+	switch f.fail(operation) {
+	case refused:
+		return keyvalue.ErrUnavailable
+	case lost:
+		_ = apply()
+		return keyvalue.ErrOutcomeUnknown
+	case late:
+		time.AfterFunc(lateBy, func() { _ = apply() })
+		<-ctx.Done()
+		return keyvalue.ErrOutcomeUnknown
+	}
+	err = apply()
+	time.Sleep(f.delay)
+	return err
+}
+
+func (f *fakeStore) expire() {
+	for id, end := range f.leases {
+		if !time.Now().Before(end) {
+			f.drop(id)
+		}
+	}
+}
+
+func (f *fakeStore) drop(id keyvalue.LeaseID) {
+	delete(f.leases, id)
+	for k, r := range f.data {
+		if r.Lease == id {
+			delete(f.data, k)
+		}
+	}
+}
+
+func (f *fakeStore) Get(ctx context.Context, key string) (r keyvalue.Record, found bool, err error) {
+	// Results are read only on success, because a late call writes them after its return.
+	var record keyvalue.Record
+	var ok bool
+	if err = f.call(ctx, "get", func() error {
+		record, ok = f.data[key]
+		return nil
+	}); err == nil {
+		r, found = record, ok
+	}
+	return r, found, err
+}
+
+func (f *fakeStore) CompareAndSwap(ctx context.Context, s keyvalue.Swap) (at ident.Revision, swapped bool, err error) {
+	var revision ident.Revision
+	if err = f.call(ctx, "swap", func() error {
+		if _, ok := f.leases[s.Lease]; !ok {
+			return keyvalue.ErrLeaseExpired
+		}
+		if f.data[s.Key].ModRevision != s.Expect {
+			return nil
+		}
+		f.at++
+		f.data[s.Key] = keyvalue.Record{Key: s.Key, Value: s.Value, ModRevision: f.at, Lease: s.Lease}
+		revision = f.at
+		return nil
+	}); err == nil {
+		at, swapped = revision, revision != 0
+	}
+	return at, swapped, err
+}
+
+func (f *fakeStore) Grant(ctx context.Context, ttl time.Duration) (id keyvalue.LeaseID, err error) {
+	var lease keyvalue.LeaseID
+	if err = f.call(ctx, "grant", func() error {
+		f.lease++
+		lease = f.lease
+		f.leases[lease] = time.Now().Add(ttl)
+		return nil
+	}); err == nil {
+		id = lease
+	}
+	return id, err
+}
+
+func (f *fakeStore) KeepAlive(ctx context.Context, id keyvalue.LeaseID) (err error) {
+	return f.call(ctx, "keep", func() error {
+		if _, ok := f.leases[id]; !ok {
+			return keyvalue.ErrLeaseExpired
+		}
+		f.leases[id] = time.Now().Add(LeaseTime)
+		return nil
+	})
+}
+
+func (f *fakeStore) Revoke(ctx context.Context, id keyvalue.LeaseID) (err error) {
+	return f.call(ctx, "revoke", func() error {
+		f.drop(id)
+		return nil
+	})
+}
--- /dev/null
+++ b/state/gate/gate_test.go
@@ -0,0 +1,288 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+)
+
+var (
+	begin = time.Unix(5000, 0)
+	a1    = ident.AdapterVersion{Adapter: "a1", Version: "v1"}
+	a2    = ident.AdapterVersion{Adapter: "a2", Version: "v1"}
+)
+
+// newGate returns an engine's gate at incarnation 5 that has read an engine with a1 loaded.
+func newGate(t *testing.T, change func(*Config)) *Gate {
+	t.Helper()
+	c := DefaultConfig()
+	c.Endpoint, c.Incarnation, c.Slots, c.BatchSize, c.ChecksFencing = "e1", 5, 1, 2, true
+	if change != nil {
+		change(&c)
+	}
+	g := New(c)
+	for _, x := range g.Step(begin, Tick{}) {
+		if s, ok := x.(Survey); ok {
+			g.Step(begin, Surveyed{Number: s.Number, StartID: "s1", Models: []Model{{Adapter: a1, Digest: "d"}}})
+		}
+	}
+	return g
+}
+
+func try1(name string, av ident.AdapterVersion) Run {
+	return Run{
+		ID: ident.TryID{RequestID: ident.RequestID(name), Try: 1, Incarnation: 5}, Endpoint: "e1", Adapter: av, Caller: "c",
+		Deadline: begin.Add(time.Minute), Revision: 3, Known: Known{Declared: true, Revision: 3, Path: "p", Digest: "d"},
+	}
+}
+
+// names lists commands by type, with the reason, outcome or state that matters.
+func names(commands []Command) (list []string) {
+	for _, c := range commands {
+		switch x := c.(type) {
+		case Refuse:
+			list = append(list, "refuse "+string(x.Refusal.Reason))
+		case Finish:
+			text := "finish " + string(x.Outcome)
+			if x.Refusal != nil {
+				text += " " + string(x.Refusal.Reason)
+			}
+			list = append(list, text)
+		case Settled:
+			list = append(list, fmt.Sprint("settled ", x.State))
+		case Violation:
+			list = append(list, "violation "+string(x.Guarantee))
+		case Survey:
+		default:
+			list = append(list, fmt.Sprintf("%T", c)[len("gate."):])
+		}
+	}
+	return list
+}
+
+func expect(t *testing.T, what string, commands []Command, want ...string) {
+	t.Helper()
+	if got := names(commands); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+// Guards against a try that runs although it must be refused, and a refusal without the reason that tells the entry what to do.
+func TestRefusals(t *testing.T) {
+	keyed := try1("first", a1)
+	keyed.Key = "k"
+	tests := []struct {
+		name   string
+		before []Event
+		change func(*Run)
+		want   string
+	}{
+		{"newer revision here (G1)", nil, func(r *Run) { r.Revision = 2 }, "refuse stale-revision"},
+		{"newer revision at the sender (G1)", nil, func(r *Run) { r.Revision = 4 }, "refuse stale-revision"},
+		{"undeclared", nil, func(r *Run) { r.Known.Declared = false }, "refuse unknown-adapter"},
+		{"no adapter at an engine", nil, func(r *Run) { r.Adapter = ident.AdapterVersion{} }, "refuse unknown-adapter"},
+		{"former incarnation (G5)", nil, func(r *Run) { r.ID.Incarnation = 4 }, "refuse stale-claim"},
+		{"later incarnation", nil, func(r *Run) { r.ID.Incarnation = 6 }, "refuse stale-claim"},
+		{"other endpoint", nil, func(r *Run) { r.Endpoint = "e2" }, "refuse stale-claim"},
+		{"leaving (G6)", []Event{Drain{}}, nil, "refuse leaving"},
+		{"leaving by configuration (G6)", []Event{Configure{Leaving: true}}, nil, "refuse leaving"},
+		{"claim lost", []Event{Claim{Status: ClaimLost, Incarnation: 5}}, nil, "refuse claim-lost"},
+		{"keyed while unsure", []Event{Claim{Status: ClaimUnsure, Incarnation: 5}}, func(r *Run) { r.Key = "k" }, "refuse ledger-down"},
+		{"no deadline", nil, func(r *Run) { r.Deadline = time.Time{} }, "refuse deadline"},
+		{"deadline past the memory", nil, func(r *Run) { r.Deadline = begin.Add(2 * time.Hour) }, "refuse deadline"},
+		{"deadline passed", nil, func(r *Run) { r.Deadline = begin }, "refuse deadline"},
+		{"second try with a key (G5)", []Event{keyed}, func(r *Run) { r.Key = "k" }, "refuse duplicate"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGate(t, nil)
+			for _, e := range tt.before {
+				g.Step(begin, e)
+			}
+			r := try1("r1", a1)
+			if tt.change != nil {
+				tt.change(&r)
+			}
+			expect(t, "first", g.Step(begin, r)[:1], tt.want)
+		})
+	}
+}
+
+// Guards against agents of endpoints that ignore fencing numbers working past their lease, and others stopping needlessly.
+func TestUnsureClaim(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		g := newGate(t, func(c *Config) { c.ChecksFencing = fencing })
+		g.Step(begin, Claim{Status: ClaimUnsure, Incarnation: 5})
+		want := []string{"refuse claim-lost"}
+		if fencing {
+			want = []string{"Accept", "Start"}
+		}
+		expect(t, fmt.Sprint("fencing=", fencing), g.Step(begin, try1("r1", a1)), want...)
+	}
+}
+
+// Guards against a late copy of a try that runs after its memory is gone, and memory that grows without bound (G4, G5).
+func TestForgettingIsSafe(t *testing.T) {
+	g := newGate(t, func(c *Config) { c.MaxRemembered = 4 })
+	ran, settled, keyed := try1("ran", a1), try1("settled", a1), try1("keyed", a1)
+	keyed.Key = "k"
+	g.Step(begin, Settle{ID: settled.ID})
+	for _, r := range []Run{ran, keyed} {
+		g.Step(begin, r)
+		g.Step(begin, Ended{ID: r.ID, Outcome: outcome.Completed, Answer: &Answer{Status: 200, Body: []byte("x")}})
+	}
+	expect(t, "copy of a finished try", g.Step(begin, ran), "Abandon")
+	g.Step(begin, try1("last", a2))
+	expect(t, "full memory", g.Step(begin, try1("more", a1)), "Abandon")
+	expect(t, "settle with full memory", g.Step(begin, Settle{ID: try1("other", a1).ID}), "settled 3")
+	for after := time.Second; after < 3*time.Hour; after += time.Minute {
+		now := begin.Add(after)
+		for _, r := range []Run{ran, settled, keyed} {
+			for _, c := range g.Step(now, r) {
+				if _, ok := c.(Accept); ok {
+					t.Fatalf("a copy of %q was admitted after %v", r.ID.RequestID, after)
+				}
+			}
+		}
+		// The sender's deadline is at most MaxDeadline after the request began, which was before the Settle.
+		settled.Deadline = begin.Add(g.MaxDeadline)
+		if _, ok := g.tries[settled.ID]; !ok && now.Before(settled.Deadline) {
+			t.Fatalf("the tombstone is gone after %v", after)
+		}
+	}
+	expect(t, "settle of a keyed try after hours", g.Step(begin.Add(3*time.Hour), Settle{ID: keyed.ID}), "settled 2")
+	g.Step(begin.Add(26*time.Hour), Tick{})
+	if n := g.Report().Remembered; n != 0 {
+		t.Errorf("%d tries remembered after a day", n)
+	}
+}
+
+// Guards against unbounded answers, and a truncated answer that looks whole.
+func TestAnswersAreBounded(t *testing.T) {
+	g := newGate(t, func(c *Config) { c.MaxAnswers = 1 })
+	for i, size := range []int{MaxAnswerBytes, MaxAnswerBytes + 1, 1} {
+		r := try1(fmt.Sprint("r", i), a1)
+		r.Key = ident.Key(fmt.Sprint("k", i))
+		g.Step(begin, r)
+		g.Step(begin, Ended{ID: r.ID, Outcome: outcome.Completed, Answer: &Answer{Status: 200, Body: make([]byte, size)}})
+		s := g.Step(begin, Settle{ID: r.ID})[0].(Settled)
+		if whole := size <= MaxAnswerBytes; s.Answer.Truncated == whole || (len(s.Answer.Body) == size) != whole {
+			t.Errorf("answer of %d bytes: truncated=%v, %d bytes kept", size, s.Answer.Truncated, len(s.Answer.Body))
+		}
+	}
+	first := g.Step(begin, Settle{ID: try1("r0", a1).ID})[0].(Settled)
+	if !first.Answer.Truncated || first.Answer.Body != nil {
+		t.Error("the oldest answer was kept past the bound")
+	}
+}
+
+// Guards against a failing adapter that is loaded without end, and waiting tries that are kept although it cannot be loaded.
+func TestLoadFailuresBackOff(t *testing.T) {
+	g := newGate(t, func(c *Config) { c.Slots = 2 })
+	g.Step(begin, Permits{Granted: 10, Until: begin.Add(time.Minute)})
+	out := g.Step(begin, try1("r1", a2))
+	expect(t, "first load", out, "Accept", "Load")
+	now := begin
+	loads := 1
+	for range 200 {
+		for _, c := range out {
+			if x, ok := c.(Load); ok {
+				loads++
+				out = g.Step(now, LoadEnded{Number: x.Number, Failed: true, NoEffect: true, Detail: "disk"})
+			}
+		}
+		if g.Report().Queued == 0 {
+			break
+		}
+		now = g.NextWake()
+		out = g.Step(now, Tick{})
+	}
+	if loads-1 != g.LoadAttempts {
+		t.Errorf("%d loads, want %d", loads-1, g.LoadAttempts)
+	}
+	if wait := now.Sub(begin); wait != 3*g.LoadBackoff {
+		t.Errorf("gave up after %v, want %v", wait, 3*g.LoadBackoff)
+	}
+	expect(t, "returned", out, "ReturnPermit", "finish not-run load-failed")
+	expect(t, "new try", g.Step(now, try1("r2", a2)), "refuse load-failed")
+	late := try1("r3", a2)
+	late.Deadline = late.Deadline.Add(time.Minute)
+	expect(t, "new try after the pause", g.Step(now.Add(g.FailingFor), late), "Accept", "Load")
+}
+
+// Guards against a load that is called failed, takes effect late, and leaves the engine with more adapters than slots.
+func TestUnclearLoadIsUndone(t *testing.T) {
+	g := newGate(t, func(c *Config) { c.Slots = 2 })
+	g.Step(begin, Permits{Granted: 10, Until: begin.Add(time.Minute)})
+	load := g.Step(begin, try1("r1", a2))[1].(Load)
+	out := g.Step(begin, LoadEnded{Number: load.Number, Failed: true})
+	expect(t, "after the failure", out, "ReturnPermit", "Unload")
+	out = g.Step(begin, UnloadEnded{Number: out[1].(Unload).Number, Failed: true})
+	expect(t, "unclear unload", out)
+	out = g.Step(begin.Add(time.Second), Tick{})
+	expect(t, "second unload", out, "Unload")
+	g.Step(begin.Add(time.Second), UnloadEnded{Number: out[len(out)-1].(Unload).Number})
+	expect(t, "in quarantine", g.Step(begin.Add(2*time.Second), Tick{}))
+	expect(t, "after it", g.Step(begin.Add(g.Quarantine), Tick{}), "Load")
+}
+
+// Guards against a successor that loads or starts beside requests of its predecessor at an engine that ignores fencing numbers (G2).
+func TestAdoption(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		c := DefaultConfig()
+		c.Endpoint, c.Incarnation, c.Slots, c.ChecksFencing = "e1", 5, 1, fencing
+		g := New(c)
+		survey := g.Step(begin, Tick{})[0].(Survey)
+		g.Step(begin, Permits{Granted: 1, Until: begin.Add(time.Minute)})
+		expect(t, "before the survey", g.Step(begin, try1("r1", a2)), "Accept")
+		surveyed := Surveyed{
+			Number: survey.Number, StartID: "s1", Models: []Model{{Adapter: a1, Digest: "d"}}, Running: []Request{{ID: "old/1", Adapter: a1}},
+		}
+		want := []string(nil)
+		if !fencing {
+			want = []string{"CancelRequest"}
+		}
+		expect(t, "adopted", g.Step(begin, surveyed), want...)
+		beside, after := []string{"Accept"}, []string{"Start"}
+		if fencing {
+			beside, after = []string{"Accept", "Start"}, nil
+		}
+		expect(t, "another try", g.Step(begin, try1("r2", a1)), beside...)
+		now := begin.Add(time.Second)
+		next := g.Step(now, Tick{})
+		expect(t, "while it runs", next)
+		surveyed.Number, surveyed.Running = next[0].(Survey).Number, nil
+		expect(t, "once it is gone", g.Step(now, surveyed), after...)
+		expect(t, "end", g.Step(now, Ended{ID: try1("r2", a1).ID, Outcome: outcome.Completed}), "finish completed", "Unload")
+	}
+}
+
+// Guards against a restart that leaves tries open, and late answers of the former process that count as a second restart.
+func TestEngineRestart(t *testing.T) {
+	g := newGate(t, nil)
+	g.Step(begin, try1("r1", a1))
+	expect(t, "restart", g.Step(begin, Observed{StartID: "s2"}), "Restarted", "Cancel", "finish unknown")
+	expect(t, "late end", g.Step(begin, Ended{ID: try1("r1", a1).ID, Outcome: outcome.Completed}))
+	expect(t, "late answer", g.Step(begin, Observed{StartID: "s1"}))
+	expect(t, "settle", g.Step(begin, Settle{ID: try1("r1", a1).ID}), "settled 3")
+	expect(t, "next try", g.Step(begin, try1("r2", a1)), "Accept")
+}
+
+// Guards against a drain that interrupts a running try or keeps waiting tries for longer than its grace (G6, G7).
+func TestDrain(t *testing.T) {
+	g := newGate(t, func(c *Config) { c.BatchSize = 1 })
+	for i := range 3 {
+		g.Step(begin, try1(fmt.Sprint("r", i), a1))
+	}
+	expect(t, "drain", g.Step(begin, Drain{}))
+	now := begin.Add(g.DrainGrace / 2)
+	end := Ended{ID: try1("r0", a1).ID, Outcome: outcome.Completed}
+	expect(t, "within the grace", g.Step(now, end), "finish completed", "Start")
+	now = begin.Add(g.DrainGrace)
+	expect(t, "after the grace", g.Step(now, Tick{}), "finish not-run leaving")
+	end.ID = try1("r1", a1).ID
+	expect(t, "last end", g.Step(now.Add(time.Hour), end), "finish completed", "Drained")
+}
--- /dev/null
+++ b/state/gate/random_test.go
@@ -0,0 +1,360 @@
+package gate
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+)
+
+// simulation drives a gate against a model of an engine and checks the guarantees by the model alone.
+type simulation struct {
+	t      *testing.T
+	random *rand.Rand
+	gate   *Gate
+	now    time.Time
+	seed   uint64
+	// digests are the declared weights; a change counts as a new revision.
+	digests map[ident.AdapterVersion]int
+	// The engine.
+	startID ident.StartID
+	loaded  map[ident.AdapterVersion]string
+	running map[string]ident.AdapterVersion
+	// pending events are delivered in any order, some of them twice.
+	pending  []Event
+	sent     []Run
+	starts   map[ident.TryID]int
+	ran      map[ident.TryID]bool
+	notRun   map[ident.TryID]bool
+	accepted map[ident.TryID]int
+	keys     map[callerKey]ident.TryID
+	leftAt   time.Time
+	drained  bool
+	served   int
+}
+
+func newSimulation(t *testing.T, seed uint64, fencing bool) *simulation {
+	c := DefaultConfig()
+	c.Endpoint, c.Incarnation, c.Slots, c.BatchSize, c.Queue, c.ChecksFencing = "e1", 1, 2, 3, 12, fencing
+	return &simulation{
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), gate: New(c), now: time.Unix(1000, 0),
+		digests: make(map[ident.AdapterVersion]int), startID: "s0", loaded: make(map[ident.AdapterVersion]string),
+		running: make(map[string]ident.AdapterVersion), starts: make(map[ident.TryID]int), ran: make(map[ident.TryID]bool),
+		notRun: make(map[ident.TryID]bool), accepted: make(map[ident.TryID]int), keys: make(map[callerKey]ident.TryID),
+	}
+}
+
+func (s *simulation) fail(format string, args ...any) {
+	s.t.Helper()
+	s.t.Fatalf("seed %d: %s", s.seed, fmt.Sprintf(format, args...))
+}
+
+func (s *simulation) chance(percent int) bool { return s.random.IntN(100) < percent }
+
+func (s *simulation) digest(av ident.AdapterVersion) string {
+	return fmt.Sprintf("%s#%d", av, s.digests[av])
+}
+
+func (s *simulation) adapter() ident.AdapterVersion {
+	return ident.AdapterVersion{Adapter: ident.Adapter(fmt.Sprint("a", s.random.IntN(5))), Version: "v1"}
+}
+
+// act makes one random thing happen.
+func (s *simulation) act() {
+	s.now = s.now.Add(time.Duration(s.random.IntN(60)) * time.Millisecond)
+	switch n := s.random.IntN(100); {
+	case n < 25:
+		s.request()
+	case n < 60:
+		s.deliver()
+	case n < 66 && len(s.sent) > 0:
+		s.step(s.sent[s.random.IntN(len(s.sent))])
+	case n < 70 && len(s.sent) > 0:
+		s.step(Settle{ID: s.sent[s.random.IntN(len(s.sent))].ID, Cancel: s.chance(50)})
+	case n < 73 && len(s.sent) > 0:
+		s.step(Gone{ID: s.sent[s.random.IntN(len(s.sent))].ID})
+	case n < 75:
+		s.settleFirst()
+	case n < 76:
+		s.restart()
+	case n < 77:
+		s.takeOver()
+	case n < 78:
+		s.digests[s.adapter()]++
+	case n < 79:
+		s.step(Observed{StartID: ident.StartID(fmt.Sprint("s", s.random.IntN(3)))})
+	default:
+		s.step(Tick{})
+	}
+}
+
+func (s *simulation) request() {
+	av := s.adapter()
+	r := Run{
+		ID:       ident.TryID{RequestID: ident.RequestID(fmt.Sprint("r", len(s.sent))), Try: 1, Incarnation: s.gate.Incarnation},
+		Endpoint: "e1", Adapter: av, Caller: "c1", Share: 1, Deadline: s.now.Add(time.Duration(1+s.random.IntN(8000)) * time.Millisecond),
+		Revision: ident.Revision(s.digests[av]),
+		Known:    Known{Declared: true, Revision: ident.Revision(s.digests[av]), Path: s.digest(av), Digest: s.digest(av)},
+	}
+	if s.chance(40) {
+		r.Key = ident.Key(fmt.Sprint("k", s.random.IntN(len(s.sent)+1)))
+	}
+	switch {
+	case s.chance(4):
+		r.ID.Incarnation--
+	case s.chance(4):
+		r.Revision--
+	}
+	s.sent = append(s.sent, r)
+	s.step(r)
+}
+
+// settleFirst settles a try before its Run arrives.
+func (s *simulation) settleFirst() {
+	r := Run{ID: ident.TryID{RequestID: ident.RequestID(fmt.Sprint("r", len(s.sent))), Try: 1, Incarnation: s.gate.Incarnation}}
+	av := s.adapter()
+	r.Endpoint, r.Adapter, r.Deadline = "e1", av, s.now.Add(time.Minute)
+	r.Revision = ident.Revision(s.digests[av])
+	r.Known = Known{Declared: true, Revision: r.Revision, Path: s.digest(av), Digest: s.digest(av)}
+	s.sent = append(s.sent, r)
+	s.step(Settle{ID: r.ID})
+}
+
+func (s *simulation) restart() {
+	s.startID = ident.StartID(fmt.Sprint("s", s.random.Uint32()))
+	clear(s.loaded)
+	clear(s.running)
+}
+
+// takeOver renews the claim after another agent has left a request at the engine.
+func (s *simulation) takeOver() {
+	if list := s.listed(); len(list) > 0 {
+		s.running[fmt.Sprint("foreign", s.random.Uint32(), "/1")] = list[0].Adapter
+	}
+	s.step(Claim{Status: ClaimLost, Incarnation: s.gate.Incarnation})
+	s.step(Claim{Status: ClaimHeld, Incarnation: s.gate.Incarnation + 1})
+}
+
+func (s *simulation) deliver() {
+	if names := slices.Sorted(maps.Keys(s.running)); len(names) > 0 && strings.HasPrefix(names[0], "foreign") && s.chance(10) {
+		delete(s.running, names[0])
+	}
+	if len(s.pending) == 0 {
+		return
+	}
+	i := s.random.IntN(len(s.pending))
+	e := s.pending[i]
+	if !s.chance(10) {
+		s.pending = append(s.pending[:i], s.pending[i+1:]...)
+	}
+	if x, ok := e.(Ended); ok {
+		delete(s.running, requestName(x.ID))
+	}
+	s.step(e)
+}
+
+func (s *simulation) step(e Event) {
+	s.t.Helper()
+	for _, c := range s.gate.Step(s.now, e) {
+		s.carryOut(c)
+	}
+}
+
+func (s *simulation) carryOut(c Command) {
+	s.t.Helper()
+	switch c.(type) {
+	case Start, Load, Unload:
+		s.checkAlone(c)
+	}
+	switch x := c.(type) {
+	case Accept:
+		s.accepted[x.ID]++
+		if !s.leftAt.IsZero() {
+			s.fail("G6: %v admitted while leaving", x.ID)
+		}
+	case Refuse:
+		s.promise(x.ID)
+	case Settled:
+		if x.State == NeverStarted {
+			s.promise(x.ID)
+		}
+	case Finish:
+		s.finish(x)
+	case Start:
+		s.start(x)
+	case Cancel:
+		delete(s.running, requestName(x.ID))
+		s.pending = append(s.pending, Ended{ID: x.ID, Outcome: outcome.Unknown})
+	case CancelRequest: // takes effect later, in deliver
+	case Load:
+		s.load(x)
+	case Unload:
+		s.unload(x)
+	case AskPermits:
+		s.pending = append(s.pending, Permits{Granted: s.random.IntN(2), Until: s.now.Add(2 * time.Second)})
+	case Survey:
+		s.survey(x)
+	case Drained:
+		s.drained = true
+	case Violation:
+		s.fail("violation %+v", x)
+	}
+}
+
+// checkAlone refuses commands beside requests of another agent at an engine that ignores fencing numbers.
+func (s *simulation) checkAlone(c Command) {
+	for name := range s.running {
+		if !s.gate.ChecksFencing && strings.HasPrefix(name, "foreign") {
+			s.fail("G2: %+v while %s runs", c, name)
+		}
+	}
+}
+
+func (s *simulation) promise(id ident.TryID) {
+	if s.ran[id] {
+		s.fail("G4: %v is called not run but ran", id)
+	}
+	s.notRun[id] = true
+}
+
+func (s *simulation) finish(x Finish) {
+	s.accepted[x.ID]--
+	if s.accepted[x.ID] != 0 {
+		s.fail("%v finished more than once", x.ID)
+	}
+	if x.Outcome == outcome.NotRun {
+		s.promise(x.ID)
+	}
+	if x.Outcome == outcome.Completed {
+		s.served++
+	}
+}
+
+func (s *simulation) start(x Start) {
+	s.starts[x.ID]++
+	t := s.gate.tries[x.ID]
+	k := callerKey{t.Caller, t.Key}
+	switch {
+	case s.starts[x.ID] > 1:
+		s.fail("G5: %v started twice", x.ID)
+	case s.notRun[x.ID]:
+		s.fail("G4: %v started after it was called not run", x.ID)
+	case t.Key != "" && s.keys[k] != ident.TryID{} && s.ran[s.keys[k]]:
+		s.fail("G5: %v and %v ran with the key %s", s.keys[k], x.ID, t.Key)
+	case !s.leftAt.IsZero() && !s.now.Before(s.leftAt.Add(s.gate.DrainGrace)):
+		s.fail("G6: %v started after the grace of the drain", x.ID)
+	}
+	digest, ok := s.loaded[x.Adapter]
+	if !ok { // the engine answers 404
+		s.pending = append(s.pending, Ended{ID: x.ID, Outcome: outcome.NotRun})
+		return
+	}
+	if digest != t.Known.Digest {
+		s.fail("G1: %v named %s and ran on %s", x.ID, t.Known.Digest, digest)
+	}
+	s.ran[x.ID], s.keys[k] = true, x.ID
+	s.running[requestName(x.ID)] = x.Adapter
+	result := outcome.Completed
+	if s.chance(10) {
+		result = outcome.Unknown
+	}
+	s.pending = append(s.pending, Ended{ID: x.ID, Outcome: result, Answer: &Answer{Status: 200}})
+}
+
+func (s *simulation) load(x Load) {
+	if len(s.loaded) >= s.gate.Slots {
+		s.fail("load of %s into a full engine", x.Adapter)
+	}
+	e := LoadEnded{Number: x.Number, Digest: x.Path}
+	n := s.random.IntN(100)
+	if n < 80 {
+		s.loaded[x.Adapter] = x.Path
+	}
+	if n >= 70 {
+		e.Failed, e.NoEffect, e.Digest = true, n >= 90, ""
+	}
+	s.pending = append(s.pending, e)
+}
+
+func (s *simulation) unload(x Unload) {
+	for name, av := range s.running {
+		if av == x.Adapter {
+			s.fail("G2: %s evicted while %s runs", av, name)
+		}
+	}
+	n := s.random.IntN(100)
+	if n < 90 {
+		delete(s.loaded, x.Adapter)
+	}
+	s.pending = append(s.pending, UnloadEnded{Number: x.Number, Failed: n >= 80})
+}
+
+func (s *simulation) survey(x Survey) {
+	e := Surveyed{Number: x.Number, Failed: s.chance(10), StartID: s.startID, Models: s.listed()}
+	for _, name := range slices.Sorted(maps.Keys(s.running)) {
+		e.Running = append(e.Running, Request{ID: name, Adapter: s.running[name]})
+	}
+	s.pending = append(s.pending, e)
+}
+
+// listed is the engine's list of adapters in a fixed order, so that a seed gives the same run each time.
+func (s *simulation) listed() (list []Model) {
+	var names []ident.AdapterVersion
+	for av := range s.loaded {
+		names = append(names, av)
+	}
+	sortAdapters(names)
+	for _, av := range names {
+		list = append(list, Model{Adapter: av, Digest: s.loaded[av]})
+	}
+	return list
+}
+
+// drain ends the run: every admitted try must finish and the gate must report the end.
+func (s *simulation) drain() {
+	s.step(Drain{})
+	s.leftAt = s.now
+	for range 2000 {
+		s.act()
+	}
+	for i := 0; i < 2000 && !s.drained; i++ {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.deliver()
+		s.step(Tick{})
+	}
+	if !s.drained {
+		s.fail("the drain does not end: %+v", s.gate.Report())
+	}
+	for id, n := range s.accepted {
+		if n != 0 {
+			s.fail("%v was admitted and never finished", id)
+		}
+	}
+}
+
+// Guards against any order, delay or repetition of events, restart, load failure, takeover or drain that breaks G1, G2, G4, G5 or G6.
+func TestRandomSchedules(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fencing=%v", fencing), func(t *testing.T) {
+			served := 0
+			for seed := range uint64(60) {
+				s := newSimulation(t, seed, fencing)
+				for range 1500 {
+					s.act()
+				}
+				s.drain()
+				served += s.served
+			}
+			t.Log("completed", served)
+			if served < 1000 {
+				t.Errorf("only %d tries completed; the schedules do not exercise the gate", served)
+			}
+		})
+	}
+}
