--- /dev/null
+++ b/daemon/entry/entry.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/coder/quartz"
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
+	"shallotring.dev/transport/admin"
+	"shallotring.dev/transport/server"
+	"shallotring.dev/transport/timeline"
+)
+
+// Configuration provides the resources in force.
+type Configuration interface {
+	Current() *resource.Set
+}
+
+// Claim is an agent's claim on its endpoint with the revision that it was made at.
+type Claim struct {
+	registry.ClaimRecord
+	Incarnation ident.Incarnation
+}
+
+// Agents lists the claims of the live agents.
+type Agents interface {
+	Claims() []Claim
+}
+
+// Ledger records the tries of non-repeatable requests before and after they run.
+type Ledger interface {
+	Intend(ctx context.Context, r *wire.IntendRequest) (*wire.IntendResponse, error)
+	Conclude(ctx context.Context, r *wire.ConcludeRequest) (*wire.ConcludeResponse, error)
+}
+
+// Entry is one entry process.
+type Entry struct {
+	settings      Settings
+	process       timeline.Process
+	configuration Configuration
+	agents        Agents
+	ledger        Ledger
+	peer          http.Handler
+	clock         quartz.Clock
+	log           *timeline.Log
+	isolated      func() string
+
+	view     atomic.Pointer[view]
+	control  *control
+	client   *http.Client
+	scheme   string
+	budget   *sharedBudget
+	admitted *admitted
+	records  *records
+	meters   *meters
+	bodies   atomic.Int64
+
+	servers  []*server.Server
+	public   *server.Server
+	admin    *server.Server
+	stopping atomic.Bool
+	aborted  chan struct{}
+	abort    sync.Once
+	cancels  sync.WaitGroup
+}
+
+// Option changes how an entry is built.
+type Option func(*Entry)
+
+// WithConfiguration sets the source of the resources; it is required.
+func WithConfiguration(c Configuration) Option { return func(e *Entry) { e.configuration = c } }
+
+// WithAgents sets the source of the agents' claims; it is required.
+func WithAgents(a Agents) Option { return func(e *Entry) { e.agents = a } }
+
+// WithLedger sets the ledger; without one, requests with an idempotency key are refused as not run.
+func WithLedger(l Ledger) Option { return func(e *Entry) { e.ledger = l } }
+
+// WithPeerHandler sets what the peer listener serves.
+func WithPeerHandler(h http.Handler) Option { return func(e *Entry) { e.peer = h } }
+
+// WithClock replaces the system's clock.
+func WithClock(c quartz.Clock) Option { return func(e *Entry) { e.clock = c } }
+
+// WithLog replaces the log on standard error.
+func WithLog(l *timeline.Log) Option { return func(e *Entry) { e.log = l } }
+
+// WithProcess names the process on the timeline; the default is a random name.
+func WithProcess(p ident.Process) Option { return func(e *Entry) { e.process.ID = p } }
+
+// WithIsolation sets a function that says why the process must refuse new work, empty if it need not.
+func WithIsolation(reason func() string) Option { return func(e *Entry) { e.isolated = reason } }
+
+// New opens the listeners of an entry; Run serves them.
+func New(s Settings, options ...Option) (e *Entry, err error) {
+	defer func() { err = eris.Wrap(err, "start entry") }()
+	if err = s.Check(); err != nil {
+		return nil, err
+	}
+	e = &Entry{
+		settings: s,
+		process:  timeline.Process{ID: ident.NewProcess("entry"), Role: "entry", Host: s.Host, Zone: s.Zone},
+		clock:    quartz.NewReal(),
+		isolated: func() string { return "" },
+		aborted:  make(chan struct{}),
+	}
+	for _, o := range options {
+		o(e)
+	}
+	if e.configuration == nil || e.agents == nil {
+		return nil, eris.New("no source of configuration or of agents' claims")
+	}
+	if e.log == nil {
+		e.log = timeline.New(os.Stderr, e.process, slog.LevelInfo)
+	}
+	if err = e.connect(); err != nil {
+		return nil, err
+	}
+	e.meters = newMeters(e)
+	e.budget = newSharedBudget(e.configuration.Current().Policy().RetryRatio)
+	e.admitted = newAdmitted(s.InProgress)
+	e.records = newRecords(s.Records)
+	e.control = newControl(e)
+	return e, e.listen()
+}
+
+// connect builds the pooled HTTP/1.1 transport to the agents.
+func (e *Entry) connect() (err error) {
+	t := &http.Transport{
+		MaxIdleConns:        4096,
+		MaxIdleConnsPerHost: 512,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+		ReadBufferSize:      16 << 10,
+		WriteBufferSize:     16 << 10,
+	}
+	e.scheme = "http://"
+	if e.settings.PeerTLS.Enabled() {
+		e.scheme = "https://"
+		t.TLSClientConfig, err = server.ClientTLS(e.settings.PeerTLS)
+	}
+	e.client = &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return err
+}
+
+func (e *Entry) listen() (err error) {
+	defer func() {
+		if err != nil {
+			e.closeServers()
+		}
+	}()
+	s := e.settings
+	open := func(address string, h http.Handler, o ...server.Option) (l *server.Server) {
+		if err != nil || address == "" || h == nil {
+			return nil
+		}
+		l, err = server.Listen(address, h, append(o, server.AllowInsecure(s.AllowInsecure))...)
+		if err == nil {
+			e.servers = append(e.servers, l)
+		}
+		return l
+	}
+	e.public = open(s.Address, e.routes(), server.WithLimits(s.limits()), server.WithTLS(s.TLS))
+	e.admin = open(s.AdminAddress, admin.Handler(e.meters.set, e.ready))
+	open(s.PeerAddress, e.peer, server.WithTLS(s.PeerTLS))
+	return err
+}
+
+// Addr returns the address of the callers' listener.
+func (e *Entry) Addr() string { return e.public.Addr() }
+
+// AdminAddr returns the address of the admin port.
+func (e *Entry) AdminAddr() string { return e.admin.Addr() }
+
+// Metrics returns the metrics of the process.
+func (e *Entry) Metrics() *metrics.Set { return e.meters.set }
+
+func (e *Entry) ready() (reason string) {
+	if e.stopping.Load() {
+		return "stopping"
+	}
+	return e.isolated()
+}
+
+// Run serves until ctx ends and then stops gracefully; it returns once every request in progress has finished.
+func (e *Entry) Run(ctx context.Context) (err error) {
+	background, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	e.log.Event(timeline.Event{Kind: timeline.ProcessStarted, Detail: e.Addr()})
+	var work sync.WaitGroup
+	work.Go(func() { e.control.run(background) })
+	work.Go(func() { e.poll(background) })
+	failed := make(chan error, len(e.servers))
+	for _, s := range e.servers {
+		work.Go(func() {
+			if err := s.Serve(); err != nil {
+				failed <- err
+			}
+		})
+	}
+	select {
+	case <-ctx.Done():
+		err = e.stop()
+	case err = <-failed:
+	}
+	e.closeServers()
+	e.cancels.Wait()
+	end()
+	work.Wait()
+	e.client.CloseIdleConnections()
+	e.log.Event(timeline.Event{Kind: timeline.ProcessStopped})
+	return err
+}
+
+// stop fails the readiness check, gives the balancer time to see it, and waits for the requests in progress.
+func (e *Entry) stop() (err error) {
+	e.stopping.Store(true)
+	e.log.Event(timeline.Event{Kind: timeline.ProcessStopping})
+	wait := e.clock.NewTimer(e.settings.BalancerWait, "balancer")
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-e.aborted:
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-e.aborted:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err = e.public.Shutdown(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Abort ends a graceful stop at once and interrupts the requests in progress.
+func (e *Entry) Abort(reason string) {
+	e.abort.Do(func() {
+		e.log.Warn("graceful stop is cut short, requests in progress are interrupted", slog.String("Reason", reason))
+		close(e.aborted)
+	})
+}
+
+func (e *Entry) closeServers() {
+	for _, s := range e.servers {
+		var c io.Closer = s
+		c.Close()
+	}
+}
--- /dev/null
+++ b/daemon/entry/exchange.go
@@ -0,0 +1,409 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"shallotring.dev/protocol/frame"
+	"shallotring.dev/protocol/openai"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/attempt"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+	"shallotring.dev/state/placement"
+	"shallotring.dev/state/resource"
+	"shallotring.dev/transport/timeline"
+)
+
+// concludeTimeout bounds the record of an outcome; the ledger settles an intent that it misses.
+const concludeTimeout = 2 * time.Second
+
+// exchange carries out the commands of one attempt in the goroutine of the caller's HTTP request.
+type exchange struct {
+	entry    *Entry
+	in       *http.Request
+	out      response
+	caller   *resource.Caller
+	id       ident.RequestID
+	received time.Time
+	deadline time.Time
+	key      ident.Key
+	body     []byte
+	charged  int64
+	admitted bool
+
+	adapter    ident.AdapterVersion
+	service    ident.Service
+	revision   ident.Revision
+	path       string
+	stream     bool
+	engineBody []byte
+	query      placement.Query
+
+	ctx     context.Context
+	attempt *attempt.Attempt
+	target  target
+	placed  bool
+	gone    bool
+	tries   []TryRecord
+	result  *attempt.Result
+	// closeTry ends the stream of the current try.
+	closeTry context.CancelFunc
+	answer   *http.Response
+	frames   *bufio.Reader
+}
+
+func (e *Entry) newExchange(w http.ResponseWriter, r *http.Request, c *resource.Caller) *exchange {
+	x := &exchange{entry: e, in: r, caller: c, id: ident.NewRequestID(), received: e.clock.Now()}
+	x.out = response{w: w, control: http.NewResponseController(w), timeout: e.settings.WriteTimeout}
+	w.Header().Set(HeaderRequest, string(x.id))
+	return x
+}
+
+func (x *exchange) release() {
+	x.entry.bodies.Add(-x.charged)
+	if x.admitted {
+		x.entry.admitted.leave(x.entry.clock.Now(), x.caller.Name)
+	}
+}
+
+// serve runs a request whose input is valid and responds to any other.
+func (x *exchange) serve(err *openai.Error) {
+	if err != nil {
+		x.entry.reject(x.out.w, err)
+		return
+	}
+	x.event(timeline.Event{Kind: timeline.RequestReceived, Revision: x.revision})
+	if refusal := x.admit(); refusal != nil {
+		x.result = &attempt.Result{
+			Outcome: outcome.NotRun, Failure: attempt.Refused, Proof: attempt.NothingDispatched, Refusal: refusal,
+		}
+		x.finish()
+		return
+	}
+	x.admitted = true
+	x.run()
+	x.finish()
+}
+
+func (x *exchange) admit() (refusal *outcome.Refusal) {
+	if reason := x.entry.isolated(); reason != "" {
+		return &outcome.Refusal{Reason: outcome.Isolated, RetryAfter: minRetryAfter, Detail: reason}
+	}
+	if x.key != "" && x.entry.ledger == nil {
+		return &outcome.Refusal{Reason: outcome.LedgerDown, RetryAfter: minRetryAfter}
+	}
+	return x.entry.admitted.enter(x.caller.Name, x.caller.Share)
+}
+
+func (x *exchange) run() {
+	base := x.in.Context()
+	if x.key != "" {
+		// A keyed try runs to its end without its caller, so that its response is recorded.
+		base = context.WithoutCancel(base)
+	}
+	ctx, cancel := context.WithDeadline(base, x.deadline)
+	defer cancel()
+	x.ctx = ctx
+	defer x.endTry()
+	x.attempt = attempt.New(attempt.Request{
+		ID:        x.id,
+		Keyed:     x.key != "",
+		Deadline:  x.deadline,
+		MaxTries:  x.entry.settings.MaxTries,
+		HoldBytes: x.entry.settings.HoldBytes,
+	}, x.entry.budget)
+	e := attempt.Event{Kind: attempt.Started}
+	for x.result == nil {
+		commands := x.attempt.Step(x.entry.clock.Now(), e)
+		e = attempt.Event{}
+		for _, c := range commands {
+			if next := x.do(c); next.Kind != 0 {
+				e = next
+			}
+		}
+		if e.Kind == 0 && x.result == nil {
+			e = x.receive()
+		}
+	}
+}
+
+// do carries out one command and returns the event that follows from it, if any.
+func (x *exchange) do(c attempt.Command) (e attempt.Event) {
+	switch c.Kind {
+	case attempt.Place:
+		return x.place(c)
+	case attempt.Wait:
+		return x.wait(c.Wait)
+	case attempt.Intend:
+		return x.intend(c)
+	case attempt.Dispatch:
+		return x.dispatch(c)
+	case attempt.Settle:
+		return x.settle(c)
+	case attempt.Cancel:
+		x.cancel(c)
+	case attempt.Deliver:
+		return x.deliver(c)
+	case attempt.Conclude:
+		x.conclude(c)
+	case attempt.Finish:
+		x.result = c.Result
+	}
+	return e
+}
+
+func (x *exchange) place(c attempt.Command) attempt.Event {
+	x.endTry()
+	x.query.Exclude = c.Exclude
+	p, err := x.entry.control.place(x.ctx, question{query: x.query, reply: make(chan placed, 1)})
+	if err != nil {
+		return x.interrupted()
+	}
+	if p.refusal != nil {
+		return attempt.Event{Kind: attempt.NotPlaced, Refusal: p.refusal}
+	}
+	x.target, x.placed = p.target, true
+	return attempt.Event{Kind: attempt.Placed, Endpoint: p.target.endpoint, Incarnation: p.target.incarnation}
+}
+
+func (x *exchange) wait(d time.Duration) attempt.Event {
+	x.endTry()
+	x.entry.meters.retries.Inc()
+	t := x.entry.clock.NewTimer(d, "backoff")
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return attempt.Event{Kind: attempt.Waited}
+	case <-x.ctx.Done():
+		return x.interrupted()
+	}
+}
+
+// interrupted tells a passed deadline from a disconnected caller.
+func (x *exchange) interrupted() attempt.Event {
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+		return attempt.Event{Kind: attempt.DeadlinePassed}
+	}
+	return attempt.Event{Kind: attempt.CallerGone}
+}
+
+func (x *exchange) intend(c attempt.Command) attempt.Event {
+	h := sha256.New()
+	// The lengths keep method, path and body apart.
+	for _, part := range [][]byte{[]byte(x.in.Method), []byte(x.path), x.body} {
+		var n [8]byte
+		for i := range n {
+			n[i] = byte(len(part) >> (8 * i))
+		}
+		h.Write(n[:])
+		h.Write(part)
+	}
+	r, err := x.entry.ledger.Intend(x.ctx, &wire.IntendRequest{
+		Caller:     string(x.caller.Name),
+		Key:        string(x.key),
+		BodyDigest: h.Sum(nil),
+		ID:         tryID(c.Try),
+		Endpoint:   string(c.Endpoint),
+	})
+	if err != nil {
+		r = nil
+	}
+	return attempt.Event{Kind: attempt.Intended, Try: c.Try.Try, Intent: r}
+}
+
+func (x *exchange) conclude(c attempt.Command) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), concludeTimeout)
+	defer cancel()
+	if c.Answer != nil {
+		c.Answer.Adapter, c.Answer.Version = string(x.adapter.Adapter), string(x.adapter.Version)
+	}
+	r, err := x.entry.ledger.Conclude(ctx, &wire.ConcludeRequest{
+		Caller:  string(x.caller.Name),
+		Key:     string(x.key),
+		ID:      tryID(c.Try),
+		Outcome: wireOutcome(c.Outcome),
+		Answer:  c.Answer,
+	})
+	if err != nil || !r.GetRecorded() {
+		x.event(timeline.Event{Kind: timeline.TryEnded, Try: c.Try.Try, Endpoint: c.Endpoint,
+			Outcome: c.Outcome, Detail: "outcome is not recorded in the ledger"})
+	}
+}
+
+func (x *exchange) dispatch(c attempt.Command) attempt.Event {
+	x.entry.meters.tries.Inc()
+	x.tries = append(x.tries, TryRecord{c.Try.Try, c.Endpoint, c.Try.Incarnation, x.entry.clock.Now()})
+	x.event(timeline.Event{Kind: timeline.TryDispatched, Try: c.Try.Try, Endpoint: c.Endpoint, Incarnation: c.Try.Incarnation})
+	body := x.engineBody
+	if x.service != "" {
+		body = x.body
+	}
+	text, err := proto.Marshal(&wire.RunRequest{
+		ID:                tryID(c.Try),
+		Endpoint:          string(c.Endpoint),
+		Adapter:           string(x.adapter.Adapter),
+		Version:           string(x.adapter.Version),
+		Caller:            string(x.caller.Name),
+		Key:               string(x.key),
+		DeadlineUnixMilli: x.deadline.UnixMilli(),
+		ResourceRevision:  int64(x.resourceRevision(c.Endpoint)),
+		Method:            x.in.Method,
+		Path:              x.path,
+		ContentType:       x.in.Header.Get("Content-Type"),
+		Body:              body,
+		Stream:            x.stream,
+	})
+	if err != nil {
+		return attempt.Event{Kind: attempt.NotSent, Try: c.Try.Try, Detail: err.Error()}
+	}
+	ctx, cancel := context.WithCancel(x.ctx)
+	x.closeTry = cancel
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, x.entry.scheme+x.target.address+"/run", bytes.NewReader(text))
+	if err != nil {
+		return attempt.Event{Kind: attempt.NotSent, Try: c.Try.Try, Detail: err.Error()}
+	}
+	r.Header.Set("Content-Type", "application/protobuf")
+	x.answer, err = x.entry.client.Do(r)
+	if err != nil {
+		return x.failed(c.Try.Try, err)
+	}
+	if x.answer.StatusCode != http.StatusOK {
+		return attempt.Event{Kind: attempt.StreamBroken, Try: c.Try.Try, Detail: "agent answered " + x.answer.Status}
+	}
+	x.frames = bufio.NewReader(x.answer.Body)
+	return attempt.Event{}
+}
+
+// resourceRevision is that of the adapter, or of the endpoint for plain services.
+func (x *exchange) resourceRevision(name ident.Endpoint) ident.Revision {
+	if x.service == "" {
+		return x.revision
+	}
+	return x.entry.current().ResourceRevision(resource.Name{Kind: resource.KindEndpoint, Name: string(name)})
+}
+
+// receive waits for the next frame of the current try.
+func (x *exchange) receive() attempt.Event {
+	try := ident.Try(x.attempt.Tries())
+	f := &wire.Frame{}
+	err := protodelim.UnmarshalOptions{MaxSize: frame.MaxFrameBytes}.UnmarshalFrom(x.frames, f)
+	if err != nil {
+		return x.failed(try, err)
+	}
+	if k := f.GetKind(); k == wire.FrameKind_FRAME_KIND_END || k == wire.FrameKind_FRAME_KIND_REFUSED {
+		x.tryEnded(try, f)
+	}
+	return attempt.Event{Kind: attempt.FrameArrived, Try: try, Frame: f}
+}
+
+func (x *exchange) tryEnded(try ident.Try, f *wire.Frame) {
+	e := timeline.Event{Kind: timeline.TryEnded, Try: try, Endpoint: x.target.endpoint, Status: int(f.GetStatus())}
+	if r := f.GetRefusal(); r != nil {
+		e.Kind, e.Reason, e.Outcome = timeline.TryRefused, outcome.Reason(r.GetReason()), outcome.NotRun
+	}
+	if end := f.GetEnd(); end != nil {
+		e.Outcome = stateOutcome(end.GetOutcome())
+		e.PromptTokens, e.CompletionTokens = ident.Tokens(end.GetPromptTokens()), ident.Tokens(end.GetCompletionTokens())
+		e.Stall = time.Duration(end.GetStallMilli()) * time.Millisecond
+	}
+	x.event(e)
+	// The connection is used again only if the body has been read to its end.
+	if _, err := x.frames.Peek(1); errors.Is(err, io.EOF) {
+		x.answer.Body.Close()
+	}
+}
+
+// failed tells why a stream ended early.
+func (x *exchange) failed(try ident.Try, err error) attempt.Event {
+	if x.ctx.Err() != nil {
+		return x.interrupted()
+	}
+	x.entry.meters.brokenStreams.Inc()
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return attempt.Event{Kind: attempt.NotSent, Try: try, Detail: err.Error()}
+	}
+	return attempt.Event{Kind: attempt.StreamBroken, Try: try, Detail: err.Error()}
+}
+
+// settle asks the agent what became of the try; the stream is closed first, so that the agent does not wait for it.
+func (x *exchange) settle(c attempt.Command) attempt.Event {
+	x.endTry()
+	r := x.askSettle(c)
+	x.event(timeline.Event{Kind: timeline.TrySettled, Try: c.Try.Try, Endpoint: c.Endpoint, Detail: r.GetState().String()})
+	return attempt.Event{Kind: attempt.Settled, Try: c.Try.Try, Settlement: r}
+}
+
+func (x *exchange) askSettle(c attempt.Command) (r *wire.SettleResponse) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.entry.settings.SettleTimeout)
+	defer cancel()
+	r, err := x.entry.agent(x.target.address).Settle(ctx, &wire.SettleRequest{ID: tryID(c.Try), Cancel: true})
+	if err != nil {
+		return nil
+	}
+	return r
+}
+
+// cancel closes the stream and tells the agent in the background, because nobody waits for the response.
+func (x *exchange) cancel(c attempt.Command) {
+	x.endTry()
+	x.entry.cancels.Go(func() { x.askSettle(c) })
+}
+
+// endTry closes the stream of the current try and corrects the routing view.
+func (x *exchange) endTry() {
+	if x.closeTry != nil {
+		x.closeTry()
+		x.closeTry = nil
+	}
+	if x.answer != nil {
+		x.answer.Body.Close()
+		x.answer, x.frames = nil, nil
+	}
+	if x.placed {
+		x.placed = false
+		x.entry.control.done(ended{endpoint: x.target.endpoint, query: x.query})
+	}
+}
+
+// event fills in what all events of the request share.
+func (x *exchange) event(e timeline.Event) {
+	e.RequestID, e.Caller = x.id, x.caller.Name
+	e.Adapter, e.Version = x.adapter.Adapter, x.adapter.Version
+	x.entry.log.Event(e)
+}
+
+func tryID(t ident.TryID) *wire.TryID {
+	return &wire.TryID{RequestID: string(t.RequestID), Try: uint32(t.Try), Incarnation: int64(t.Incarnation)}
+}
+
+func wireOutcome(o outcome.Outcome) wire.Outcome {
+	switch o {
+	case outcome.Completed:
+		return wire.Outcome_OUTCOME_COMPLETED
+	case outcome.NotRun:
+		return wire.Outcome_OUTCOME_NOT_RUN
+	}
+	return wire.Outcome_OUTCOME_UNKNOWN
+}
+
+func stateOutcome(o wire.Outcome) outcome.Outcome {
+	switch o {
+	case wire.Outcome_OUTCOME_COMPLETED:
+		return outcome.Completed
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return outcome.NotRun
+	}
+	return outcome.Unknown
+}
--- /dev/null
+++ b/daemon/entry/meters.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"shallotring.dev/state/attempt"
+	"shallotring.dev/state/outcome"
+)
+
+type meters struct {
+	set           *metrics.Set
+	completed     *metrics.Counter
+	notRun        *metrics.Counter
+	unknown       *metrics.Counter
+	rejected      *metrics.Counter
+	tries         *metrics.Counter
+	retries       *metrics.Counter
+	brokenStreams *metrics.Counter
+	reportsFailed *metrics.Counter
+	violations    *metrics.Counter
+	duration      *metrics.Histogram
+}
+
+func newMeters(e *Entry) *meters {
+	s := metrics.NewSet()
+	s.NewGauge("shallotring_entry_requests_in_progress", func() float64 { return float64(e.admitted.count()) })
+	s.NewGauge("shallotring_entry_request_body_bytes", func() float64 { return float64(e.bodies.Load()) })
+	return &meters{
+		set:           s,
+		completed:     s.NewCounter(`shallotring_entry_requests_total{outcome="completed"}`),
+		notRun:        s.NewCounter(`shallotring_entry_requests_total{outcome="not-run"}`),
+		unknown:       s.NewCounter(`shallotring_entry_requests_total{outcome="unknown"}`),
+		rejected:      s.NewCounter("shallotring_entry_requests_rejected_total"),
+		tries:         s.NewCounter("shallotring_entry_tries_total"),
+		retries:       s.NewCounter("shallotring_entry_retries_total"),
+		brokenStreams: s.NewCounter("shallotring_entry_broken_streams_total"),
+		reportsFailed: s.NewCounter("shallotring_entry_reports_failed_total"),
+		violations:    s.NewCounter("shallotring_entry_invariant_violations_total"),
+		duration:      s.NewHistogram("shallotring_entry_request_duration_seconds"),
+	}
+}
+
+func (m *meters) finished(r *attempt.Result, d time.Duration) {
+	switch r.Outcome {
+	case outcome.Completed:
+		m.completed.Inc()
+	case outcome.NotRun:
+		m.notRun.Inc()
+	default:
+		m.unknown.Inc()
+	}
+	m.duration.Update(d.Seconds())
+}
