Prove the outcomes of tries with fault tables

Change: table tests of state/attempt for damaged, late and foreign frames, cuts, settle answers, deadlines and every path that says not-run with its ground. A key in progress is now answered 409 with outcome unknown instead of not-run, because the key's first request may have run.

--- a/daemon/entry/respond.go
+++ b/daemon/entry/respond.go
@@ -146,7 +146,7 @@
 func (x *exchange) refuse() {
 	x.out.w.Header().Set(HeaderOutcome, string(x.result.Outcome))
 	var after time.Duration
-	if x.result.Outcome == outcome.NotRun && x.result.Refusal != nil {
+	if (x.result.Outcome == outcome.NotRun || x.result.Failure == attempt.KeyInProgress) && x.result.Refusal != nil {
 		after = max(x.result.Refusal.RetryAfter, minRetryAfter)
 	}
 	if !x.adapter.IsZero() {
@@ -166,10 +166,10 @@
 	switch {
 	case r.Failure == attempt.KeyUnknown:
 		return openai.NewError(http.StatusConflict, "outcome_unknown", "the request with this key may have run and is not repeated")
-	case r.Outcome == outcome.Unknown:
-		return openai.NewError(http.StatusBadGateway, "outcome_unknown", "the request may have run: "+string(r.Failure))
 	case r.Failure == attempt.KeyInProgress:
 		return openai.NewError(http.StatusConflict, "key_in_progress", "a request with this key is in progress")
+	case r.Outcome == outcome.Unknown:
+		return openai.NewError(http.StatusBadGateway, "outcome_unknown", "the request may have run: "+string(r.Failure))
 	case r.Failure == attempt.KeyMismatch:
 		return openai.NewError(http.StatusUnprocessableEntity, "key_reused", "the key was used with another body")
 	case r.Failure == attempt.Expired:
--- a/state/attempt/attempt.go
+++ b/state/attempt/attempt.go
@@ -157,8 +157,9 @@
 	case wire.IntentState_INTENT_STATE_COMPLETED:
 		a.finish(Result{Outcome: outcome.Completed, Replay: r.GetAnswer()})
 	case wire.IntentState_INTENT_STATE_IN_PROGRESS:
-		a.refusal = &outcome.Refusal{RetryAfter: time.Duration(r.GetRetryAfterMilli()) * time.Millisecond}
-		a.finishNotRun(KeyInProgress)
+		// The key's first request may have run, so that not-run would mislead the caller.
+		after := max(time.Duration(r.GetRetryAfterMilli())*time.Millisecond, time.Second)
+		a.finish(Result{Outcome: outcome.Unknown, Failure: KeyInProgress, Refusal: &outcome.Refusal{RetryAfter: after}})
 	case wire.IntentState_INTENT_STATE_MISMATCH:
 		a.finishNotRun(KeyMismatch)
 	case wire.IntentState_INTENT_STATE_UNKNOWN:
--- /dev/null
+++ b/state/attempt/attempt_test.go
@@ -0,0 +1,458 @@
+package attempt
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"shallotring.dev/protocol/frame"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+	"shallotring.dev/state/retry"
+)
+
+const (
+	plainType = "application/json"
+	eventType = "text/event-stream"
+)
+
+var start = time.Unix(1000, 0)
+
+// run drives one attempt and keeps what its caller and the ledger would have seen.
+type run struct {
+	t         *testing.T
+	attempt   *Attempt
+	now       time.Time
+	commands  []Command
+	delivered bytes.Buffer
+	concluded []outcome.Outcome
+	dispatch  int
+	result    *Result
+}
+
+func newRun(t *testing.T, r Request, budget *retry.Budget) *run {
+	r.ID = "r1"
+	if r.MaxTries == 0 {
+		r.MaxTries = 3
+	}
+	if r.HoldBytes == 0 {
+		r.HoldBytes = 1000
+	}
+	if budget == nil {
+		budget = retry.New(0.1, rand.New(rand.NewPCG(1, 1)))
+	}
+	return &run{t: t, attempt: New(r, budget), now: start}
+}
+
+func (r *run) step(e Event) *run {
+	r.commands = append([]Command(nil), r.attempt.Step(r.now, e)...)
+	for _, c := range r.commands {
+		switch c.Kind {
+		case Dispatch:
+			r.dispatch++
+		case Deliver:
+			r.delivered.Write(c.Data)
+		case Conclude:
+			r.concluded = append(r.concluded, c.Outcome)
+		case Finish:
+			if r.result != nil {
+				r.t.Error("finished twice")
+			}
+			r.result = c.Result
+		}
+	}
+	return r
+}
+
+func (r *run) last() CommandKind {
+	if len(r.commands) == 0 {
+		return 0
+	}
+	return r.commands[len(r.commands)-1].Kind
+}
+
+// toDispatch brings the next try to its agent.
+func (r *run) toDispatch() *run {
+	if r.attempt.phase == idle {
+		r.step(Event{Kind: Started})
+	}
+	if r.last() == Wait {
+		r.step(Event{Kind: Waited})
+	}
+	r.step(Event{Kind: Placed, Endpoint: ident.Endpoint(fmt.Sprintf("e%d", r.attempt.Tries())), Incarnation: 7})
+	if r.last() == Intend {
+		r.step(Event{Kind: Intended, Intent: &wire.IntendResponse{State: wire.IntentState_INTENT_STATE_GRANTED}})
+	}
+	if r.last() != Dispatch {
+		r.t.Fatalf("not dispatched: %+v", r.commands)
+	}
+	return r
+}
+
+func (r *run) frames(list []*wire.Frame) *run {
+	for _, f := range list {
+		r.step(Event{Kind: FrameArrived, Try: ident.Try(r.attempt.Tries()), Frame: f})
+	}
+	return r
+}
+
+func (r *run) broken() *run { return r.step(Event{Kind: StreamBroken, Detail: "reset"}) }
+
+func (r *run) settled(s wire.TryState) *run {
+	return r.step(Event{Kind: Settled, Settlement: &wire.SettleResponse{State: s}})
+}
+
+// stream returns the frames of a whole answer of the given try: accepted, one per part, end.
+func stream(t *testing.T, try uint32, contentType string, parts ...string) (list []*wire.Frame) {
+	t.Helper()
+	var b bytes.Buffer
+	w := frame.NewWriter(&b, &wire.TryID{RequestID: "r1", Try: try, Incarnation: 7})
+	w.Accept()
+	for _, p := range parts {
+		w.Data([]byte(p), 200, contentType)
+	}
+	w.End(&wire.End{Outcome: wire.Outcome_OUTCOME_COMPLETED}, 200, contentType)
+	for b.Len() > 0 {
+		f := &wire.Frame{}
+		if err := protodelim.UnmarshalFrom(&b, f); err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, f)
+	}
+	return list
+}
+
+func refusal(try uint32, reason outcome.Reason) *wire.Frame {
+	return &wire.Frame{
+		ID:      &wire.TryID{RequestID: "r1", Try: try, Incarnation: 7},
+		Kind:    wire.FrameKind_FRAME_KIND_REFUSED,
+		Refusal: &wire.Refusal{Reason: string(reason), RetryAfterMilli: 1500},
+	}
+}
+
+func endNotRun(try uint32) []*wire.Frame {
+	id := &wire.TryID{RequestID: "r1", Try: try, Incarnation: 7}
+	var b bytes.Buffer
+	w := frame.NewWriter(&b, id)
+	w.Accept()
+	w.End(&wire.End{Outcome: wire.Outcome_OUTCOME_NOT_RUN}, 0, "")
+	accepted, end := &wire.Frame{}, &wire.Frame{}
+	_ = protodelim.UnmarshalFrom(&b, accepted)
+	_ = protodelim.UnmarshalFrom(&b, end)
+	return []*wire.Frame{accepted, end}
+}
+
+// Guards against a request that is reported as not run without ground (G4). Each path that says not-run is listed here with
+// the ground on which it is known; TestUnknownIsNeverNotRun lists the paths that must not say it.
+func TestNotRunPaths(t *testing.T) {
+	one := Request{MaxTries: 1}
+	keyed := Request{MaxTries: 1, Keyed: true}
+	limited := Request{MaxTries: 1, Deadline: start.Add(time.Second)}
+	late := func(r *run) *run { r.now = start.Add(time.Minute); return r }
+	intent := func(r *run, s wire.IntentState) *run {
+		r.step(Event{Kind: Started}).step(Event{Kind: Placed, Endpoint: "e", Incarnation: 7})
+		return r.step(Event{Kind: Intended, Intent: &wire.IntendResponse{State: s}})
+	}
+	tests := []struct {
+		name    string
+		request Request
+		path    func(r *run) *run
+		proof   Proof
+		failure Failure
+	}{
+		{"no endpoint", one, func(r *run) *run {
+			return r.step(Event{Kind: Started}).step(Event{Kind: NotPlaced, Refusal: &outcome.Refusal{Reason: outcome.NoEndpoint}})
+		}, NothingDispatched, Refused},
+		{"deadline while placing", one, func(r *run) *run {
+			return r.step(Event{Kind: Started}).step(Event{Kind: DeadlinePassed})
+		}, NothingDispatched, Expired},
+		{"deadline found when placed", limited, func(r *run) *run {
+			return late(r.step(Event{Kind: Started})).step(Event{Kind: Placed, Endpoint: "e", Incarnation: 7})
+		}, NothingDispatched, Expired},
+		{"caller gone while placing", one, func(r *run) *run {
+			return r.step(Event{Kind: Started}).step(Event{Kind: CallerGone})
+		}, NothingDispatched, Abandoned},
+		{"ledger unreachable", keyed, func(r *run) *run {
+			return r.step(Event{Kind: Started}).step(Event{Kind: Placed, Endpoint: "e"}).step(Event{Kind: Intended})
+		}, NothingDispatched, Refused},
+		{"ledger unavailable", keyed, func(r *run) *run {
+			return intent(r, wire.IntentState_INTENT_STATE_UNAVAILABLE)
+		}, NothingDispatched, Refused},
+		{"ledger of another owner", keyed, func(r *run) *run {
+			return intent(r, wire.IntentState_INTENT_STATE_NOT_OWNER)
+		}, NothingDispatched, Refused},
+		{"key of another body", keyed, func(r *run) *run {
+			return intent(r, wire.IntentState_INTENT_STATE_MISMATCH)
+		}, NothingDispatched, KeyMismatch},
+		{"deadline while intending", keyed, func(r *run) *run {
+			return r.step(Event{Kind: Started}).step(Event{Kind: Placed, Endpoint: "e"}).step(Event{Kind: DeadlinePassed})
+		}, NothingDispatched, Expired},
+		{"caller gone while intending", keyed, func(r *run) *run {
+			return r.step(Event{Kind: Started}).step(Event{Kind: Placed, Endpoint: "e"}).step(Event{Kind: CallerGone})
+		}, NothingDispatched, Abandoned},
+		{"connection refused", one, func(r *run) *run { return r.toDispatch().step(Event{Kind: NotSent}) }, NoByteSent, Refused},
+		{"agent refused", one, func(r *run) *run {
+			return r.toDispatch().frames([]*wire.Frame{refusal(1, outcome.QueueFull)})
+		}, AgentRefused, Refused},
+		{"agent refused a keyed try", keyed, func(r *run) *run {
+			return r.toDispatch().frames([]*wire.Frame{refusal(1, outcome.Leaving)})
+		}, AgentRefused, Refused},
+		{"agent ended as not run", one, func(r *run) *run { return r.toDispatch().frames(endNotRun(1)) }, AgentNotRun, Refused},
+		{"cut, then tombstoned", one, func(r *run) *run {
+			return r.toDispatch().broken().settled(wire.TryState_TRY_STATE_NEVER_STARTED)
+		}, AgentTombstoned, Broken},
+		{"cut, then ended as not run", one, func(r *run) *run {
+			return r.toDispatch().broken().step(Event{Kind: Settled, Settlement: &wire.SettleResponse{
+				State: wire.TryState_TRY_STATE_COMPLETED, Outcome: wire.Outcome_OUTCOME_NOT_RUN}})
+		}, AgentNotRun, Broken},
+		{"deadline after dispatch, then tombstoned", one, func(r *run) *run {
+			return r.toDispatch().step(Event{Kind: DeadlinePassed}).settled(wire.TryState_TRY_STATE_NEVER_STARTED)
+		}, AgentTombstoned, Expired},
+		{"deadline during backoff", Request{}, func(r *run) *run {
+			return r.toDispatch().frames([]*wire.Frame{refusal(1, outcome.QueueFull)}).step(Event{Kind: DeadlinePassed})
+		}, AgentRefused, Expired},
+		{"caller gone during backoff", Request{}, func(r *run) *run {
+			return r.toDispatch().frames([]*wire.Frame{refusal(1, outcome.QueueFull)}).step(Event{Kind: CallerGone})
+		}, AgentRefused, Abandoned},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := tt.path(newRun(t, tt.request, nil))
+			if r.result == nil {
+				t.Fatalf("not finished: %+v", r.commands)
+			}
+			x := r.result
+			if x.Outcome != outcome.NotRun || x.Proof != tt.proof || x.Failure != tt.failure {
+				t.Errorf("got %s, %s, %s", x.Outcome, x.Proof, x.Failure)
+			}
+			for _, c := range r.concluded {
+				if c != outcome.NotRun {
+					t.Errorf("ledger got %s", c)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a request that may have run and is reported as not run or, if it is keyed, tried again (G4, G5).
+func TestUnknownIsNeverNotRun(t *testing.T) {
+	settle := func(s *wire.SettleResponse) func(r *run) *run {
+		return func(r *run) *run { return r.toDispatch().broken().step(Event{Kind: Settled, Settlement: s}) }
+	}
+	whole := stream(t, 1, plainType, "a", "b")
+	tests := []struct {
+		name string
+		path func(r *run) *run
+	}{
+		{"agent unreachable", settle(nil)},
+		{"agent says unknown", settle(&wire.SettleResponse{State: wire.TryState_TRY_STATE_UNKNOWN})},
+		{"agent says running", settle(&wire.SettleResponse{State: wire.TryState_TRY_STATE_RUNNING})},
+		{"agent says completed without answer", settle(&wire.SettleResponse{
+			State: wire.TryState_TRY_STATE_COMPLETED, Outcome: wire.Outcome_OUTCOME_COMPLETED})},
+		{"agent says nothing", settle(&wire.SettleResponse{})},
+		{"deadline after dispatch, agent unreachable", func(r *run) *run {
+			return r.toDispatch().step(Event{Kind: DeadlinePassed}).step(Event{Kind: Settled})
+		}},
+		{"deadline after accept", func(r *run) *run {
+			return r.toDispatch().frames(whole[:1]).step(Event{Kind: DeadlinePassed}).settled(wire.TryState_TRY_STATE_RUNNING)
+		}},
+		{"deadline after data", func(r *run) *run {
+			return r.toDispatch().frames(whole[:2]).step(Event{Kind: DeadlinePassed}).settled(wire.TryState_TRY_STATE_UNKNOWN)
+		}},
+		{"deadline while settling", func(r *run) *run {
+			return r.toDispatch().broken().step(Event{Kind: DeadlinePassed}).settled(wire.TryState_TRY_STATE_RUNNING)
+		}},
+	}
+	for _, keyed := range []bool{false, true} {
+		for _, tt := range tests {
+			t.Run(fmt.Sprintf("%s keyed=%t", tt.name, keyed), func(t *testing.T) {
+				tries := 1
+				if keyed {
+					tries = 3
+				}
+				r := tt.path(newRun(t, Request{MaxTries: tries, Keyed: keyed}, nil))
+				if r.result == nil || r.result.Outcome != outcome.Unknown || r.result.Proof != "" {
+					t.Fatalf("got %+v, commands %+v", r.result, r.commands)
+				}
+				if r.dispatch != 1 || r.delivered.Len() != 0 {
+					t.Errorf("%d tries, delivered %q", r.dispatch, r.delivered.String())
+				}
+			})
+		}
+	}
+}
+
+// Guards against an earlier unknown try that is forgotten when the last one is known not to have run (G4).
+func TestUnknownTryStays(t *testing.T) {
+	ways := map[string]func(r *run) *run{
+		"refused":     func(r *run) *run { return r.toDispatch().frames([]*wire.Frame{refusal(2, outcome.QueueFull)}) },
+		"not sent":    func(r *run) *run { return r.toDispatch().step(Event{Kind: NotSent}) },
+		"tombstoned":  func(r *run) *run { return r.toDispatch().broken().settled(wire.TryState_TRY_STATE_NEVER_STARTED) },
+		"deadline":    func(r *run) *run { return r.step(Event{Kind: DeadlinePassed}) },
+		"no endpoint": func(r *run) *run { return r.step(Event{Kind: Waited}).step(Event{Kind: NotPlaced}) },
+	}
+	for name, way := range ways {
+		t.Run(name, func(t *testing.T) {
+			r := newRun(t, Request{MaxTries: 2}, nil).toDispatch().broken().settled(wire.TryState_TRY_STATE_UNKNOWN)
+			if r.last() != Wait {
+				t.Fatalf("repeatable request is not retried: %+v", r.commands)
+			}
+			if way(r); r.result == nil || r.result.Outcome != outcome.Unknown {
+				t.Errorf("got %+v", r.result)
+			}
+		})
+	}
+}
+
+// Guards against damaged, late or foreign frames that reach the caller, and against joining the output of two tries (G3).
+func TestDamagedStream(t *testing.T) {
+	const text = "data: 1\n\ndata: 2\n\n"
+	whole := func() []*wire.Frame { return stream(t, 1, eventType, "data: 1\n\n", "data: 2\n\n", "data: [DONE]\n\n") }
+	other := stream(t, 2, eventType, "data: 9\n\n")
+	tests := []struct {
+		name      string
+		frames    func(f []*wire.Frame) []*wire.Frame
+		delivered string
+	}{
+		{"cut at once", func(f []*wire.Frame) []*wire.Frame { return nil }, ""},
+		{"cut after accept", func(f []*wire.Frame) []*wire.Frame { return f[:1] }, ""},
+		{"cut after first data", func(f []*wire.Frame) []*wire.Frame { return f[:2] }, "data: 1\n\n"},
+		{"cut after second data", func(f []*wire.Frame) []*wire.Frame { return f[:3] }, text},
+		{"cut after the closing event", func(f []*wire.Frame) []*wire.Frame { return f[:4] }, text},
+		{"reordered", func(f []*wire.Frame) []*wire.Frame { f[1], f[2] = f[2], f[1]; return f }, ""},
+		{"repeated", func(f []*wire.Frame) []*wire.Frame { return []*wire.Frame{f[0], f[1], f[1], f[2], f[3], f[4]} }, "data: 1\n\n"},
+		{"missing", func(f []*wire.Frame) []*wire.Frame { return []*wire.Frame{f[0], f[1], f[3], f[4]} }, "data: 1\n\n"},
+		{"of another try", func(f []*wire.Frame) []*wire.Frame { f[2] = other[1]; return f }, "data: 1\n\n"},
+		{"of another request", func(f []*wire.Frame) []*wire.Frame { f[2].ID.RequestID = "r2"; return f }, "data: 1\n\n"},
+		{"of another incarnation", func(f []*wire.Frame) []*wire.Frame { f[1].ID.Incarnation = 8; return f }, ""},
+		{"altered", func(f []*wire.Frame) []*wire.Frame { f[4].End.Digest[0]++; return f }, text},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRun(t, Request{MaxTries: 1}, nil).toDispatch().frames(tt.frames(whole()))
+			if r.result != nil {
+				t.Fatalf("finished: %+v", r.result)
+			}
+			if r.last() != Settle && r.attempt.phase != settling {
+				r.broken()
+			}
+			r.settled(wire.TryState_TRY_STATE_UNKNOWN)
+			if r.result == nil || r.result.Outcome != outcome.Unknown || r.result.Started != (tt.delivered != "") {
+				t.Errorf("got %+v", r.result)
+			}
+			if r.delivered.String() != tt.delivered {
+				t.Errorf("delivered %q, want %q", r.delivered.String(), tt.delivered)
+			}
+		})
+	}
+}
+
+// Guards against late frames of an abandoned try that mix with the response of its successor (G3).
+func TestLateFramesOfEarlierTry(t *testing.T) {
+	first, second := stream(t, 1, plainType, "old", "old"), stream(t, 2, plainType, "new")
+	r := newRun(t, Request{}, nil).toDispatch().frames(first[:2]).broken().settled(wire.TryState_TRY_STATE_UNKNOWN)
+	r.toDispatch().frames(second[:1])
+	for _, f := range first {
+		r.step(Event{Kind: FrameArrived, Try: 1, Frame: f})
+	}
+	r.step(Event{Kind: StreamBroken, Try: 1})
+	r.frames(second[1:])
+	if r.result == nil || r.result.Outcome != outcome.Completed || r.delivered.String() != "new" {
+		t.Errorf("got %+v, delivered %q", r.result, r.delivered.String())
+	}
+}
+
+// Guards against a second try after the first byte has gone to the caller.
+func TestNoRetryAfterFirstByte(t *testing.T) {
+	for _, contentType := range []string{plainType, eventType} {
+		part := strings.Repeat("x", 2000) + "\n\n"
+		r := newRun(t, Request{}, nil).toDispatch().frames(stream(t, 1, contentType, part, part)[:2]).broken()
+		r.settled(wire.TryState_TRY_STATE_NEVER_STARTED)
+		if r.result == nil || r.result.Outcome != outcome.Unknown || !r.result.Started || r.dispatch != 1 {
+			t.Errorf("%s: got %+v after %d tries", contentType, r.result, r.dispatch)
+		}
+	}
+}
+
+// Guards against retries past the budget, past the limit or at an endpoint that refused before.
+func TestRetries(t *testing.T) {
+	budget := retry.New(0, rand.New(rand.NewPCG(1, 1)))
+	r := newRun(t, Request{}, budget).toDispatch().frames([]*wire.Frame{refusal(1, outcome.QueueFull)})
+	r.step(Event{Kind: Waited})
+	if c := r.commands[0]; c.Kind != Place || len(c.Exclude) != 1 || c.Exclude[0] != "e0" {
+		t.Errorf("got %+v", c)
+	}
+	r.step(Event{Kind: Placed, Endpoint: "e1", Incarnation: 7}).frames(stream(t, 2, plainType, "ok"))
+	if r.result == nil || r.result.Outcome != outcome.Completed || r.delivered.String() != "ok" {
+		t.Errorf("got %+v", r.result)
+	}
+	for budget.Take() {
+	}
+	r = newRun(t, Request{}, budget).toDispatch().frames([]*wire.Frame{refusal(1, outcome.QueueFull)})
+	if r.result == nil || r.result.Refusal.Reason != outcome.QueueFull || r.result.Refusal.RetryAfter != 1500*time.Millisecond {
+		t.Errorf("spent budget: got %+v", r.result)
+	}
+}
+
+// Guards against a keyed try that stops when its caller disconnects, which would leave its outcome unknown for ever.
+func TestCallerGone(t *testing.T) {
+	r := newRun(t, Request{}, nil).toDispatch().step(Event{Kind: CallerGone})
+	if r.result == nil || r.commands[0].Kind != Cancel || r.result.Outcome != outcome.Unknown {
+		t.Errorf("repeatable: got %+v, %+v", r.result, r.commands)
+	}
+	r = newRun(t, Request{Keyed: true}, nil).toDispatch().step(Event{Kind: CallerGone})
+	if r.result != nil || len(r.commands) != 0 {
+		t.Errorf("keyed: got %+v, %+v", r.result, r.commands)
+	}
+	r.frames(stream(t, 1, plainType, "sold"))
+	if r.result == nil || len(r.concluded) != 1 || r.concluded[0] != outcome.Completed {
+		t.Errorf("keyed: got %+v, concluded %v", r.result, r.concluded)
+	}
+}
+
+// Guards against a key whose response is lost although the agent still holds it, and against a new try of a used key.
+func TestReplay(t *testing.T) {
+	answer := &wire.Answer{Status: 200, Body: []byte("sold")}
+	r := newRun(t, Request{Keyed: true}, nil).toDispatch().broken().step(Event{Kind: Settled, Settlement: &wire.SettleResponse{
+		State: wire.TryState_TRY_STATE_COMPLETED, Outcome: wire.Outcome_OUTCOME_COMPLETED, Answer: answer}})
+	if r.result == nil || r.result.Replay != answer || r.concluded[0] != outcome.Completed {
+		t.Errorf("settled: got %+v", r.result)
+	}
+	for state, want := range map[wire.IntentState]outcome.Outcome{
+		wire.IntentState_INTENT_STATE_COMPLETED:   outcome.Completed,
+		wire.IntentState_INTENT_STATE_UNKNOWN:     outcome.Unknown,
+		wire.IntentState_INTENT_STATE_IN_PROGRESS: outcome.Unknown,
+	} {
+		r := newRun(t, Request{Keyed: true}, nil).step(Event{Kind: Started}).step(Event{Kind: Placed, Endpoint: "e"})
+		r.step(Event{Kind: Intended, Intent: &wire.IntendResponse{State: state, Answer: answer}})
+		if r.result == nil || r.result.Outcome != want || r.dispatch != 0 {
+			t.Errorf("%v: got %+v after %d tries", state, r.result, r.dispatch)
+		}
+	}
+}
+
+// Guards against a closing event that is sent early because it arrives in pieces.
+func TestClosingEventIsHeldBack(t *testing.T) {
+	const text = "data: 1\n\ndata: {\"t\":\"[DONE]\"}\n\ndata: [DONE]\n\n"
+	for size := 1; size < len(text); size++ {
+		var parts []string
+		for rest := text; rest != ""; {
+			n := min(size, len(rest))
+			parts, rest = append(parts, rest[:n]), rest[n:]
+		}
+		f := stream(t, 1, eventType, parts...)
+		r := newRun(t, Request{}, nil).toDispatch().frames(f[:len(f)-1])
+		if strings.Contains(r.delivered.String(), "data: [DONE]") {
+			t.Fatalf("parts of %d: delivered %q before the last frame", size, r.delivered.String())
+		}
+		if r.frames(f[len(f)-1:]); r.delivered.String() != text {
+			t.Errorf("parts of %d: delivered %q", size, r.delivered.String())
+		}
+	}
+}
