Test the entry's limits, retries, records and graceful stop

Cause: bounded memory, fair shares, retries over the wire and the graceful stop were written but not shown. Conclusion: a slow reader holds its agent back instead of filling the entry, and bodies are bounded in sum.

--- /dev/null
+++ b/daemon/entry/load_test.go
@@ -0,0 +1,288 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"shallotring.dev/protocol/frame"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/outcome"
+)
+
+// waitFor polls a condition; the time limit only ends a failing test.
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(timeoutOfTest); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not seen in time: %s", what)
+		}
+	}
+}
+
+func dial(t *testing.T, r *running, request string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func rawPost(length int) string {
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", token, length)
+}
+
+// Guards against a caller that does not read and so makes the entry hold the whole response or hold up other callers.
+func TestSlowReader(t *testing.T) {
+	const parts, size = 4096, 64 << 10 // 256 MiB in total
+	agents := twoAgents(t)
+	var written atomic.Int64
+	done := make(chan struct{})
+	slow := func(w *frame.Writer, r *wire.RunRequest, h *http.Request) {
+		defer close(done)
+		w.Accept()
+		data := bytes.Repeat([]byte("x"), size)
+		for range parts {
+			if w.Data(data, http.StatusOK, "text/plain") != nil || h.Context().Err() != nil {
+				return
+			}
+			written.Add(1)
+		}
+	}
+	agents[1].run = slow
+	r := startEntry(t, testSettings(), agents)
+	c := dial(t, r, "GET /services/custody/list HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+token+"\r\n\r\n")
+	waitFor(t, "a full path to the slow reader", func() bool {
+		before := written.Load()
+		// The loop below takes far longer than one write, so an unchanged count means that the agent is held back.
+		for range 20 {
+			w := r.post(t, "/v1/chat/completions", chat)
+			if readAll(t, w); w.StatusCode != http.StatusOK {
+				t.Fatalf("another caller got %d", w.StatusCode)
+			}
+		}
+		return before > 0 && written.Load() == before
+	})
+	if n := written.Load(); n > parts/4 {
+		t.Errorf("the entry took %d of %d parts that nobody read", n, parts)
+	}
+	c.Close()
+	<-done
+}
+
+// Guards against bodies that never end and take memory or places from others.
+func TestNeverEndingBody(t *testing.T) {
+	s := testSettings()
+	s.BodyTimeout = time.Hour
+	s.BodyBytesTotal = 64 << 10
+	agents := twoAgents(t)
+	r := startEntry(t, s, agents)
+	for range 12 {
+		dial(t, r, rawPost(1<<20)+`{"model":"core",`)
+	}
+	waitFor(t, "the memory of twelve bodies", func() bool { return r.bodies.Load() == 12*firstBodyBytes })
+	w := r.post(t, "/v1/chat/completions", chat)
+	if readAll(t, w); w.StatusCode != http.StatusOK {
+		t.Errorf("another caller got %d", w.StatusCode)
+	}
+	w = r.post(t, "/v1/chat/completions", strings.Repeat(" ", 60<<10)+chat)
+	if w.StatusCode != http.StatusServiceUnavailable || errorCode(t, w) != "overloaded" || w.Header.Get("Retry-After") == "" {
+		t.Errorf("past the memory of all bodies: got %d", w.StatusCode)
+	}
+	if n := agents[0].runs.Load(); n != 1 {
+		t.Errorf("%d tries reached the agent", n)
+	}
+	// Interrupts the connections, which the graceful stop would otherwise wait for.
+	r.stop()
+	r.Abort("end of test")
+}
+
+// Guards against the body's read timeout ending a response that takes longer than it.
+func TestBodyTimeoutDoesNotEndResponse(t *testing.T) {
+	s := testSettings()
+	s.BodyTimeout = 50 * time.Millisecond
+	agents := twoAgents(t)
+	agents[0].run = func(w *frame.Writer, r *wire.RunRequest, h *http.Request) {
+		select {
+		case <-time.After(4 * s.BodyTimeout):
+		case <-h.Context().Done():
+		}
+		echo(w, r, h)
+	}
+	r := startEntry(t, s, agents)
+	w := r.post(t, "/v1/chat/completions", chat)
+	if readAll(t, w); w.StatusCode != http.StatusOK || agents[0].settles.Load() != 0 {
+		t.Errorf("got %d", w.StatusCode)
+	}
+	c := dial(t, r, rawPost(100)+"{")
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || answer.StatusCode != http.StatusRequestTimeout || errorCode(t, answer) != "body_incomplete" {
+		t.Errorf("got %v, %v", answer, err)
+	}
+}
+
+// Guards against a planned stop that interrupts a request, takes the listener away at once or reports ready (G7).
+func TestGracefulStop(t *testing.T) {
+	agents := twoAgents(t)
+	running, finish := make(chan struct{}), make(chan struct{})
+	agents[0].run = func(w *frame.Writer, r *wire.RunRequest, h *http.Request) {
+		close(running)
+		<-finish
+		echo(w, r, h)
+	}
+	r := startEntry(t, testSettings(), agents)
+	result := make(chan string, 1)
+	go func() {
+		w := r.post(t, "/v1/chat/completions", chat)
+		result <- fmt.Sprint(w.StatusCode, " ", readAll(t, w))
+	}()
+	<-running
+	r.stop()
+	waitFor(t, "the closed listener", func() bool {
+		c, err := net.Dial("tcp", r.Addr())
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	w, err := http.Get("http://" + r.AdminAddr() + "/readyz")
+	if err != nil || w.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("readiness while stopping: %v, %v", w, err)
+	}
+	w.Body.Close()
+	select {
+	case err := <-r.ended:
+		t.Fatalf("stopped with a request in progress: %v", err)
+	default:
+	}
+	close(finish)
+	if text := <-result; !strings.HasPrefix(text, "200 ") || !strings.Contains(text, "core@v1") {
+		t.Errorf("the request in progress got %s", text)
+	}
+}
+
+// Guards against one caller that takes the places of the others, and against a refusal without a time to repeat.
+func TestFairShare(t *testing.T) {
+	a := newAdmitted(8)
+	now := time.Unix(1, 0)
+	if a.enter("lab", 1) != nil {
+		t.Fatal("first request refused")
+	}
+	for i := range 3 {
+		if x := a.enter("depot", 1); x != nil {
+			t.Fatalf("request %d refused: %v", i, x)
+		}
+	}
+	a.enter("depot", 1)
+	if x := a.enter("depot", 1); x == nil || x.Reason != outcome.CallerLimit || x.RetryAfter < minRetryAfter {
+		t.Errorf("past the share: %v", x)
+	}
+	for i := range 3 {
+		if x := a.enter("lab", 1); x != nil {
+			t.Errorf("other caller's request %d refused: %v", i, x)
+		}
+	}
+	if x := a.enter("new", 1); x == nil || x.Reason != outcome.QueueFull || x.RetryAfter < minRetryAfter {
+		t.Errorf("full: %v", x)
+	}
+	for range 4 {
+		a.leave(now, "lab")
+		a.leave(now, "depot")
+	}
+	if a.count() != 0 || len(a.callers) != 0 || a.weights != 0 {
+		t.Errorf("left over: %d, %v, %v", a.count(), a.callers, a.weights)
+	}
+}
+
+// Guards against a caller that sees another caller's request, and against records that grow without bound.
+func TestRequestRecords(t *testing.T) {
+	s := testSettings()
+	s.Records = 2
+	r := startEntry(t, s, twoAgents(t))
+	var ids []string
+	for range 3 {
+		w := r.post(t, "/v1/chat/completions", chat)
+		readAll(t, w)
+		ids = append(ids, w.Header.Get(HeaderRequest))
+	}
+	show := func(id, token string) (status int, text string) {
+		w := r.send(t, http.MethodGet, "/v1/requests/"+id, nil, "Authorization", "Bearer "+token)
+		return w.StatusCode, readAll(t, w)
+	}
+	status, text := show(ids[2], token)
+	for _, want := range []string{`"Outcome":"completed"`, `"Version":"v1"`, `"Endpoint":"engine-0"`, `"PromptTokens":2`} {
+		if status != http.StatusOK || !strings.Contains(text, want) {
+			t.Errorf("own request: %d %s lacks %s", status, text, want)
+		}
+	}
+	if status, _ := show(ids[2], otherToken); status != http.StatusNotFound {
+		t.Errorf("another caller's request: %d", status)
+	}
+	if status, _ := show(ids[0], token); status != http.StatusNotFound || len(r.records.byID) != 2 {
+		t.Errorf("oldest request: %d, %d records", status, len(r.records.byID))
+	}
+	for _, want := range []string{"request received", "try dispatched", "try ended", "request finished"} {
+		if n := strings.Count(r.log.String(), want); n != 3 {
+			t.Errorf("%d events %q", n, want)
+		}
+	}
+}
+
+// Guards against a request that fails although another endpoint could run it, or that runs twice after a refusal.
+func TestRetryAtOtherEndpoint(t *testing.T) {
+	refuse := func(w *frame.Writer, _ *wire.RunRequest, _ *http.Request) {
+		w.Refuse(&wire.Refusal{Reason: string(outcome.Leaving), RetryAfterMilli: 2500})
+	}
+	abort := func(*frame.Writer, *wire.RunRequest, *http.Request) { panic(http.ErrAbortHandler) }
+	for name, tt := range map[string]struct {
+		first  func(*frame.Writer, *wire.RunRequest, *http.Request)
+		second func(*frame.Writer, *wire.RunRequest, *http.Request)
+		status int
+	}{
+		"refused":         {refuse, echo, http.StatusOK},
+		"broken":          {abort, echo, http.StatusOK},
+		"refused by both": {refuse, refuse, http.StatusServiceUnavailable},
+		"broken by both":  {abort, abort, http.StatusBadGateway},
+		"mixed":           {abort, refuse, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			agents := []*fakeAgent{newFakeAgent(t), newFakeAgent(t), newFakeAgent(t)}
+			agents[0].run, agents[1].run = tt.first, tt.second
+			r := startEntry(t, testSettings(), agents)
+			w := r.post(t, "/v1/chat/completions", chat)
+			if readAll(t, w); w.StatusCode != tt.status || agents[0].runs.Load() != 1 || agents[1].runs.Load() != 1 {
+				t.Errorf("got %d after %d and %d tries", w.StatusCode, agents[0].runs.Load(), agents[1].runs.Load())
+			}
+			if after := w.Header.Get("Retry-After"); (after != "") != (tt.status == http.StatusServiceUnavailable) {
+				t.Errorf("Retry-After %q with %d", after, w.StatusCode)
+			}
+		})
+	}
+}
+
+// Guards against a plain body that breaks off and looks complete.
+func TestBrokenPlainBody(t *testing.T) {
+	agents := twoAgents(t)
+	agents[1].run = func(w *frame.Writer, _ *wire.RunRequest, _ *http.Request) {
+		w.Accept()
+		w.Data(bytes.Repeat([]byte("x"), 300<<10), http.StatusOK, "text/plain")
+		panic(http.ErrAbortHandler)
+	}
+	r := startEntry(t, testSettings(), agents)
+	w := r.send(t, http.MethodGet, "/services/custody/list", nil)
+	if _, err := io.ReadAll(w.Body); err == nil {
+		t.Error("the cut body ended without an error")
+	}
+}
--- a/daemon/entry/routes.go
+++ b/daemon/entry/routes.go
@@ -161,7 +161,11 @@
 func (e *Entry) reject(w http.ResponseWriter, err *openai.Error) {
 	e.meters.rejected.Inc()
 	w.Header().Set(HeaderOutcome, string(outcome.NotRun))
-	writeError(w, err, 0)
+	var after time.Duration
+	if err.Status == http.StatusServiceUnavailable {
+		after = minRetryAfter
+	}
+	writeError(w, err, after)
 }
 
 func writeError(w http.ResponseWriter, err *openai.Error, retryAfter time.Duration) {
