Keep the configuration in force by watch and by peers, and write it by compare-and-swap

A gap leads to a full read. A process that starts takes the newest of most of its peers and logs it. A malformed shard holds the generation back and is named by Failure. Before: no configuration.

--- /dev/null
+++ b/coordination/configuration/editor.go
@@ -0,0 +1,244 @@
+package configuration
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
+)
+
+// EditStore is the part of the key-value service that an Editor uses.
+type EditStore interface {
+	Get(ctx context.Context, key string) (r keyvalue.Record, found bool, err error)
+	List(ctx context.Context, prefix string) (list []keyvalue.Record, at ident.Revision, err error)
+	CompareAndSwap(ctx context.Context, s keyvalue.Swap) (at ident.Revision, swapped bool, err error)
+}
+
+// Conflict says that a resource is not at the revision that the writer has read.
+type Conflict struct {
+	Name     resource.Name
+	Expected ident.Revision
+	Actual   ident.Revision
+	// MayHaveBeenWritten is set if the answer to a write was lost and another write followed it.
+	MayHaveBeenWritten bool
+}
+
+// Error names both revisions.
+func (c *Conflict) Error() string {
+	text := fmt.Sprintf("%s: conflict: expected %s, it is %s", c.Name, revisionText(c.Expected), revisionText(c.Actual))
+	if c.MayHaveBeenWritten {
+		text += "; this write may have taken effect before another one replaced it"
+	}
+	return text
+}
+
+func revisionText(r ident.Revision) string {
+	if r == 0 {
+		return "absent (revision 0)"
+	}
+	return fmt.Sprintf("revision %d", r)
+}
+
+// Editor reads and writes single resources for operators.
+type Editor struct {
+	store EditStore
+	clock quartz.Clock
+	newID func() string
+}
+
+// NewEditor returns an editor.
+func NewEditor(store EditStore, clock quartz.Clock) *Editor {
+	return &Editor{store: store, clock: clock, newID: rand.Text}
+}
+
+// ReadAll reads the whole configuration and the revision of the service at which it was read.
+func (e *Editor) ReadAll(ctx context.Context) (set *resource.Set, at ident.Revision, err error) {
+	defer func() { err = eris.Wrap(err, "read the configuration") }()
+	records, at, err := e.store.List(ctx, registry.ConfigPrefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	var updates []resource.Update
+	for _, r := range records {
+		x, ok := shardOf(r)
+		if !ok {
+			continue
+		}
+		sh, err := resource.DecodeShard(x.number, x.value)
+		if err != nil {
+			return nil, 0, err
+		}
+		updates = append(updates, resource.Update{Number: x.number, Revision: x.revision, Shard: sh})
+	}
+	return resource.NewSet().ApplyAll(updates), at, nil
+}
+
+// Read returns a resource as a pointer to its type and the revision at which it last changed; zero if it is absent.
+func (e *Editor) Read(ctx context.Context, n resource.Name) (r any, revision ident.Revision, err error) {
+	defer func() { err = eris.Wrapf(err, "read %s", n) }()
+	sh, at, err := e.shard(ctx, n)
+	if err != nil {
+		return nil, 0, err
+	}
+	r, _ = sh.Get(n)
+	return r, sh.Revision(n, at), nil
+}
+
+func (e *Editor) shard(ctx context.Context, n resource.Name) (sh *resource.Shard, at ident.Revision, err error) {
+	record, found, err := e.store.Get(ctx, registry.ConfigKey(n.Shard()))
+	if err != nil {
+		return nil, 0, err
+	}
+	if !found {
+		return &resource.Shard{}, 0, nil
+	}
+	sh, err = resource.DecodeShard(n.Shard(), record.Value)
+	return sh, record.ModRevision, err
+}
+
+// Put writes a resource, given as a pointer to its type, that must be at the expected revision; zero means absent.
+// It returns the revision of the write. The error is a *Conflict if the resource has another revision, and
+// keyvalue.ErrOutcomeUnknown if ctx ended before the outcome was known.
+func (e *Editor) Put(ctx context.Context, r any, expect ident.Revision) (revision ident.Revision, err error) {
+	if err = resource.Validate(r); err != nil {
+		return 0, err
+	}
+	n, _ := resource.NameOf(r)
+	w := &write{name: n, expect: expect, content: r, id: e.newID()}
+	return e.write(ctx, w)
+}
+
+// Delete removes a resource that must be at the expected revision; the errors are those of Put.
+func (e *Editor) Delete(ctx context.Context, n resource.Name, expect ident.Revision) (revision ident.Revision, err error) {
+	if expect == 0 {
+		return 0, eris.Errorf("delete %s: the revision must be given", n)
+	}
+	return e.write(ctx, &write{name: n, expect: expect, id: e.newID()})
+}
+
+// write is one change of one resource.
+type write struct {
+	name   resource.Name
+	expect ident.Revision
+	// content is nil for a deletion.
+	content any
+	id      string
+	// lost is set once an answer was lost; lostAt is the revision of the shard that the lost swap expected.
+	lost   bool
+	lostAt ident.Revision
+	// readBack is set once the first read after the loss has been tried; it is tried without a wait.
+	readBack bool
+}
+
+// settleWait is the wait between attempts to read back a write whose answer was lost.
+const settleWait = 200 * time.Millisecond
+
+func (e *Editor) write(ctx context.Context, w *write) (revision ident.Revision, err error) {
+	defer func() { err = eris.Wrapf(err, "write %s", w.name) }()
+	for {
+		revision, done, err := e.attempt(ctx, w)
+		switch {
+		case done:
+			return revision, err
+		case err == nil:
+			// Another resource of the shard changed, or the lost write is sent again.
+			continue
+		case !w.lost:
+			return 0, err
+		case !w.readBack:
+			w.readBack = true
+			continue
+		}
+		if !e.pause(ctx) {
+			return 0, eris.Wrap(keyvalue.ErrOutcomeUnknown, err.Error())
+		}
+	}
+}
+
+func (e *Editor) pause(ctx context.Context) (ok bool) {
+	t := e.clock.NewTimer(settleWait, "editor")
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt reads the shard, settles an earlier attempt whose answer was lost, and swaps once.
+func (e *Editor) attempt(ctx context.Context, w *write) (revision ident.Revision, done bool, err error) {
+	sh, at, err := e.shard(ctx, w.name)
+	if err != nil {
+		return 0, false, err
+	}
+	actual := sh.Revision(w.name, at)
+	if w.lost && at != w.lostAt {
+		if revision, done, err = w.settle(sh, at, actual); done {
+			return revision, true, err
+		}
+	}
+	if actual != w.expect {
+		return 0, true, &Conflict{Name: w.name, Expected: w.expect, Actual: actual}
+	}
+	value, err := w.value(sh, at)
+	if err != nil {
+		return 0, true, err
+	}
+	revision, swapped, err := e.store.CompareAndSwap(ctx, keyvalue.Swap{
+		Key:    registry.ConfigKey(w.name.Shard()),
+		Expect: at,
+		Value:  value,
+	})
+	if eris.Is(err, keyvalue.ErrOutcomeUnknown) {
+		w.lost, w.lostAt = true, at
+	}
+	return revision, err == nil && swapped, err
+}
+
+func (w *write) value(sh *resource.Shard, at ident.Revision) (value []byte, err error) {
+	sh.Touch(w.name, at)
+	sh.WriteID = w.id
+	if w.content == nil {
+		sh.Delete(w.name)
+	} else {
+		sh.Put(w.content)
+	}
+	return sh.Encode()
+}
+
+// settle decides about a lost write once the shard has moved on from the revision that the write expected: the write
+// either took effect or never will. done is false if it certainly did not and may be made anew.
+func (w *write) settle(sh *resource.Shard, at, actual ident.Revision) (revision ident.Revision, done bool, err error) {
+	current, present := sh.Get(w.name)
+	switch {
+	case sh.WriteID == w.id:
+		return at, true, nil
+	case w.content == nil && !present:
+		return at, true, nil
+	case actual == w.expect && w.expect != 0:
+		// A write that had taken effect would have given the resource a newer revision.
+		w.lost = false
+		return 0, false, nil
+	case w.content != nil && present && actual != at && equal(w.content, current):
+		// A later write of a neighbour hides whose write this was; what the operator asked for is what is declared.
+		return actual, true, nil
+	}
+	return 0, true, &Conflict{Name: w.name, Expected: w.expect, Actual: actual, MayHaveBeenWritten: true}
+}
+
+func equal(a, b any) bool {
+	x, errX := json.Marshal(a)
+	y, errY := json.Marshal(b)
+	return errX == nil && errY == nil && bytes.Equal(x, y)
+}
--- /dev/null
+++ b/coordination/configuration/editor_test.go
@@ -0,0 +1,214 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
+)
+
+func TestConflictNamesBothRevisions(t *testing.T) {
+	// Guards against a stale write that replaces another operator's change.
+	w := newWorld(t)
+	first := w.set(t, "a", 1)
+	second := w.set(t, "a", 2)
+	for _, expect := range []ident.Revision{0, first, second + 1} {
+		_, err := w.editor.Put(t.Context(), caller("a", 3), expect)
+		var c *Conflict
+		if !errors.As(err, &c) || c.Expected != expect || c.Actual != second {
+			t.Errorf("put at %d: %v", expect, err)
+		}
+		if text := err.Error(); !strings.Contains(text, revisionText(expect)) || !strings.Contains(text, revisionText(second)) {
+			t.Errorf("error %q does not name both revisions", text)
+		}
+	}
+	if _, err := w.editor.Delete(t.Context(), callerName("a"), first); err == nil {
+		t.Error("stale delete succeeded")
+	}
+}
+
+// sameShard returns two caller names that share a shard.
+func sameShard() (a, b string) {
+	a = "a"
+	for i := 0; ; i++ {
+		b = "b" + strings.Repeat("x", i%50) + string(rune('a'+i%26))
+		if callerName(a).Shard() == callerName(b).Shard() {
+			return a, b
+		}
+		if i > 1300 {
+			return a, a
+		}
+	}
+}
+
+func TestNeighbourKeepsItsRevision(t *testing.T) {
+	// Guards against a write that makes an unchanged resource of the same shard look changed.
+	a, b := sameShard()
+	if a == b {
+		t.Fatal("no two names share a shard")
+	}
+	w := newWorld(t)
+	first := w.set(t, a, 1)
+	second := w.set(t, b, 1)
+	third := w.set(t, b, 2)
+	for name, want := range map[string]ident.Revision{a: first, b: third} {
+		if _, r, err := w.editor.Read(t.Context(), callerName(name)); err != nil || r != want {
+			t.Errorf("%s is at %d, %v; want %d", name, r, err, want)
+		}
+	}
+	if _, err := w.editor.Delete(t.Context(), callerName(b), second); err == nil {
+		t.Error("stale delete succeeded")
+	}
+	if _, err := w.editor.Delete(t.Context(), callerName(b), third); err != nil {
+		t.Fatal(err)
+	}
+	set, _, err := w.editor.ReadAll(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := set.ResourceRevision(callerName(a)); r != first {
+		t.Errorf("after a neighbour's deletion: revision %d, want %d", r, first)
+	}
+}
+
+func TestRacingOperators(t *testing.T) {
+	// Guards against two operators who both succeed from the same revision.
+	const operators, rounds = 4, 10
+	w := newWorld(t)
+	w.set(t, "a", 0)
+	var (
+		wg   sync.WaitGroup
+		mu   sync.Mutex
+		wins int
+	)
+	for range operators {
+		wg.Go(func() {
+			for range rounds {
+				r, at, err := w.editor.Read(t.Context(), callerName("a"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				c := *r.(*resource.Caller)
+				c.Share++
+				_, err = w.editor.Put(t.Context(), &c, at)
+				var conflict *Conflict
+				if err != nil && !errors.As(err, &conflict) {
+					t.Error(err)
+				}
+				if err == nil {
+					mu.Lock()
+					wins++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	r, _, err := w.editor.Read(t.Context(), callerName("a"))
+	if err != nil || r.(*resource.Caller).Share != float64(wins) {
+		t.Errorf("share %v after %d successful writes, %v", r, wins, err)
+	}
+}
+
+// lossy loses the answer to the first swap, before or after it took effect, and then lets another operator act.
+type lossy struct {
+	*keyvalue.Client
+	applied bool
+	then    func()
+	lost    bool
+}
+
+func (l *lossy) CompareAndSwap(ctx context.Context, s keyvalue.Swap) (ident.Revision, bool, error) {
+	if l.lost {
+		return l.Client.CompareAndSwap(ctx, s)
+	}
+	l.lost = true
+	if l.applied {
+		if _, _, err := l.Client.CompareAndSwap(ctx, s); err != nil {
+			return 0, false, err
+		}
+	}
+	l.then()
+	return 0, false, eris.Wrap(keyvalue.ErrOutcomeUnknown, "lost")
+}
+
+func TestLostAnswer(t *testing.T) {
+	// Guards against a lost answer that is reported as a conflict with the operator's own write, or written twice.
+	a, b := sameShard()
+	cases := []struct {
+		name     string
+		applied  bool
+		then     func(t *testing.T, w *world)
+		conflict bool
+		share    float64
+		writes   ident.Revision
+	}{
+		{"took effect", true, nil, false, 2, 1},
+		{"did not take effect", false, nil, false, 2, 1},
+		{"took effect, neighbour changed", true, func(t *testing.T, w *world) { w.set(t, b, 9) }, false, 2, 2},
+		{"did not take effect, neighbour changed", false, func(t *testing.T, w *world) { w.set(t, b, 9) }, false, 2, 2},
+		{"took effect, replaced", true, func(t *testing.T, w *world) { w.set(t, a, 5) }, true, 5, 2},
+		{"did not take effect, same change by another", false, func(t *testing.T, w *world) { w.set(t, a, 2) }, true, 2, 1},
+		{"did not take effect, replaced", false, func(t *testing.T, w *world) { w.set(t, a, 5) }, true, 5, 1},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			w := newWorld(t)
+			before := w.set(t, a, 1)
+			store := &lossy{Client: w.client, applied: x.applied, then: func() {
+				if x.then != nil {
+					x.then(t, w)
+				}
+			}}
+			_, err := NewEditor(store, w.clock).Put(t.Context(), caller(a, 2), before)
+			var c *Conflict
+			if got := errors.As(err, &c); got != x.conflict || (err != nil && !got) {
+				t.Fatalf("error %v, want a conflict: %v", err, x.conflict)
+			}
+			if x.conflict && !c.MayHaveBeenWritten {
+				t.Error("the conflict does not say that the write may have taken effect")
+			}
+			r, _, err := w.editor.Read(t.Context(), callerName(a))
+			if err != nil || r.(*resource.Caller).Share != x.share {
+				t.Errorf("stored %+v, %v; want share %v", r, err, x.share)
+			}
+			if n := ident.Revision(w.service.Revision()) - before; n != x.writes {
+				t.Errorf("%d writes, want %d", n, x.writes)
+			}
+		})
+	}
+}
+
+func TestLostAnswerFromService(t *testing.T) {
+	// Guards against a client or editor that mistakes a broken connection for a failed write.
+	w := newWorld(t)
+	before := w.set(t, "a", 1)
+	w.service.LoseAnswers(1)
+	at, err := w.editor.Put(t.Context(), caller("a", 2), before)
+	if err != nil || at != before+1 {
+		t.Errorf("revision %d, %v; want %d", at, err, before+1)
+	}
+}
+
+func TestEditorDuringOutage(t *testing.T) {
+	// Guards against an operator who is told of success or conflict while the service is down.
+	w := newWorld(t)
+	w.service.SetOutage(2)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := w.editor.Put(ctx, caller("a", 2), 0); err == nil {
+		t.Error("write succeeded")
+	}
+	if _, found, _ := w.client.Get(ctx, registry.ConfigKey(callerName("a").Shard())); found {
+		t.Error("found")
+	}
+}
--- /dev/null
+++ b/coordination/configuration/source_test.go
@@ -0,0 +1,339 @@
+package configuration
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/protocol/wire"
+	standin "shallotring.dev/standin/keyvalue"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/transport/timeline"
+)
+
+func share(s *Source, name string) float64 {
+	for _, c := range s.Current().Callers() {
+		if string(c.Name) == name {
+			return c.Share
+		}
+	}
+	return -1
+}
+
+func TestUpwardsOnly(t *testing.T) {
+	// Guards against a stale peer or a late answer that reverts a shard.
+	w := newWorld(t)
+	l := &link{world: w}
+	stale := New(entry("stale", "z"), l, WithClock(w.clock))
+	fresh := New(entry("fresh", "z"), l, WithClock(w.clock))
+	w.set(t, "a", 1)
+	if err := stale.readAll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	at := w.set(t, "a", 2)
+	if err := fresh.readAll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	number := callerName("a").Shard()
+	_, old := stale.Current().Shard(number)
+	fresh.apply([]stored{{number: number, revision: old, value: stale.values[number]}}, old, "test")
+	if fresh.Current().ResourceRevision(callerName("a")) != at || share(fresh, "a") != 2 || fresh.Generation() != at {
+		t.Errorf("share %v at generation %d, want 2 at %d", share(fresh, "a"), fresh.Generation(), at)
+	}
+}
+
+func TestWatchGap(t *testing.T) {
+	// Guards against a change that is missed because it left the history while no watch was open.
+	w := newWorld(t)
+	s := New(entry("a", "z"), &link{world: w}, WithClock(w.clock))
+	w.set(t, "a", 1)
+	if err := s.followService(t.Context()); !eris.Is(err, errCaughtUp) {
+		t.Fatal(err)
+	}
+	w.set(t, "a", 2)
+	w.set(t, "b", 1)
+	w.service.GapWatches()
+	at := w.set(t, "c", 1)
+	if err := s.followService(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if share(s, "a") != 2 || share(s, "b") != 1 || s.Generation() != at {
+		t.Errorf("a=%v b=%v generation %d, want 2, 1, %d", share(s, "a"), share(s, "b"), s.Generation(), at)
+	}
+}
+
+func TestMalformedShard(t *testing.T) {
+	// Guards against a process that says a revision is in force although it could not apply it.
+	w := newWorld(t)
+	good := w.set(t, "a", 1)
+	key := registry.ConfigKey(callerName("a").Shard())
+	bad, ok, err := w.client.CompareAndSwap(t.Context(), keyvalue.Swap{Key: key, Expect: good, Value: []byte("{")})
+	if err != nil || !ok {
+		t.Fatal(ok, err)
+	}
+	s := New(entry("a", "z"), &link{world: w}, WithClock(w.clock))
+	if err = s.readAll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if s.Generation() >= bad || s.Failure() == "" {
+		t.Errorf("generation %d, failure %q", s.Generation(), s.Failure())
+	}
+	if err = s.Refresh(t.Context(), bad); err == nil {
+		t.Error("refresh to the malformed revision succeeded")
+	}
+	if _, ok, err = w.client.CompareAndSwap(t.Context(), keyvalue.Swap{Key: key, Expect: bad, Value: []byte("{}")}); err != nil || !ok {
+		t.Fatal(ok, err)
+	}
+	if err = s.watch(t.Context()); !eris.Is(err, errCaughtUp) {
+		t.Fatal(err)
+	}
+	if s.Generation() <= bad || s.Failure() != "" {
+		t.Errorf("after the repair: generation %d, failure %q", s.Generation(), s.Failure())
+	}
+}
+
+// fixedPeer answers every call in the same way.
+type fixedPeer struct {
+	answer *wire.ChangesResponse
+}
+
+func (p fixedPeer) Changes(context.Context, *wire.ChangesRequest) (*wire.ChangesResponse, error) {
+	if p.answer == nil {
+		return nil, eris.New("no answer")
+	}
+	return p.answer, nil
+}
+
+func fixedPeers(list ...*wire.ChangesResponse) func() []Peer {
+	var peers []Peer
+	for i, a := range list {
+		id := ident.Process("peer-" + string(rune('0'+i)))
+		peers = append(peers, Peer{Process: id, Zone: "z", Changer: fixedPeer{a}})
+	}
+	return func() []Peer { return peers }
+}
+
+func TestIsolated(t *testing.T) {
+	// Guards against a cut-off process that keeps taking work, and against a whole fleet that stops in an outage.
+	lost := &wire.ChangesResponse{}
+	fresh := &wire.ChangesResponse{Confirmed: true, ContactAgeMilli: 100}
+	old := &wire.ChangesResponse{Confirmed: true, ContactAgeMilli: 3500}
+	cases := []struct {
+		name  string
+		cut   bool
+		peers []*wire.ChangesResponse
+		want  bool
+	}{
+		{"service answers, no peers", false, nil, false},
+		{"service answers, peers do not", false, []*wire.ChangesResponse{nil, nil, nil}, false},
+		{"alone", true, nil, true},
+		{"partition", true, []*wire.ChangesResponse{nil, nil, nil}, true},
+		{"partition with a minority", true, []*wire.ChangesResponse{lost, nil, nil}, true},
+		{"half of the peers", true, []*wire.ChangesResponse{lost, lost, nil, nil}, true},
+		{"outage", true, []*wire.ChangesResponse{lost, lost, nil}, false},
+		{"a peer has the service", true, []*wire.ChangesResponse{fresh, nil, nil}, false},
+		{"a peer had the service", true, []*wire.ChangesResponse{old, nil, nil}, true},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			w := newWorld(t)
+			l := &link{world: w}
+			s := New(entry("a", "z"), l, WithClock(w.clock), WithPeers(fixedPeers(x.peers...)))
+			if err := s.readAll(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			l.cut = x.cut
+			for range 8 {
+				w.clock.Advance(probeInterval).MustWait(t.Context())
+				s.check(t.Context())
+			}
+			if got := s.Isolated(); got != x.want {
+				t.Errorf("isolated %v, want %v", got, x.want)
+			}
+			l.cut = false
+			s.check(t.Context())
+			if s.Isolated() {
+				t.Error("still isolated after the service answers")
+			}
+		})
+	}
+}
+
+func TestFollowersDoNotConfirmEachOther(t *testing.T) {
+	// Guards against two cut-off processes that keep each other's contact alive for ever.
+	w := newWorld(t)
+	l := &link{world: w}
+	var a, b *Source
+	a = New(entry("a", "z"), l, WithClock(w.clock), WithPeers(func() []Peer { return []Peer{{"b", "z", changer{b, never}}} }))
+	b = New(entry("b", "z"), l, WithClock(w.clock), WithPeers(func() []Peer { return []Peer{{"a", "z", changer{a, never}}} }))
+	if err := a.readAll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	l.cut = true
+	for range 20 {
+		w.clock.Advance(probeInterval).MustWait(t.Context())
+		for _, s := range []*Source{a, b} {
+			for _, p := range s.peers() {
+				if _, err := s.poll(t.Context(), p, 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+	if !a.stale() || !b.stale() {
+		t.Error("contact is fresh 10 s after the service was lost")
+	}
+}
+
+func TestStartDuringOutage(t *testing.T) {
+	// Guards against a new process that starts from a stale peer although most peers have a newer configuration.
+	w := newWorld(t)
+	l := &link{world: w}
+	var sources []*Source
+	for i := range 3 {
+		s := New(entry(string(rune('a'+i)), "z"), l, WithClock(w.clock))
+		w.set(t, "x", float64(i))
+		if err := s.readAll(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		sources = append(sources, s)
+	}
+	l.cut = true
+	w.clock.Advance(isolationTime).MustWait(t.Context())
+	for _, x := range []struct {
+		name   string
+		silent string
+		want   float64
+	}{
+		{"all answer", "", 2},
+		{"the newest is silent", "c", 1},
+		{"one of three answers", "bc", -1},
+		{"none answers", "abc", -1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			var out bytes.Buffer
+			peers := func() (list []Peer) {
+				for _, s := range sources {
+					silent := func() bool { return strings.Contains(x.silent, string(s.identity.Process)) }
+					list = append(list, Peer{s.identity.Process, "z", changer{s, silent}})
+				}
+				return list
+			}
+			log := timeline.New(&out, timeline.Process{}, 0)
+			s := New(entry("new", "z"), l, WithClock(w.clock), WithPeers(peers), WithLog(log))
+			if err := s.followPeers(t.Context()); err == nil {
+				t.Error("no error although no peer has the service")
+			}
+			if got := share(s, "x"); got != x.want {
+				t.Errorf("share %v, want %v", got, x.want)
+			}
+			if reported := strings.Contains(out.String(), "not from the key-value service"); reported != (x.want >= 0) {
+				t.Errorf("log: %s", out.String())
+			}
+		})
+	}
+}
+
+func TestRefresh(t *testing.T) {
+	// Guards against work on an older revision than the message names, and against one read per waiting request.
+	w := newWorld(t)
+	s := New(entry("a", "z"), &link{world: w}, WithClock(w.clock))
+	at := w.set(t, "a", 1)
+	before := w.service.Calls()[standin.CallRange]
+	errs := make(chan error)
+	for range 20 {
+		go func() { errs <- s.Refresh(t.Context(), at) }()
+	}
+	for range 20 {
+		if err := <-errs; err != nil {
+			t.Error(err)
+		}
+	}
+	if n := w.service.Calls()[standin.CallRange] - before; n != 1 {
+		t.Errorf("%d reads, want 1 for all refreshes", n)
+	}
+	if err := s.Refresh(t.Context(), at+5); err == nil {
+		t.Error("refresh to a revision that does not exist succeeded")
+	}
+}
+
+func TestWatchersPerZone(t *testing.T) {
+	// Guards against a load on the service that grows with the fleet.
+	var all []Peer
+	for _, z := range []ident.Zone{"y", "z"} {
+		for i := range 10 {
+			all = append(all, Peer{Process: ident.Process(string(z) + string(rune('0'+i))), Zone: z})
+		}
+	}
+	peers := WithPeers(func() []Peer { return all })
+	watching := 0
+	for _, p := range all {
+		if New(entry(string(p.Process), p.Zone), nil, peers, WithWatchers(2)).watches() {
+			watching++
+		}
+	}
+	if watching != 4 {
+		t.Errorf("%d of 20 entries watch, want 2 in each of 2 zones", watching)
+	}
+	agent := Identity{Process: "agent", Role: registry.RoleAgent, Zone: "z"}
+	if New(agent, nil, peers).watches() {
+		t.Error("an agent watches although entries are known")
+	}
+	if !New(agent, nil).watches() {
+		t.Error("an agent that knows no entry does not watch")
+	}
+}
+
+func TestRun(t *testing.T) {
+	// Guards against a change that does not reach a watcher and its follower through Run.
+	w := newWorld(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	watcher := New(entry("a", "z"), w.client)
+	agent := Identity{Process: "b", Role: registry.RoleAgent, Zone: "z"}
+	follower := New(agent, w.client, WithClock(quartz.NewReal()),
+		WithPeers(func() []Peer { return []Peer{{"a", "z", watcher}} }))
+	ended := make(chan error)
+	for _, s := range []*Source{watcher, follower} {
+		go func() { ended <- s.Run(ctx) }()
+	}
+	for i := range 3 {
+		at := w.set(t, "a", float64(i))
+		for _, s := range []*Source{watcher, follower} {
+			waitFor(t, s, at)
+		}
+		w.service.GapWatches()
+	}
+	cancel()
+	for range 2 {
+		if err := <-ended; !eris.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	}
+}
+
+func waitFor(t *testing.T, s *Source, at ident.Revision) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for s.Generation() < at {
+		s.mu.Lock()
+		changed := s.changed
+		done := s.generation >= at
+		s.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			t.Fatalf("%s is at %d, want %d", s.identity.Process, s.Generation(), at)
+		}
+	}
+}
--- /dev/null
+++ b/state/resource/codec_test.go
@@ -0,0 +1,158 @@
+package resource
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"shallotring.dev/state/ident"
+)
+
+const digest = "00000000000000000000000000000000000000000000000000000000000000aa"
+
+const example = `
+[[Adapter]]
+Name = "core-log"
+BaseModel = "base"
+Default = "v1"
+
+[[Adapter.Versions]]
+Version = "v1"
+Path = "core-log/v1"
+Digest = "` + digest + `"
+
+[[Endpoint]]
+Name = "engine-1"
+Kind = "Engine"
+BaseModel = "base"
+Host = "h1"
+Zone = "z1"
+ChecksFencing = true
+Slots = 4
+BatchSize = 8
+
+[[Route]]
+Name = "custody"
+Service = "custody"
+PathPrefix = "/"
+NonRepeatable = true
+Timeout = "1.5s"
+
+[[Policy]]
+Name = "default"
+LoadStallWeight = 1.0
+BatchEfficiencyWeight = 0.5
+LoadsPerSecond = 4.0
+LoadsInFlight = 8
+QueuePerEndpoint = 64
+RetryRatio = 0.1
+KeyRetention = "24h"
+
+[[Caller]]
+Name = "crew"
+TokenSHA256 = "` + digest + `"
+`
+
+func TestParseFile(t *testing.T) {
+	// Guards against a misspelt key that is ignored and a resource that is applied unchecked.
+	list, err := ParseFile(example)
+	if err != nil || len(list) != 5 {
+		t.Fatalf("%d resources, %v", len(list), err)
+	}
+	for name, x := range map[string]struct{ old, new, want string }{
+		"unknown key":     {"Slots = 4", "Slot = 4", "Endpoint.Slot"},
+		"other spelling":  {"Slots = 4", "slots = 4", "Endpoint.slots"},
+		"unknown kind":    {"[[Caller]]", "[[Client]]", "Client"},
+		"lower case kind": {"[[Caller]]", "[[caller]]", "caller"},
+		"invalid":         {"BatchSize = 8", "BatchSize = 0", "BatchSize"},
+		"wrong type":      {"BatchSize = 8", `BatchSize = "8"`, "BatchSize"},
+		"no TOML":         {"[[Caller]]", "[[Caller", "line"},
+		"declared twice":  {"[[Caller]]", "[[Caller]]\nName = \"crew\"\nTokenSHA256 = \"" + digest + "\"\n[[Caller]]", "twice"},
+	} {
+		if _, err := ParseFile(strings.Replace(example, x.old, x.new, 1)); err == nil || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%s: %v does not name %q", name, err, x.want)
+		}
+	}
+}
+
+func exampleShard(tb testing.TB, n Name) (number int, value []byte) {
+	list, err := ParseFile(example)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	sh := &Shard{WriteID: "w", Revisions: map[string]ident.Revision{n.String(): 7}}
+	for _, r := range list {
+		if x, _ := NameOf(r); x == n {
+			sh.Put(r)
+		}
+	}
+	sh.Revisions = map[string]ident.Revision{n.String(): 7}
+	value, err = sh.Encode()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return n.Shard(), value
+}
+
+func TestDecodeShard(t *testing.T) {
+	// Guards against a misplaced or repeated resource in a stored shard.
+	number, value := exampleShard(t, Name{KindAdapter, "core-log"})
+	sh, err := DecodeShard(number, value)
+	if err != nil || len(sh.Adapters) != 1 || sh.Revision(Name{KindAdapter, "core-log"}, 9) != 7 {
+		t.Fatalf("%+v, %v", sh, err)
+	}
+	if _, err = DecodeShard((number+1)%ShardCount, value); err == nil {
+		t.Error("a misplaced resource was accepted")
+	}
+	sh.Adapters = append(sh.Adapters, sh.Adapters[0])
+	if value, err = sh.Encode(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err = DecodeShard(number, value); err == nil {
+		t.Error("a repeated resource was accepted")
+	}
+}
+
+func FuzzParseFile(f *testing.F) {
+	f.Add(example)
+	f.Add("[[Adapter]]\nName = 1")
+	f.Add("Adapter = 1")
+	f.Add("[[Route]]\nTimeout = \"x\"")
+	f.Fuzz(func(t *testing.T, text string) {
+		list, err := ParseFile(text)
+		if err != nil {
+			return
+		}
+		for _, r := range list {
+			if err = Validate(r); err != nil {
+				t.Errorf("accepted an invalid resource: %v", err)
+			}
+		}
+	})
+}
+
+func FuzzDecodeShard(f *testing.F) {
+	for _, n := range []Name{{KindAdapter, "core-log"}, {KindRoute, "custody"}, {KindCaller, "crew"}} {
+		number, value := exampleShard(f, n)
+		f.Add(number, value)
+	}
+	f.Add(0, []byte("{}"))
+	f.Add(0, []byte(`{"Adapters":[{}]}`))
+	f.Fuzz(func(t *testing.T, number int, value []byte) {
+		sh, err := DecodeShard(number, value)
+		if err != nil {
+			return
+		}
+		first, err := sh.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := DecodeShard(number, first)
+		if err != nil {
+			t.Fatalf("%s does not decode again: %v", first, err)
+		}
+		if second, err := again.Encode(); err != nil || !bytes.Equal(first, second) {
+			t.Errorf("%s became %s, %v", first, second, err)
+		}
+	})
+}
--- /dev/null
+++ b/state/resource/file.go
@@ -0,0 +1,73 @@
+package resource
+
+import (
+	"reflect"
+
+	"github.com/BurntSushi/toml"
+	"github.com/rotisserie/eris"
+)
+
+// File is the form in which operators write resources.
+type File struct {
+	Adapter  []Adapter
+	Route    []Route
+	Endpoint []Endpoint
+	Policy   []Policy
+	Caller   []Caller
+}
+
+// ParseFile reads resources from TOML and validates them; unknown keys, other spellings and repeated names are refused.
+func ParseFile(text string) (list []any, err error) {
+	var f File
+	meta, err := toml.Decode(text, &f)
+	if err != nil {
+		return nil, err
+	}
+	if err = checkKeys(meta); err != nil {
+		return nil, err
+	}
+	sh := Shard{Adapters: f.Adapter, Routes: f.Route, Endpoints: f.Endpoint, Policies: f.Policy, Callers: f.Caller}
+	list = sh.All()
+	seen := make(map[Name]bool)
+	for _, r := range list {
+		if err = Validate(r); err != nil {
+			return nil, err
+		}
+		n, _ := NameOf(r)
+		if seen[n] {
+			return nil, eris.Errorf("%s is declared twice", n)
+		}
+		seen[n] = true
+	}
+	return list, nil
+}
+
+// checkKeys refuses unknown keys. The decoder ignores case, but a file has only one spelling of a key.
+func checkKeys(meta toml.MetaData) (err error) {
+	for _, k := range meta.Undecoded() {
+		return eris.Errorf("%s: unknown key", k)
+	}
+	for _, k := range meta.Keys() {
+		if !fits(reflect.TypeFor[File](), k) {
+			return eris.Errorf("%s: unknown key; keys are Pascal case", k)
+		}
+	}
+	return nil
+}
+
+func fits(t reflect.Type, key toml.Key) bool {
+	for _, part := range key {
+		for t.Kind() == reflect.Slice {
+			t = t.Elem()
+		}
+		if t.Kind() != reflect.Struct {
+			return false
+		}
+		f, ok := t.FieldByName(part)
+		if !ok {
+			return false
+		}
+		t = f.Type
+	}
+	return true
+}
