Make the retry test independent of the order of endpoints

Cause: the test took the first endpoint of the table as the first choice; the new placement chooses by rendezvous order. Ruled out: a fault of the retry, the request ended with 200 at the healthy endpoint. Change: the order of the tries picks the fault; both endpoints still have to get exactly one try. Before: 'got 200 after 0 and 1 tries'.

--- a/daemon/entry/load_test.go
+++ b/daemon/entry/load_test.go
@@ -258,8 +258,19 @@
 		"mixed":           {abort, refuse, http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
+			// Which endpoint is first is up to the placement, so the order of the tries picks the fault.
+			var tries atomic.Int64
+			run := func(w *frame.Writer, q *wire.RunRequest, r *http.Request) {
+				if tries.Add(1) == 1 {
+					tt.first(w, q, r)
+					return
+				}
+				tt.second(w, q, r)
+			}
 			agents := []*fakeAgent{newFakeAgent(t), newFakeAgent(t), newFakeAgent(t)}
-			agents[0].run, agents[1].run = tt.first, tt.second
+			for _, a := range agents {
+				a.run = run
+			}
 			r := startEntry(t, testSettings(), agents)
 			w := r.post(t, "/v1/chat/completions", chat)
 			if readAll(t, w); w.StatusCode != tt.status || agents[0].runs.Load() != 1 || agents[1].runs.Load() != 1 {
