--- /dev/null
+++ b/coordination/registry/presence.go
@@ -0,0 +1,123 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/state/ident"
+)
+
+const (
+	// LeaseTime is the time to live of claims and presence records; it survives two lost keep-alives.
+	LeaseTime = 10 * time.Second
+	// KeepAliveInterval is the time between keep-alives of one lease.
+	KeepAliveInterval = 3 * time.Second
+	// releaseTimeout bounds the removal of the record when the process stops.
+	releaseTimeout = 2 * time.Second
+)
+
+// PresenceStore is the part of the key-value service that a Presence uses.
+type PresenceStore interface {
+	Get(ctx context.Context, key string) (r keyvalue.Record, found bool, err error)
+	CompareAndSwap(ctx context.Context, s keyvalue.Swap) (at ident.Revision, swapped bool, err error)
+	Grant(ctx context.Context, ttl time.Duration) (id keyvalue.LeaseID, err error)
+	KeepAlive(ctx context.Context, id keyvalue.LeaseID) (err error)
+	Revoke(ctx context.Context, id keyvalue.LeaseID) (err error)
+}
+
+// Presence keeps the record of one live process under a lease.
+type Presence struct {
+	store  PresenceStore
+	clock  quartz.Clock
+	record ProcessRecord
+	lease  keyvalue.LeaseID
+	// present is set while the record is known to be stored under the lease.
+	present bool
+}
+
+// NewPresence returns a presence that Run announces.
+func NewPresence(store PresenceStore, clock quartz.Clock, record ProcessRecord) *Presence {
+	return &Presence{store: store, clock: clock, record: record}
+}
+
+// Run announces the process until ctx ends and then removes the record. Errors of the service are retried at the next
+// keep-alive; the registry of the other processes lags by as much.
+func (p *Presence) Run(ctx context.Context) (err error) {
+	t := p.clock.NewTicker(KeepAliveInterval, "presence")
+	defer t.Stop()
+	for {
+		// A failed step is repeated at the next tick.
+		_ = p.step(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			p.release(ctx)
+			return ctx.Err()
+		}
+	}
+}
+
+// step renews the lease, or announces the process under a new one.
+func (p *Presence) step(ctx context.Context) (err error) {
+	defer func() { err = eris.Wrap(err, "announce the process") }()
+	if p.lease != 0 {
+		err = p.store.KeepAlive(ctx, p.lease)
+		if eris.Is(err, keyvalue.ErrLeaseExpired) {
+			p.lease, p.present = 0, false
+		} else if err != nil {
+			return err
+		}
+	}
+	if p.lease == 0 {
+		if p.lease, err = p.store.Grant(ctx, LeaseTime); err != nil {
+			return err
+		}
+	}
+	if p.present {
+		return nil
+	}
+	return p.announce(ctx)
+}
+
+// announce stores the record. A record under an older lease, or one whose answer was lost, is replaced.
+func (p *Presence) announce(ctx context.Context) (err error) {
+	key := ProcessKey(p.record.Process)
+	old, found, err := p.store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if found && old.Lease == p.lease {
+		p.present = true
+		return nil
+	}
+	value, err := json.Marshal(p.record)
+	if err != nil {
+		return err
+	}
+	_, p.present, err = p.store.CompareAndSwap(ctx, keyvalue.Swap{
+		Key:    key,
+		Expect: old.ModRevision,
+		Value:  value,
+		Lease:  p.lease,
+	})
+	if eris.Is(err, keyvalue.ErrLeaseExpired) {
+		p.lease = 0
+	}
+	return err
+}
+
+func (p *Presence) release(ctx context.Context) {
+	if p.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	// A record that cannot be removed goes with its lease.
+	_ = p.store.Revoke(ctx, p.lease)
+	p.lease, p.present = 0, false
+}
