--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -11,7 +11,7 @@
 	chatStream = `{"model":"core@v2","stream":true,"messages":[{"role":"user","content":"hello"}]}`
 )
 
-func twoAgents(t *testing.T) []*fakeAgent { return []*fakeAgent{newFakeAgent(t), newFakeAgent(t)} }
+func twoAgents(t testing.TB) []*fakeAgent { return []*fakeAgent{newFakeAgent(t), newFakeAgent(t)} }
 
 // Guards against a response that is incomplete, of another version, or without its outcome.
 func TestPlainAndStreamed(t *testing.T) {
--- a/daemon/entry/fake_test.go
+++ b/daemon/entry/fake_test.go
@@ -59,7 +59,7 @@
 	return n, err
 }
 
-func newFakeAgent(t *testing.T) *fakeAgent {
+func newFakeAgent(t testing.TB) *fakeAgent {
 	a := &fakeAgent{run: echo, state: wire.TryState_TRY_STATE_UNKNOWN}
 	twirp := wire.NewAgentServer(a)
 	mux := http.NewServeMux()
@@ -153,7 +153,7 @@
 }
 
 // testSet declares one adapter with two versions, endpoints for each agent and one service with a non-repeatable route.
-func testSet(t *testing.T, engines, services int) *resource.Set {
+func testSet(t testing.TB, engines, services int) *resource.Set {
 	t.Helper()
 	shard := &resource.Shard{}
 	list := []any{
@@ -216,7 +216,7 @@
 	return s
 }
 
-func startEntry(t *testing.T, s Settings, agents []*fakeAgent, options ...Option) *running {
+func startEntry(t testing.TB, s Settings, agents []*fakeAgent, options ...Option) *running {
 	t.Helper()
 	c := &fixedConfiguration{}
 	c.set.Store(testSet(t, len(agents)-1, 1))
