Add the owner of ledger buckets

Cause: the ledger's step function needs a process that runs its reads and writes, finds the owner of a key's bucket and asks agents about open intents.

Change: coordination/bucket. The owner is chosen by rendezvous hashing over the live entries; a call goes there and at most once more to the process that the first one names.

Before: after a planned release the successor refused calls for as long as the stopping entry was still listed as live (TestRelease: state INTENT_STATE_UNAVAILABLE, want INTENT_STATE_COMPLETED). After: an entry that was not chosen takes a bucket over if the value says that it was handed over (Acquire.IfReleased).

--- /dev/null
+++ b/coordination/bucket/call.go
@@ -0,0 +1,193 @@
+package bucket
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/ledger"
+)
+
+// Server answers Intend and Conclude from other entries; it never forwards.
+type Server struct{ owner *Owner }
+
+// Server returns the two calls of the entry service that the ledger answers.
+func (o *Owner) Server() *Server { return &Server{owner: o} }
+
+// Intend answers another entry.
+func (s *Server) Intend(ctx context.Context, r *wire.IntendRequest) (*wire.IntendResponse, error) {
+	if r.GetCaller() == "" || r.GetKey() == "" || r.GetID().GetRequestID() == "" {
+		return nil, twirp.InvalidArgumentError("Key", "caller, key and request id are required")
+	}
+	return s.owner.intendLocal(ctx, Of(r.Caller, r.Key), r), nil
+}
+
+// Conclude answers another entry.
+func (s *Server) Conclude(ctx context.Context, r *wire.ConcludeRequest) (*wire.ConcludeResponse, error) {
+	if r.GetCaller() == "" || r.GetKey() == "" || r.GetID().GetRequestID() == "" {
+		return nil, twirp.InvalidArgumentError("Key", "caller, key and request id are required")
+	}
+	return s.owner.concludeLocal(ctx, Of(r.Caller, r.Key), r), nil
+}
+
+// Intend records a try before it is dispatched, here or at the owner of its bucket. It returns an error only for an
+// invalid request; where no owner can be reached the state is INTENT_STATE_UNAVAILABLE.
+func (o *Owner) Intend(ctx context.Context, r *wire.IntendRequest) (*wire.IntendResponse, error) {
+	if r.GetCaller() == "" || r.GetKey() == "" || r.GetID().GetRequestID() == "" {
+		return nil, twirp.InvalidArgumentError("Key", "caller, key and request id are required")
+	}
+	n := Of(r.Caller, r.Key)
+	var a *wire.IntendResponse
+	o.route(n, func(to registry.ProcessRecord) (next string) {
+		if to.Process == o.self.Process {
+			a = o.intendLocal(ctx, n, r)
+		} else {
+			a = o.forwardIntend(ctx, to, r)
+		}
+		if a.State != wire.IntentState_INTENT_STATE_NOT_OWNER {
+			return ""
+		}
+		return a.Owner
+	})
+	if a == nil || a.State == wire.IntentState_INTENT_STATE_NOT_OWNER {
+		a = unavailable()
+	}
+	o.countRefusal(a.State)
+	return a, nil
+}
+
+// Conclude records the outcome of a try, here or at the owner of its bucket. An outcome that is not recorded may be
+// sent again; otherwise the intent is settled by its agent.
+func (o *Owner) Conclude(ctx context.Context, r *wire.ConcludeRequest) (*wire.ConcludeResponse, error) {
+	if r.GetCaller() == "" || r.GetKey() == "" || r.GetID().GetRequestID() == "" {
+		return nil, twirp.InvalidArgumentError("Key", "caller, key and request id are required")
+	}
+	n := Of(r.Caller, r.Key)
+	a := &wire.ConcludeResponse{}
+	o.route(n, func(to registry.ProcessRecord) (next string) {
+		if to.Process == o.self.Process {
+			a = o.concludeLocal(ctx, n, r)
+		} else {
+			a = o.forwardConclude(ctx, to, r)
+		}
+		return a.Owner
+	})
+	return a, nil
+}
+
+// route calls the owner of a bucket, and once more the process that the first one names.
+func (o *Owner) route(n int, call func(to registry.ProcessRecord) (next string)) {
+	to, ok := o.winner(n)
+	if o.lines[n].owned.Load() {
+		to, ok = o.self, true
+	}
+	if !ok {
+		return
+	}
+	next := call(to)
+	if next == "" {
+		return
+	}
+	for _, p := range append(o.live(), o.self) {
+		if string(p.Process) == next {
+			call(p)
+			return
+		}
+	}
+}
+
+func (o *Owner) forwardIntend(parent context.Context, to registry.ProcessRecord, r *wire.IntendRequest) *wire.IntendResponse {
+	ctx, cancel := o.forwardTimed(parent)
+	defer cancel()
+	a, err := o.entry(to.Address).Intend(ctx, r)
+	if err != nil {
+		return unavailable()
+	}
+	return a
+}
+
+func (o *Owner) forwardConclude(parent context.Context, to registry.ProcessRecord, r *wire.ConcludeRequest) *wire.ConcludeResponse {
+	ctx, cancel := o.forwardTimed(parent)
+	defer cancel()
+	a, err := o.entry(to.Address).Conclude(ctx, r)
+	if err != nil {
+		return &wire.ConcludeResponse{}
+	}
+	return a
+}
+
+// forwardTimed gives the owner time to take a bucket over and to settle a try with its agent.
+func (o *Owner) forwardTimed(parent context.Context) (ctx context.Context, end context.CancelFunc) {
+	o.counters.forwards.Inc()
+	return o.timed(parent, 4*o.timeout)
+}
+
+func (o *Owner) intendLocal(ctx context.Context, n int, r *wire.IntendRequest) *wire.IntendResponse {
+	c, ok := o.lines[n].call(ctx, func(t ledger.Token) ledger.Event {
+		return ledger.Intend{
+			Token: t, Caller: ident.Caller(r.Caller), Key: ident.Key(r.Key), Digest: r.BodyDigest,
+			ID: tryID(r.ID), Endpoint: ident.Endpoint(r.Endpoint),
+		}
+	}).(ledger.IntendReply)
+	if !ok {
+		return unavailable()
+	}
+	a := intendResponse(c)
+	if a.State == wire.IntentState_INTENT_STATE_NOT_OWNER {
+		a.Owner = o.nextOwner(n, a.Owner)
+	}
+	return a
+}
+
+func (o *Owner) concludeLocal(ctx context.Context, n int, r *wire.ConcludeRequest) *wire.ConcludeResponse {
+	c, ok := o.lines[n].call(ctx, func(t ledger.Token) ledger.Event {
+		return ledger.Conclude{
+			Token: t, Caller: ident.Caller(r.Caller), Key: ident.Key(r.Key), ID: tryID(r.ID),
+			Outcome: outcomeOf(r.Outcome), Answer: answerOf(r.Answer),
+		}
+	}).(ledger.ConcludeReply)
+	if !ok {
+		return &wire.ConcludeResponse{}
+	}
+	a := &wire.ConcludeResponse{Recorded: c.Recorded}
+	if c.NotOwner {
+		a.Owner = o.nextOwner(n, string(c.Owner))
+	}
+	return a
+}
+
+// nextOwner names the entry to ask after this one: the owner in the value if it is live, else the one chosen.
+func (o *Owner) nextOwner(n int, stored string) string {
+	for _, p := range o.live() {
+		if string(p.Process) == stored && stored != string(o.self.Process) {
+			return stored
+		}
+	}
+	if w, ok := o.winner(n); ok {
+		return string(w.Process)
+	}
+	return ""
+}
+
+func (o *Owner) countRefusal(s wire.IntentState) {
+	name := map[wire.IntentState]string{
+		wire.IntentState_INTENT_STATE_UNAVAILABLE: "unavailable",
+		wire.IntentState_INTENT_STATE_IN_PROGRESS: "in-progress",
+		wire.IntentState_INTENT_STATE_UNKNOWN:     "unknown",
+		wire.IntentState_INTENT_STATE_MISMATCH:    "mismatch",
+		wire.IntentState_INTENT_STATE_EXPIRED:     "expired",
+	}[s]
+	if c := o.counters.refusals[name]; c != nil {
+		c.Inc()
+	}
+}
+
+func unavailable() *wire.IntendResponse {
+	return &wire.IntendResponse{
+		State:           wire.IntentState_INTENT_STATE_UNAVAILABLE,
+		RetryAfterMilli: unavailableRetry.Milliseconds(),
+	}
+}
--- a/state/ledger/bucket.go
+++ b/state/ledger/bucket.go
@@ -83,9 +83,11 @@
 	settling  map[recordKey]*settlement
 	sealing   *seal
 	release   bool
-	started   time.Time // start of the takeover or of the read-back
-	downUntil time.Time
-	commands  []Command
+	// ifReleased restricts the takeover in progress, see Acquire.
+	ifReleased bool
+	started    time.Time // start of the takeover or of the read-back
+	downUntil  time.Time
+	commands   []Command
 }
 
 type settlement struct {
@@ -128,7 +130,7 @@
 	b.commands = nil
 	switch e := ev.(type) {
 	case Acquire:
-		b.acquire(now)
+		b.acquire(now, e.IfReleased)
 	case Release:
 		b.release = b.Owned()
 	case ValueRead:
@@ -156,12 +158,13 @@
 
 func (b *Bucket) emit(c Command) { b.commands = append(b.commands, c) }
 
-func (b *Bucket) acquire(now time.Time) {
+func (b *Bucket) acquire(now time.Time, ifReleased bool) {
 	if b.phase != idle || now.Before(b.downUntil) {
 		return
 	}
 	b.started = now
 	b.phase = reading
+	b.ifReleased = ifReleased
 	b.read()
 }
 
@@ -194,6 +197,10 @@
 		b.readBack(now, v, e.Revision)
 		return
 	}
+	if b.ifReleased && (!e.Found || v.Owner != "") {
+		b.abandon(now)
+		return
+	}
 	b.loaded, b.revision = v, e.Revision
 	if len(v.Segments) == 0 {
 		b.claim(now, nil)
--- a/state/ledger/commit.go
+++ b/state/ledger/commit.go
@@ -154,7 +154,7 @@
 	case v.Owner == b.self:
 		// An earlier write of this process arrived late. The value decides, so the bucket is taken over anew.
 		b.lostTo(now, c)
-		b.acquire(now)
+		b.acquire(now, false)
 	default:
 		b.lostTo(now, c)
 	}
--- a/state/ledger/event.go
+++ b/state/ledger/event.go
@@ -14,7 +14,10 @@
 type Event interface{ event() }
 
 // Acquire asks the bucket to become the owner.
-type Acquire struct{}
+type Acquire struct {
+	// IfReleased leaves the bucket alone unless its last owner has handed it over.
+	IfReleased bool
+}
 
 // Release asks the bucket to hand over after the write in flight.
 type Release struct{}
--- a/state/ledger/history_test.go
+++ b/state/ledger/history_test.go
@@ -21,8 +21,8 @@
 					p.whenAwake(life, func() { p.answered(hops, ev, fn, c) })
 				})
 			}
-			if to.bucket.Idle() && (to.winner == to.number || hops > 0) {
-				to.step(Acquire{})
+			if to.bucket.Idle() {
+				to.step(Acquire{IfReleased: to.winner != to.number && hops == 0})
 			}
 			to.step(ev(to.token))
 		})
