--- /dev/null
+++ b/coordination/loadpermit/client.go
@@ -0,0 +1,148 @@
+package loadpermit
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/ident"
+)
+
+const (
+	// lookupInterval bounds the reads of the holder's record by one agent.
+	lookupInterval = 2 * time.Second
+	callTimeout    = 500 * time.Millisecond
+)
+
+// Getter is the part of the key-value service that a Client uses.
+type Getter interface {
+	Get(ctx context.Context, key string) (r keyvalue.Record, found bool, err error)
+}
+
+// Granter is the call of an entry that grants permits.
+type Granter interface {
+	Permit(ctx context.Context, q *wire.PermitRequest) (a *wire.PermitResponse, err error)
+}
+
+// Share is the fixed share of the budget that an agent uses while there is no holder.
+type Share interface {
+	Take(ctx context.Context, e ident.Endpoint, wanted int) (granted int, expiry time.Duration, err error)
+	Done(e ident.Endpoint)
+}
+
+// Client asks the holder for permits and falls back to the fixed share once no holder has answered for a lease time.
+type Client struct {
+	store   Getter
+	granter func(address string) Granter
+	share   Share
+	clock   quartz.Clock
+
+	mu       sync.Mutex
+	holder   Granter
+	lookedUp time.Time
+	answered time.Time
+	done     uint32
+	fallback int
+}
+
+// NewClient returns a client; granter makes the client of the entry with an address.
+func NewClient(s Getter, granter func(address string) Granter, share Share, clock quartz.Clock) *Client {
+	return &Client{store: s, granter: granter, share: share, clock: clock, answered: clock.Now()}
+}
+
+// Take asks for up to wanted permits.
+func (c *Client) Take(ctx context.Context, e ident.Endpoint, wanted int) (granted int, expiry time.Duration, err error) {
+	defer func() { err = eris.Wrap(err, "take load permits") }()
+	a, err := c.ask(ctx, e, wanted)
+	if err == nil {
+		return int(a.GetGranted()), time.Duration(a.GetExpireMilli()) * time.Millisecond, nil
+	}
+	if !c.holderLost() {
+		return 0, 0, err
+	}
+	granted, expiry, err = c.share.Take(ctx, e, wanted)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fallback += granted
+	return granted, expiry, err
+}
+
+// Done reports that a load has ended.
+func (c *Client) Done(e ident.Endpoint) {
+	c.mu.Lock()
+	if c.fallback > 0 {
+		c.fallback--
+		c.mu.Unlock()
+		c.share.Done(e)
+		return
+	}
+	c.done++
+	c.mu.Unlock()
+	go func() {
+		// An ended load whose report is lost is reported with the next request.
+		_, _ = c.ask(context.Background(), e, 0)
+	}()
+}
+
+func (c *Client) ask(ctx context.Context, e ident.Endpoint, wanted int) (a *wire.PermitResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	h, err := c.lookUp(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	q := &wire.PermitRequest{Endpoint: string(e), Wanted: uint32(wanted), Done: c.done}
+	c.done = 0
+	c.mu.Unlock()
+	a, err = h.Permit(ctx, q)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.holder = nil
+		c.done += q.GetDone()
+		return nil, err
+	}
+	c.answered = c.clock.Now()
+	return a, nil
+}
+
+// lookUp returns the known holder, or reads who it is.
+func (c *Client) lookUp(ctx context.Context) (h Granter, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holder != nil {
+		return c.holder, nil
+	}
+	now := c.clock.Now()
+	if !c.lookedUp.IsZero() && now.Sub(c.lookedUp) < lookupInterval {
+		return nil, eris.New("no holder of the load permits is known")
+	}
+	c.lookedUp = now
+	r, found, err := c.store.Get(ctx, registry.PermitKey)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, eris.New("there is no holder of the load permits")
+	}
+	var p registry.ProcessRecord
+	if err = json.Unmarshal(r.Value, &p); err != nil {
+		return nil, err
+	}
+	c.holder = c.granter(p.Address)
+	return c.holder, nil
+}
+
+func (c *Client) holderLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Now().Sub(c.answered) > registry.LeaseTime
+}
