--- a/daemon/entry/routes.go
+++ b/daemon/entry/routes.go
@@ -34,6 +34,9 @@
 // authenticated serves a request of a known caller under one configuration.
 type authenticated func(w http.ResponseWriter, r *http.Request, v *view, c *resource.Caller)
 
+// anonymousCaller names every caller of an entry that asks for no token; idempotency keys are scoped to a name.
+const anonymousCaller ident.Caller = "anonymous"
+
 func (e *Entry) routes() http.Handler {
 	m := chi.NewRouter()
 	m.NotFound(func(w http.ResponseWriter, _ *http.Request) {
@@ -62,7 +65,7 @@
 		}
 		v := e.current()
 		if e.settings.AllowAnonymous {
-			next(w, r, v, &resource.Caller{})
+			next(w, r, v, &resource.Caller{Name: anonymousCaller})
 			return
 		}
 		scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
--- a/daemon/node/entry.go
+++ b/daemon/node/entry.go
@@ -171,3 +171,6 @@
 		Generation: int64(p.Generation()), Failure: p.Failure(),
 	}, nil
 }
+
+// ClaimCount returns the number of endpoints with a live agent.
+func (n *Entry) ClaimCount() int { return len(n.platform.View.Claims()) }
