Return tries of a silent engine, keep a released claim released, and end the process on fatal violations under test

Cause: tries waited until their deadline at an engine that did not answer; a load permit was taken while every slot was in use and went void; the keep-alive loop could take a claim again after its release.

Change: after two surveys without an answer waiting tries are returned and new ones refused with engine-down; permits are asked for only if a slot can be made free; Released is a final status of a claim. Tests of a fenced agent and of violations.

Conclusion: the agent stops sending work where it cannot run.

--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -53,8 +53,10 @@
 	Held
 	// Unsure means that the last keep-alive is old but the claim is not known to be lost.
 	Unsure
-	// Lost means that the claim is gone: it expired, was released or was taken.
+	// Lost means that the claim is gone: it expired or was taken.
 	Lost
+	// Released means that this agent has given the claim up for good.
+	Released
 )
 
 // Claim is one agent's claim; Acquire, Keep and Release belong to one goroutine, the other methods to any.
@@ -122,6 +124,10 @@
 func (c *Claim) set(s Status, lease keyvalue.LeaseID, i ident.Incarnation, renewed time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// A keep-alive that was in flight during the release must not bring the claim back.
+	if c.status == Released {
+		return
+	}
 	c.status, c.lease, c.incarnation, c.renewed = s, lease, i, renewed
 }
 
--- a/coordination/claim/claim_test.go
+++ b/coordination/claim/claim_test.go
@@ -121,11 +121,12 @@
 			if want := []Status{Unsure, Lost, Held}; len(reports) != 3 || [3]Status(reports) != [3]Status(want) || last <= first {
 				t.Errorf("fencing=%v: reports %v, want %v; incarnation %d after %d", fencing, reports, want, last, first)
 			}
+			c.Release(t.Context())
+			time.Sleep(LeaseTime)
 			cancel()
 			synctest.Wait()
-			c.Release(t.Context())
 			if len(s.data) != 0 || !errors.Is(c.Check(), ErrLost) {
-				t.Errorf("released: %v, check %v", s.data, c.Check())
+				t.Errorf("after the release, with Keep still running: %v, check %v", s.data, c.Check())
 			}
 		})
 	}
--- a/coordination/claim/keep.go
+++ b/coordination/claim/keep.go
@@ -10,7 +10,7 @@
 	"shallotring.dev/state/ident"
 )
 
-// Keep renews the claim until ctx ends, takes it again when it was lost, and reports each change of status.
+// Keep renews the claim until ctx ends or the claim is released, takes it again when it was lost, and reports each change of status.
 func (c *Claim) Keep(ctx context.Context, report func(Status, ident.Incarnation)) (err error) {
 	last, _ := c.Status()
 	next := c.clock.Now().Add(KeepAlive)
@@ -25,6 +25,9 @@
 			}
 		}
 		s, i := c.Status()
+		if s == Released {
+			return nil
+		}
 		if s != last {
 			report(s, i)
 		}
@@ -64,7 +67,7 @@
 func (c *Claim) Release(ctx context.Context) {
 	c.mu.Lock()
 	lease, s := c.lease, c.status
-	c.status = Lost
+	c.status = Released
 	c.mu.Unlock()
 	if s == Held {
 		c.revoke(ctx, lease)
@@ -75,5 +78,7 @@
 func (c *Claim) Invalidate() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.status = Lost
+	if c.status != Released {
+		c.status = Lost
+	}
 }
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -49,6 +49,7 @@
 	inbox   chan message
 	streams map[ident.TryID]*stream
 	unready atomic.Pointer[string]
+	shares  atomic.Pointer[shares]
 	// held is the incarnation that commands are sent with.
 	held atomic.Int64
 
--- a/daemon/agent/agent_test.go
+++ b/daemon/agent/agent_test.go
@@ -17,6 +17,7 @@
 	"shallotring.dev/protocol/frame"
 	"shallotring.dev/protocol/keyvalue"
 	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/gate"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/resource"
 	"shallotring.dev/transport/settings"
@@ -231,3 +232,49 @@
 		t.Errorf("try refused by the engine: %v, %v", last, err)
 	}
 }
+
+// Guards against an agent that goes on commanding an endpoint after a newer agent has taken it (G2, G5).
+func TestFencedAgentStops(t *testing.T) {
+	s := start(t, resource.Engine)
+	s.engine.status = http.StatusPreconditionFailed
+	if _, last, err := s.run(s.request("r1", "a1")); !errors.Is(err, io.EOF) || last.GetEnd().GetOutcome() != wire.Outcome_OUTCOME_NOT_RUN {
+		t.Errorf("fenced try: %v, %v", last, err)
+	}
+	_, last, err := s.run(s.request("r2", "a1"))
+	if !errors.Is(err, io.EOF) || last.GetRefusal().GetReason() != "claim-lost" {
+		t.Errorf("try after it: %v, %v", last, err)
+	}
+	if got := s.engine.ran(); len(got) != 1 {
+		t.Errorf("requests at the engine: %v", got)
+	}
+}
+
+// Guards against a violation that is not counted, and a process that goes on after a fatal one.
+func TestFatalViolationEndsTheProcess(t *testing.T) {
+	s := start(t, resource.Service)
+	if _, _, err := s.run(s.request("r1", "")); !errors.Is(err, io.EOF) {
+		t.Fatal(err)
+	}
+	s.agent.violated(gate.Violation{Guarantee: gate.G5, Detail: "not fatal"})
+	if _, _, err := s.run(s.request("r2", "")); !errors.Is(err, io.EOF) {
+		t.Errorf("after a violation that was prevented: %v", err)
+	}
+	resp, err := http.Get("http://" + s.agent.AdminAddress() + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	for _, want := range []string{`shallotring_agent_violations_total{guarantee="G5"} 1`, `shallotring_agent_tries_total{outcome="completed"} 2`} {
+		if !strings.Contains(string(text), want) {
+			t.Errorf("metrics lack %s", want)
+		}
+	}
+	s.agent.violated(gate.Violation{Guarantee: gate.G2, Detail: "fatal", Fatal: true})
+	s.cancel() // ends the run by a drain if the violation did not
+	err = <-s.result
+	s.result <- err
+	if !errors.Is(err, ErrViolation) {
+		t.Errorf("run returned %v", err)
+	}
+}
--- a/daemon/agent/configuration.go
+++ b/daemon/agent/configuration.go
@@ -84,11 +84,24 @@
 	return k
 }
 
+// shares are the weights of the callers in one configuration.
+type shares struct {
+	set    *resource.Set
+	weight map[ident.Caller]float64
+}
+
 func (a *Agent) share(c ident.Caller) float64 {
-	for _, x := range a.configuration.Current().Callers() {
-		if x.Name == c && x.Share > 0 {
-			return x.Share
+	set := a.configuration.Current()
+	known := a.shares.Load()
+	if known == nil || known.set != set {
+		known = &shares{set: set, weight: make(map[ident.Caller]float64)}
+		for _, x := range set.Callers() {
+			known.weight[x.Name] = x.Share
 		}
+		a.shares.Store(known)
+	}
+	if w := known.weight[c]; w > 0 {
+		return w
 	}
 	return 1
 }
--- a/state/gate/gate.go
+++ b/state/gate/gate.go
@@ -94,6 +94,8 @@
 	changes uint64
 	survey  surveyState
 	permits permitState
+	// silent counts the surveys in a row that had no answer.
+	silent  int
 	leaving bool
 	leftAt  time.Time
 	drained bool
--- a/state/gate/gate_test.go
+++ b/state/gate/gate_test.go
@@ -271,6 +271,21 @@
 	expect(t, "next try", g.Step(begin, try1("r2", a1)), "Accept")
 }
 
+// Guards against tries that wait at an engine that does not answer, and loads that take permits without a slot to use them.
+func TestSilentEngine(t *testing.T) {
+	g := newGate(t, nil)
+	expect(t, "in use", g.Step(begin, try1("r1", a1)), "Accept", "Start")
+	expect(t, "no slot", g.Step(begin, try1("r2", a2)), "Accept")
+	now := begin
+	for i, want := range [][]string{nil, {"finish not-run engine-down"}} {
+		now = now.Add(time.Second)
+		survey := g.Step(now, Tick{})[0].(Survey)
+		expect(t, fmt.Sprint("survey ", i), g.Step(now, Surveyed{Number: survey.Number, Failed: true}), want...)
+	}
+	expect(t, "new try", g.Step(now, try1("r3", a1)), "refuse engine-down")
+	expect(t, "running try", g.Step(now, Ended{ID: try1("r1", a1).ID, Outcome: outcome.Completed}), "finish completed")
+}
+
 // Guards against a drain that interrupts a running try or keeps waiting tries for longer than its grace (G6, G7).
 func TestDrain(t *testing.T) {
 	g := newGate(t, func(c *Config) { c.BatchSize = 1 })
--- a/state/gate/load.go
+++ b/state/gate/load.go
@@ -105,10 +105,9 @@
 			continue
 		}
 		if g.slots.Free() <= 0 {
-			if n := g.unloads(); n <= wanted && n < g.permitsHeld() {
-				g.makeRoom()
+			if g.makeRoom(wanted) {
+				wanted++
 			}
-			wanted++
 			continue
 		}
 		wanted++
@@ -173,10 +172,18 @@
 	return n
 }
 
-func (g *Gate) makeRoom() {
-	if av, ok := g.slots.Victim(g.now); ok {
+// makeRoom evicts for one more load if the unloads in flight are not enough; it reports false if no slot can be made free,
+// so that no permit is held for a load that cannot begin. Nothing is evicted before there is a permit to use the slot.
+func (g *Gate) makeRoom(wanted int) bool {
+	n := g.unloads()
+	if n > wanted {
+		return true
+	}
+	av, ok := g.slots.Victim(g.now)
+	if ok && n < g.permitsHeld() {
 		g.evict(av)
 	}
+	return ok
 }
 
 func (g *Gate) evict(av ident.AdapterVersion) {
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -13,6 +13,9 @@
 // maxFormerIDs bounds the start ids of former processes of the engine that are remembered.
 const maxFormerIDs = 16
 
+// maxSilent is the number of surveys without an answer after which tries are sent to other endpoints.
+const maxSilent = 2
+
 type surveyState struct {
 	number  uint64
 	flying  bool
@@ -41,8 +44,13 @@
 	g.survey.flying = false
 	g.survey.due = g.now.Add(g.SurveyEvery)
 	if s.Failed {
+		g.silent++
+		if g.down() {
+			g.returnWaiting(outcome.EngineDown, func(*try) bool { return true })
+		}
 		return
 	}
+	g.silent = 0
 	g.observed(s.StartID)
 	if g.survey.number != s.Number {
 		return
@@ -58,6 +66,9 @@
 	}
 }
 
+// down reports whether the engine has failed to answer more than once in a row.
+func (g *Gate) down() bool { return g.silent >= maxSilent }
+
 // observed reacts to the start id in any answer of the engine.
 func (g *Gate) observed(id ident.StartID) {
 	if g.startID == "" || id == "" || id == g.startID || slices.Contains(g.formerIDs, id) {
--- a/state/gate/try.go
+++ b/state/gate/try.go
@@ -98,6 +98,8 @@
 		return &outcome.Refusal{Reason: outcome.StaleRevision, RetryAfter: retry}
 	case !r.Known.Declared || r.Adapter.IsZero() != g.Service:
 		return &outcome.Refusal{Reason: outcome.UnknownAdapter}
+	case g.down():
+		return &outcome.Refusal{Reason: outcome.EngineDown, RetryAfter: retry}
 	case r.Key != "" && g.keyUsed(r):
 		return &outcome.Refusal{Reason: outcome.Duplicate, Detail: "another try with this key may have run here"}
 	}
