Test the assertions of the gate and forget tries in buckets

Cause: a pass over the whole memory of tries would hold up the control loop, and no test showed that the assertions fire.

Each assertion is tested on a state that was spoiled on purpose. The admin port serves TLS with the keys of the listener.

Conclusion: each violation is reported and its command withheld.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -19,6 +19,7 @@
 	"shallotring.dev/state/resource"
 	"shallotring.dev/transport/admin"
 	"shallotring.dev/transport/server"
+	"shallotring.dev/transport/settings"
 	"shallotring.dev/transport/timeline"
 )
 
@@ -102,8 +103,10 @@
 	if err != nil {
 		return err
 	}
+	// Probes of the platform have no client certificate.
+	keys := settings.TLS{CertFile: a.settings.TLS.CertFile, KeyFile: a.settings.TLS.KeyFile}
 	a.adminPort, err = server.Listen(a.settings.Admin, admin.Handler(a.meters.set, a.readiness),
-		server.AllowInsecure(a.settings.AllowInsecure))
+		server.WithTLS(keys), server.AllowInsecure(a.settings.AllowInsecure))
 	if err != nil {
 		return errors.Join(err, a.listener.Close())
 	}
--- a/state/gate/gate.go
+++ b/state/gate/gate.go
@@ -31,7 +31,7 @@
 	KeepFinished time.Duration
 	// KeepKeyed is the time that a started try with a key is remembered; it is not less than the retention of the ledger.
 	KeepKeyed time.Duration
-	// MaxRemembered bounds the tries in memory, MaxAnswers the answers among them.
+	// MaxRemembered bounds the tries in memory, MaxAnswers the answers among them. A remembered try takes about 470 bytes.
 	MaxRemembered int
 	MaxAnswers    int
 
@@ -57,7 +57,7 @@
 		ClockSkew:     30 * time.Second,
 		KeepFinished:  5 * time.Minute,
 		KeepKeyed:     25 * time.Hour,
-		MaxRemembered: 500_000,
+		MaxRemembered: 200_000,
 		MaxAnswers:    4096,
 		LoadAttempts:  3,
 		LoadBackoff:   250 * time.Millisecond,
@@ -72,13 +72,15 @@
 // Gate is the control state of one agent.
 type Gate struct {
 	Config
-	now       time.Time
-	out       []Command
-	claim     ClaimStatus
-	queue     *admission.Queue
-	slots     *slots.Slots
-	tries     map[ident.TryID]*try
-	keys      map[callerKey]ident.TryID
+	now   time.Time
+	out   []Command
+	claim ClaimStatus
+	queue *admission.Queue
+	slots *slots.Slots
+	tries map[ident.TryID]*try
+	keys  map[callerKey]ident.TryID
+	// forgets holds the finished tries by the time at which they are forgotten.
+	forgets   map[time.Time][]ident.TryID
 	answers   []ident.TryID
 	active    map[ident.TryID]*try
 	next      time.Time
@@ -110,6 +112,7 @@
 		tries:    make(map[ident.TryID]*try),
 		keys:     make(map[callerKey]ident.TryID),
 		active:   make(map[ident.TryID]*try),
+		forgets:  make(map[time.Time][]ident.TryID),
 		synced:   c.Service,
 		adopted:  make(map[string]ident.AdapterVersion),
 		adapters: make(map[ident.AdapterVersion]*adapter),
--- a/state/gate/gate_test.go
+++ b/state/gate/gate_test.go
@@ -301,3 +301,44 @@
 	end.ID = try1("r1", a1).ID
 	expect(t, "last end", g.Step(now.Add(time.Hour), end), "finish completed", "Drained")
 }
+
+// Guards against assertions that do not see a broken state, or report it and still send the command.
+func TestAssertions(t *testing.T) {
+	tests := []struct {
+		name  string
+		spoil func(g *Gate, waits *try)
+		want  []string
+	}{
+		{"other weights", func(g *Gate, _ *try) { g.adapters[a1].digest = "x" }, []string{"violation G1", "finish not-run engine-down"}},
+		{"adapter gone", func(g *Gate, _ *try) { g.slots.Drop(a1) }, []string{"violation G1", "finish not-run engine-down"}},
+		{"called not run", func(_ *Gate, waits *try) { waits.state = tombstoned }, []string{"violation G4"}},
+		{"started before", func(_ *Gate, waits *try) { waits.state = running }, []string{"violation G5"}},
+		{"former incarnation", func(g *Gate, _ *try) { g.Incarnation = 9 }, []string{"violation G5", "finish not-run engine-down"}},
+		{"key has run", func(g *Gate, waits *try) { g.keys[callerKey{"c", "k"}] = waits.ID }, []string{"violation G5", "finish not-run engine-down"}},
+		{"left long ago", func(g *Gate, _ *try) { g.leaving = true }, []string{"violation G6", "finish not-run engine-down"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGate(t, func(c *Config) { c.BatchSize = 0 })
+			r := try1("r1", a1)
+			r.Key = "k"
+			g.Step(begin, r)
+			waits := g.tries[r.ID]
+			tt.spoil(g, waits)
+			g.out = nil
+			g.start(waits)
+			expect(t, "start", g.out, tt.want...)
+		})
+	}
+	g := newGate(t, nil)
+	g.Step(begin, try1("r1", a1))
+	g.out = nil
+	g.unload(a1, g.adapters[a1])
+	expect(t, "unload in use", g.out, "violation G2")
+	g.slots.Drop(a1)
+	out := g.Step(begin, Tick{})
+	expect(t, "running try without its adapter", out, "violation G2")
+	if !out[len(out)-1].(Violation).Fatal {
+		t.Error("a running try has lost its adapter and the violation is not fatal")
+	}
+}
--- a/state/gate/memory.go
+++ b/state/gate/memory.go
@@ -7,7 +7,8 @@
 	"shallotring.dev/state/outcome"
 )
 
-// sweepInterval is the time between two passes over the memory of tries.
+// sweepInterval is the time between two passes over the tries to forget, and the width of a bucket of them.
+// Buckets keep a pass short, because the whole memory would hold up the control loop for milliseconds.
 const sweepInterval = 10 * time.Second
 
 func (g *Gate) remember(t *try) {
@@ -27,13 +28,19 @@
 		deadline = g.now
 	}
 	t.forget = deadline.Add(g.ClockSkew)
-	if t.state != finished {
-		return
+	if t.state == finished {
+		t.forget = later(t.forget.Add(g.KeepFinished), t.keepKeyed(g))
 	}
-	t.forget = t.forget.Add(g.KeepFinished)
-	if keyed := g.now.Add(g.KeepKeyed); t.Key != "" && keyed.After(t.forget) {
-		t.forget = keyed
+	bucket := t.forget.Truncate(sweepInterval).Add(sweepInterval)
+	g.forgets[bucket] = append(g.forgets[bucket], t.ID)
+}
+
+// keepKeyed is the time until which a finished try is kept because of its key; zero if it has none.
+func (t *try) keepKeyed(g *Gate) (until time.Time) {
+	if t.Key == "" {
+		return until
 	}
+	return g.now.Add(g.KeepKeyed)
 }
 
 // keep stores a small answer of a keyed try; the oldest answers make room.
@@ -67,13 +74,20 @@
 		return
 	}
 	g.sweepAt = g.now.Add(sweepInterval)
-	for id, t := range g.tries {
-		if t.state < finished || g.now.Before(t.forget) {
+	for bucket, list := range g.forgets {
+		if g.now.Before(bucket) {
 			continue
 		}
-		delete(g.tries, id)
-		if k := (callerKey{t.Caller, t.Key}); t.Key != "" && g.keys[k] == id {
-			delete(g.keys, k)
+		for _, id := range list {
+			g.forget(g.tries[id])
 		}
+		delete(g.forgets, bucket)
+	}
+}
+
+func (g *Gate) forget(t *try) {
+	delete(g.tries, t.ID)
+	if k := (callerKey{t.Caller, t.Key}); t.Key != "" && g.keys[k] == t.ID {
+		delete(g.keys, k)
 	}
 }
--- a/state/gate/try.go
+++ b/state/gate/try.go
@@ -143,7 +143,9 @@
 func (g *Gate) start(t *try) {
 	if v, ok := g.checkStart(t); !ok {
 		g.violate(v)
-		g.end(t, &outcome.Refusal{Reason: outcome.EngineDown, Detail: v.Detail})
+		if t.state == waiting {
+			g.end(t, &outcome.Refusal{Reason: outcome.EngineDown, Detail: v.Detail})
+		}
 		return
 	}
 	if !g.Service {
