Give each frame its own write deadline

Cause: the deadline was set at the flush of a frame only, so a frame larger than the buffer of net/http was written under the deadline of the frame before it. A stream with a pause of more than 30 s between two parts broke.

Change: each write sets its deadline, and the end of a try clears it for the next request on the connection. The clearing of the read deadline is dropped, because net/http does that itself once the body has been read.

Conclusion: only a receiver that takes no data for 30 s ends a try.

--- a/daemon/agent/run.go
+++ b/daemon/agent/run.go
@@ -51,23 +51,36 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	// The read deadline of the listener would end the context of a request that runs for longer.
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Time{})
+	out := &timedWriter{ResponseWriter: w, control: http.NewResponseController(w)}
+	defer out.release()
 	ctx, cancel := context.WithCancel(a.work)
 	defer cancel()
 	j := &job{
 		agent: a, request: request, id: tryID(request.GetID()), began: a.clock.Now(),
 		stream: &stream{start: make(chan gate.Start, 1), finish: make(chan gate.Finish, 1), cancel: cancel},
-		out:    frame.NewWriter(w, request.GetID()),
-		flush: func() error {
-			_ = control.SetWriteDeadline(time.Now().Add(frameTimeout))
-			return control.Flush()
-		},
+		out:    frame.NewWriter(out, request.GetID()),
+		flush:  out.flush,
 	}
 	j.admit(ctx, w, r)
 }
 
+// timedWriter gives each write its own deadline.
+type timedWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Write starts the time again, because the last part may have been written long ago.
+func (t *timedWriter) Write(p []byte) (n int, err error) {
+	_ = t.control.SetWriteDeadline(time.Now().Add(frameTimeout))
+	return t.ResponseWriter.Write(p)
+}
+
+func (t *timedWriter) flush() (err error) { return t.control.Flush() }
+
+// release removes the deadline, which net/http would keep for later requests on the connection.
+func (t *timedWriter) release() { _ = t.control.SetWriteDeadline(time.Time{}) }
+
 func readRequest(r *http.Request) (request *wire.RunRequest, err error) {
 	defer func() { err = eris.Wrap(err, "read run request") }()
 	text, err := io.ReadAll(r.Body)
