--- a/standin/engine/api.go
+++ b/standin/engine/api.go
@@ -41,11 +41,11 @@
 
 type runningEntry struct {
 	RequestID string `json:"request_id"`
-	Adapter   string `json:"adapter"`
+	Model     string `json:"model"`
 }
 
 type runningList struct {
-	Running []runningEntry `json:"running"`
+	Requests []runningEntry `json:"requests"`
 }
 
 type loadReport struct {
@@ -123,10 +123,10 @@
 }
 
 func (e *Engine) listRunning(w http.ResponseWriter, _ *http.Request) {
-	list := runningList{Running: []runningEntry{}}
+	list := runningList{Requests: []runningEntry{}}
 	e.mu.Lock()
 	for r := range e.running {
-		list.Running = append(list.Running, runningEntry{RequestID: r.id, Adapter: r.model})
+		list.Requests = append(list.Requests, runningEntry{RequestID: r.id, Model: r.model})
 	}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, list)
