Start the agent program from its settings

Cause: the program ended with 'a key-value store and a configuration are needed'. Change: the main function assembles the process by package node. Before: no agent process could start.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -2,17 +2,15 @@
 package main
 
 import (
-	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/rotisserie/eris"
 
-	"shallotring.dev/daemon/agent"
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/daemon/node"
+	"shallotring.dev/daemon/program"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/settings"
 	"shallotring.dev/transport/timeline"
@@ -41,35 +39,24 @@
 
 // Run serves until the first signal has drained the agent; a second signal stops it at once.
 func (r *runCommand) Run() (err error) {
-	var s agent.Settings
+	var s node.AgentSettings
 	if err = settings.Load(r.Settings, &s); err != nil {
 		return err
 	}
-	process := ident.NewProcess("agent")
-	log := timeline.New(os.Stderr, timeline.Process{ID: process, Role: "agent", Host: s.Host, Zone: s.Zone}, slog.LevelInfo)
-	a, err := agent.New(s, agent.WithLog(log), agent.WithProcess(process))
+	process := ident.NewProcess(string(registry.RoleAgent))
+	log := timeline.New(os.Stderr, timeline.Process{ID: process, Role: string(registry.RoleAgent), Host: s.Host, Zone: s.Zone}, slog.LevelInfo)
+	a, err := node.NewAgent(s, log, process)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := program.Context(log.Logger, a.Stop)
 	defer cancel()
-	go stopOnSignals(log, cancel, a.Stop)
 	return a.Run(ctx)
 }
 
-func stopOnSignals(log *timeline.Log, drain, stop func()) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	<-signals
-	drain()
-	<-signals
-	log.Warn("second signal: running tries are interrupted")
-	stop()
-}
-
 // Run reports the first fault of the file.
 func (c *checkCommand) Run(k *kong.Context) (err error) {
-	if err = settings.Load(c.File, &agent.Settings{}); err != nil {
+	if err = settings.Load(c.File, &node.AgentSettings{}); err != nil {
 		return err
 	}
 	return eris.Wrap(printLine(k, c.File+": ok"), "print")
@@ -77,23 +64,10 @@
 
 // Run prints the version of the module or the revision that the program was built from.
 func (*versionCommand) Run(k *kong.Context) (err error) {
-	return eris.Wrap(printLine(k, "agent "+version()), "print")
+	return eris.Wrap(printLine(k, "agent "+program.Version()), "print")
 }
 
 func printLine(k *kong.Context, text string) (err error) {
 	_, err = k.Stdout.Write([]byte(text + "\n"))
 	return err
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			return s.Value
-		}
-	}
-	return info.Main.Version
-}
