Leave the intent of a running keyed try open, and bound dials to agents

Cause: a keyed try whose agent said running, or did not answer, was concluded as unknown, so a repeat of the key could never get its response; a vanished agent host held a try until the request's deadline; a changed RetryRatio or Share was not taken over by a running entry. Change: only an agent that cannot tell concludes unknown, and settling does not cancel a keyed try; dials end after 1 s and silent connections are probed; policy and share changes take effect at once; damaged frames are counted. Conclusion: the ledger decides about open intents when the key is repeated.

--- a/daemon/entry/admitted.go
+++ b/daemon/entry/admitted.go
@@ -47,12 +47,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.callers[c]
+	weights := a.weights
 	if s == nil {
 		s = &share{weight: weight}
-	}
-	weights := a.weights
-	if s.running == 0 {
-		weights += s.weight
+		weights += weight
+	} else if s.weight != weight {
+		weights += weight - s.weight
+		s.weight, a.weights = weight, weights
 	}
 	fair := max(1, float64(a.limit)*s.weight/weights)
 	if 2*a.running >= a.limit && len(a.callers) > 1 && float64(s.running) >= fair {
@@ -104,11 +105,25 @@
 // sharedBudget is the retry budget of all requests; its operations are too short for a round trip to a goroutine.
 type sharedBudget struct {
 	mu     sync.Mutex
+	ratio  float64
 	budget *retry.Budget
 }
 
 func newSharedBudget(ratio float64) *sharedBudget {
-	return &sharedBudget{budget: retry.New(ratio, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+	return &sharedBudget{ratio: ratio, budget: newBudget(ratio)}
+}
+
+func newBudget(ratio float64) *retry.Budget {
+	return retry.New(ratio, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// setRatio puts the ratio of a changed policy in force.
+func (s *sharedBudget) setRatio(ratio float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ratio != ratio {
+		s.ratio, s.budget = ratio, newBudget(ratio)
+	}
 }
 
 // Fresh records a first try.
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -24,6 +25,9 @@
 	"shallotring.dev/transport/timeline"
 )
 
+// dialTimeout bounds the connection to an agent; past it the try goes to another endpoint.
+const dialTimeout = time.Second
+
 // Configuration provides the resources in force.
 type Configuration interface {
 	Current() *resource.Set
@@ -139,7 +143,14 @@
 
 // connect builds the pooled HTTP/1.1 transport to the agents.
 func (e *Entry) connect() (err error) {
+	d := &net.Dialer{
+		Timeout: dialTimeout,
+		// A vanished host answers no packet; without probes its tries would last until their deadlines.
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
+	}
 	t := &http.Transport{
+		DialContext:         d.DialContext,
+		TLSHandshakeTimeout: dialTimeout,
 		MaxIdleConns:        4096,
 		MaxIdleConnsPerHost: 512,
 		IdleConnTimeout:     time.Minute,
--- a/daemon/entry/exchange.go
+++ b/daemon/entry/exchange.go
@@ -80,6 +80,9 @@
 // serve runs a request whose input is valid and responds to any other.
 func (x *exchange) serve(err *openai.Error) {
 	if err != nil {
+		if x.body == nil && x.in.ContentLength != 0 {
+			x.out.w.Header().Set("Connection", "close")
+		}
 		x.entry.reject(x.out.w, err)
 		return
 	}
@@ -340,15 +343,20 @@
 // settle asks the agent what became of the try; the stream is closed first, so that the agent does not wait for it.
 func (x *exchange) settle(c attempt.Command) attempt.Event {
 	x.endTry()
+	if c.Damaged {
+		x.entry.meters.damagedFrames.Inc()
+	}
 	r := x.askSettle(c)
-	x.event(timeline.Event{Kind: timeline.TrySettled, Try: c.Try.Try, Endpoint: c.Endpoint, Detail: r.GetState().String()})
+	x.event(timeline.Event{Kind: timeline.TrySettled, Try: c.Try.Try, Endpoint: c.Endpoint,
+		Detail: r.GetState().String() + " after: " + c.Detail})
 	return attempt.Event{Kind: attempt.Settled, Try: c.Try.Try, Settlement: r}
 }
 
 func (x *exchange) askSettle(c attempt.Command) (r *wire.SettleResponse) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.entry.settings.SettleTimeout)
 	defer cancel()
-	r, err := x.entry.agent(x.target.address).Settle(ctx, &wire.SettleRequest{ID: tryID(c.Try), Cancel: true})
+	// A keyed try is not cancelled: it may have had its effect, and the ledger returns its response when the key is repeated.
+	r, err := x.entry.agent(x.target.address).Settle(ctx, &wire.SettleRequest{ID: tryID(c.Try), Cancel: x.key == ""})
 	if err != nil {
 		return nil
 	}
--- a/daemon/entry/meters.go
+++ b/daemon/entry/meters.go
@@ -18,6 +18,7 @@
 	tries         *metrics.Counter
 	retries       *metrics.Counter
 	brokenStreams *metrics.Counter
+	damagedFrames *metrics.Counter
 	reportsFailed *metrics.Counter
 	violations    *metrics.Counter
 	duration      *metrics.Histogram
@@ -36,6 +37,7 @@
 		tries:         s.NewCounter("shallotring_entry_tries_total"),
 		retries:       s.NewCounter("shallotring_entry_retries_total"),
 		brokenStreams: s.NewCounter("shallotring_entry_broken_streams_total"),
+		damagedFrames: s.NewCounter("shallotring_entry_damaged_frames_total"),
 		reportsFailed: s.NewCounter("shallotring_entry_reports_failed_total"),
 		violations:    s.NewCounter("shallotring_entry_invariant_violations_total"),
 		duration:      s.NewHistogram("shallotring_entry_request_duration_seconds"),
--- a/daemon/entry/respond.go
+++ b/daemon/entry/respond.go
@@ -67,12 +67,19 @@
 	if !x.adapter.IsZero() {
 		h.Set(HeaderAdapter, x.adapter.String())
 	}
+	if status < http.StatusOK || status > maxStatus {
+		status = http.StatusBadGateway
+	}
 	x.out.started, x.out.status = true, status
 	x.out.events = len(contentType) >= len(eventStream) && contentType[:len(eventStream)] == eventStream
 	x.out.w.WriteHeader(status)
 }
 
-const eventStream = "text/event-stream"
+const (
+	eventStream = "text/event-stream"
+	// maxStatus is the largest status that net/http sends.
+	maxStatus = 999
+)
 
 // finish ends the response, the record and the timeline of the request.
 func (x *exchange) finish() {
--- a/daemon/entry/routes.go
+++ b/daemon/entry/routes.go
@@ -69,6 +69,10 @@
 		c, ok := v.caller(token)
 		if !ok || !strings.EqualFold(scheme, "Bearer") {
 			w.Header().Set("WWW-Authenticate", "Bearer")
+			if r.ContentLength != 0 {
+				// net/http otherwise reads from an unknown caller's body before it responds.
+				w.Header().Set("Connection", "close")
+			}
 			e.reject(w, openai.NewError(http.StatusUnauthorized, "invalid_token", "a known bearer token is required"))
 			return
 		}
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -32,6 +32,7 @@
 	}
 	v := newView(set)
 	e.view.Store(v)
+	e.budget.setRatio(set.Policy().RetryRatio)
 	return v
 }
 
--- a/state/attempt/attempt.go
+++ b/state/attempt/attempt.go
@@ -179,6 +179,7 @@
 func (a *Attempt) frame(f *wire.Frame) {
 	if err := a.checker.Check(f); err != nil {
 		a.broken(err.Error())
+		a.out[len(a.out)-1].Damaged = true
 		return
 	}
 	switch f.GetKind() {
@@ -216,12 +217,14 @@
 		a.finish(Result{Outcome: outcome.Completed, End: f.GetEnd(), Started: started})
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		if a.relay.started {
+			a.conclude(outcome.Unknown, nil)
 			a.unknown(f.GetEnd().GetDetail())
 			return
 		}
 		a.refusal = &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: time.Second, Detail: f.GetEnd().GetDetail()}
 		a.notRun(AgentNotRun)
 	default:
+		a.conclude(outcome.Unknown, nil)
 		a.unknown(f.GetEnd().GetDetail())
 	}
 }
@@ -246,7 +249,7 @@
 
 func (a *Attempt) settle() {
 	a.phase = settling
-	a.emit(Command{Kind: Settle, Try: a.try, Endpoint: a.endpoint})
+	a.emit(Command{Kind: Settle, Try: a.try, Endpoint: a.endpoint, Detail: a.detail})
 }
 
 func (a *Attempt) settled(r *wire.SettleResponse) {
@@ -259,7 +262,11 @@
 		a.notRun(AgentTombstoned)
 	case wire.TryState_TRY_STATE_COMPLETED:
 		a.settledCompleted(r)
+	case wire.TryState_TRY_STATE_UNKNOWN:
+		a.conclude(outcome.Unknown, nil)
+		a.unknown(a.detail)
 	default:
+		// A running try or an unreachable agent leaves the intent open: the ledger settles it when the key is repeated.
 		a.unknown(a.detail)
 	}
 }
@@ -271,11 +278,19 @@
 		a.notRun(AgentNotRun)
 		return
 	}
-	if w == nil || w.GetTruncated() || a.relay.started || r.GetOutcome() != wire.Outcome_OUTCOME_COMPLETED {
+	if r.GetOutcome() != wire.Outcome_OUTCOME_COMPLETED {
+		a.conclude(outcome.Unknown, nil)
 		a.unknown(a.detail)
 		return
 	}
+	if w == nil && a.request.Keyed {
+		w = &wire.Answer{Truncated: true, RequestID: string(a.request.ID)}
+	}
 	a.conclude(outcome.Completed, w)
+	if w == nil || a.relay.started {
+		a.unknown(a.detail)
+		return
+	}
 	a.finish(Result{Outcome: outcome.Completed, Replay: w})
 }
 
@@ -292,7 +307,6 @@
 func (a *Attempt) unknown(detail string) {
 	a.mayHaveRun = true
 	a.detail = detail
-	a.conclude(outcome.Unknown, nil)
 	final := a.request.Keyed || a.relay.started || a.failure == Expired || a.failure == Abandoned
 	if final || !a.retry() {
 		a.finish(Result{Outcome: outcome.Unknown, Failure: cmpOr(a.failure, Broken), Started: a.relay.started})
--- a/state/attempt/event.go
+++ b/state/attempt/event.go
@@ -90,6 +90,9 @@
 	Outcome outcome.Outcome
 	Answer  *wire.Answer
 	Result  *Result
+	// Detail says why a try is settled; Damaged is set if one of its frames failed the checks.
+	Detail  string
+	Damaged bool
 }
 
 // Proof says how it is known that a request did not run.
