--- /dev/null
+++ b/daemon/node/entry.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/coordination/bucket"
+	"shallotring.dev/coordination/configuration"
+	"shallotring.dev/coordination/loadpermit"
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/daemon/entry"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/transport/server"
+	"shallotring.dev/transport/timeline"
+)
+
+// isolatedReason is the reason of refusals and of the failing readiness check of an isolated process.
+const isolatedReason = "isolated"
+
+// releaseTimeout bounds the hand-over of the ledger buckets at a planned stop.
+const releaseTimeout = 5 * time.Second
+
+// EntrySettings is the content of the entry's settings file.
+type EntrySettings struct {
+	entry.Settings
+	Service
+	// PeerAdvertise is the IP:port under which other processes reach the peer listener; PeerAddress if empty.
+	PeerAdvertise string
+}
+
+// DefaultEntrySettings returns the values of the settings that a file may leave out.
+func DefaultEntrySettings() EntrySettings { return EntrySettings{Settings: entry.DefaultSettings()} }
+
+// Check refuses values that an entry cannot run with.
+func (s *EntrySettings) Check() (err error) {
+	if err = s.Settings.Check(); err != nil {
+		return err
+	}
+	if s.PeerAddress == "" {
+		return eris.New("PeerAddress: must be set")
+	}
+	return s.Service.Check()
+}
+
+// Entry is a whole entry process.
+type Entry struct {
+	*entry.Entry
+	platform *Platform
+	ledger   *bucket.Owner
+	permits  *loadpermit.Holder
+	presence *registry.Presence
+	peers    *server.Server
+}
+
+// NewEntry opens the listeners of an entry process; Run starts its work.
+func NewEntry(s EntrySettings, log *timeline.Log, process ident.Process) (n *Entry, err error) {
+	defer func() { err = eris.Wrap(err, "set up entry") }()
+	if err = s.Check(); err != nil {
+		return nil, err
+	}
+	n = &Entry{}
+	id := configuration.Identity{Process: process, Role: registry.RoleEntry, Zone: s.Zone}
+	if n.platform, err = Connect(s.Service, id, s.PeerTLS, log); err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	n.peers, err = server.Listen(s.PeerAddress, mux, server.WithTLS(s.PeerTLS), server.AllowInsecure(s.AllowInsecure))
+	if err != nil {
+		return nil, err
+	}
+	self := registry.ProcessRecord{
+		Process: process, Role: registry.RoleEntry, Address: cmp.Or(s.PeerAdvertise, n.peers.Addr()), Host: s.Host, Zone: s.Zone,
+	}
+	n.presence = registry.NewPresence(n.platform.Store, quartz.NewReal(), self)
+	n.ledger = bucket.New(self, n.platform.Store, n.platform.View.Processes,
+		bucket.WithTimeline(log), bucket.WithRetention(n.retention), bucket.WithAgentAddress(n.agentAddress),
+		bucket.WithClients(
+			func(address string) bucket.Settler { return n.platform.Agent(address) },
+			func(address string) bucket.Forwarder { return n.platform.Entry(address) }))
+	n.permits = loadpermit.New(n.platform.Store, self, n.platform.Configuration)
+	peer := &peerService{Server: n.ledger.Server(), Source: n.platform.Configuration, Holder: n.permits, self: self}
+	mux.Handle(wire.EntryPathPrefix, wire.NewEntryServer(peer))
+
+	own := s.Settings
+	own.PeerAddress = ""
+	n.Entry, err = entry.New(own,
+		entry.WithLog(log), entry.WithProcess(process), entry.WithConfiguration(n.platform.Configuration),
+		entry.WithAgents(agents{n.platform.View}), entry.WithLedger(n.ledger), entry.WithIsolation(n.isolated))
+	if err != nil {
+		_ = n.peers.Close()
+	}
+	return n, err
+}
+
+// PeerAddress returns the address of the listener for the project's own processes.
+func (n *Entry) PeerAddress() string { return n.peers.Addr() }
+
+// Configuration returns the configuration that the process acts on.
+func (n *Entry) Configuration() *configuration.Source { return n.platform.Configuration }
+
+// Run serves until ctx ends; requests in progress finish and the ledger buckets are handed over before it returns.
+func (n *Entry) Run(ctx context.Context) (err error) {
+	background, end := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { n.platform.Run(background) })
+	wg.Go(func() { _ = n.ledger.Run(background) })
+	wg.Go(func() { _ = n.presence.Run(background) })
+	wg.Go(func() { _ = n.permits.Run(background) })
+	wg.Go(func() { _ = n.peers.Serve() })
+	err = n.Entry.Run(ctx)
+	n.release(background)
+	end()
+	_ = n.peers.Close()
+	wg.Wait()
+	return err
+}
+
+func (n *Entry) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	// A bucket that cannot be handed over is taken over by its epoch.
+	_ = n.ledger.Release(ctx)
+}
+
+func (n *Entry) retention() time.Duration {
+	return time.Duration(n.platform.Configuration.Current().Policy().KeyRetention)
+}
+
+func (n *Entry) agentAddress(e ident.Endpoint) (address string, ok bool) {
+	c, ok := n.platform.View.Claim(e)
+	return c.Address, ok
+}
+
+func (n *Entry) isolated() (reason string) {
+	if n.platform.Configuration.Isolated() {
+		return isolatedReason
+	}
+	return ""
+}
+
+// agents adapts the registry to the entry.
+type agents struct{ view *registry.View }
+
+// Claims lists the live claims.
+func (a agents) Claims() (list []entry.Claim) {
+	for _, c := range a.view.Claims() {
+		list = append(list, entry.Claim{ClaimRecord: c.ClaimRecord, Incarnation: c.Incarnation})
+	}
+	return list
+}
+
+// peerService serves the calls of the project's own processes.
+type peerService struct {
+	*bucket.Server
+	*configuration.Source
+	*loadpermit.Holder
+	self registry.ProcessRecord
+}
+
+// InForce says which configuration the entry acts on.
+func (p *peerService) InForce(context.Context, *wire.InForceRequest) (resp *wire.InForceResponse, err error) {
+	return &wire.InForceResponse{
+		Process: string(p.self.Process), Role: string(p.self.Role),
+		Generation: int64(p.Generation()), Failure: p.Failure(),
+	}, nil
+}
