Start the entry program from its settings, and refuse while no configuration is in force

Cause: cmd/entry had no source of configuration and claims; an entry that had not yet read its configuration answered 401 to every caller and reported ready. TestNoConfigurationYet shows the 503. Conclusion: the program needs a key-value service to serve; without one it refuses truthfully.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -2,90 +2,75 @@
 package main
 
 import (
-	"context"
 	"fmt"
+	"log/slog"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
 
-	"shallotring.dev/daemon/entry"
+	"shallotring.dev/daemon/node"
+	"shallotring.dev/daemon/program"
+	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/settings"
+	"shallotring.dev/transport/timeline"
 )
 
-type program struct {
-	Settings string  `help:"Settings file (TOML)." type:"existingfile" placeholder:"FILE"`
-	Run      run     `cmd:"" default:"1" hidden:"" help:"Serve the callers' API."`
-	Check    check   `cmd:"" help:"Check a settings file."`
-	Version  version `cmd:"" help:"Print the version."`
+type commandLine struct {
+	Run     runCommand     `cmd:"" default:"withargs" help:"Run the entry (the default command)."`
+	Check   checkCommand   `cmd:"" help:"Check a settings file."`
+	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
-type run struct{}
+type runCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"Settings file (TOML)."`
+}
 
 // Run serves until the first signal and then stops gracefully; the second signal interrupts the requests in progress.
-func (run) Run(p *program) (err error) {
-	if p.Settings == "" {
-		return fmt.Errorf("--settings: must name a file")
-	}
-	s, err := load(p.Settings)
+func (r *runCommand) Run() (err error) {
+	s, err := load(r.Settings)
 	if err != nil {
 		return err
 	}
-	e, err := entry.New(s, options(s)...)
+	process := ident.NewProcess("entry")
+	log := timeline.New(os.Stderr, timeline.Process{ID: process, Role: "entry", Host: s.Host, Zone: s.Zone}, slog.LevelInfo)
+	e, err := node.NewEntry(s, log, process)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := program.Context(log.Logger, func() { e.Abort("second signal") })
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	go func() {
-		<-signals
-		cancel()
-		e.Abort("second signal: " + (<-signals).String())
-	}()
 	return e.Run(ctx)
 }
 
-// options connects the entry to the sources of its state. The client of the key-value service provides them; until it is
-// connected here, entry.New refuses to start.
-func options(entry.Settings) []entry.Option { return nil }
-
-type check struct {
-	File string `arg:"" type:"existingfile" help:"Settings file."`
+type checkCommand struct {
+	File string `arg:"" help:"Settings file (TOML)."`
 }
 
-// Run prints the first error of the file, which names file, key and reason.
-func (c check) Run() (err error) {
+// Run reports the first fault of the file.
+func (c *checkCommand) Run() (err error) {
 	if _, err = load(c.File); err != nil {
 		return err
 	}
 	_, err = fmt.Println(c.File + ": ok")
-	return err
+	return eris.Wrap(err, "print")
 }
 
-type version struct{}
+type versionCommand struct{}
 
-// Run prints the version of the module and of the language.
-func (version) Run() (err error) {
-	text := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		text = info.Main.Version + " " + info.GoVersion
-	}
-	_, err = fmt.Println("entry " + text)
-	return err
+// Run prints the revision that the program was built from.
+func (*versionCommand) Run() (err error) {
+	_, err = fmt.Println("entry " + program.Version())
+	return eris.Wrap(err, "print")
 }
 
-func load(file string) (s entry.Settings, err error) {
-	s = entry.DefaultSettings()
+func load(file string) (s node.EntrySettings, err error) {
+	s = node.DefaultEntrySettings()
 	err = settings.Load(file, &s)
 	return s, err
 }
 
 func main() {
-	p := &program{}
-	k := kong.Parse(p, kong.Name("entry"), kong.Description("Serves the callers' API of a shallotring deployment."))
-	k.FatalIfErrorf(k.Run(p))
+	c := kong.Parse(&commandLine{}, kong.Name("entry"), kong.Description("Serves the callers' API of a shallotring deployment."))
+	c.FatalIfErrorf(c.Run())
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -34,10 +34,7 @@
 }
 
 // Claim is an agent's claim on its endpoint with the revision that it was made at.
-type Claim struct {
-	registry.ClaimRecord
-	Incarnation ident.Incarnation
-}
+type Claim = registry.Claim
 
 // Agents lists the claims of the live agents.
 type Agents interface {
@@ -206,6 +203,14 @@
 	if e.stopping.Load() {
 		return "stopping"
 	}
+	return e.refusing()
+}
+
+// refusing says why the process takes no new work, empty if it does.
+func (e *Entry) refusing() (reason string) {
+	if e.configuration.Current().Newest() == 0 {
+		return "no configuration is in force yet"
+	}
 	return e.isolated()
 }
 
--- a/daemon/entry/exchange.go
+++ b/daemon/entry/exchange.go
@@ -100,7 +100,7 @@
 }
 
 func (x *exchange) admit() (refusal *outcome.Refusal) {
-	if reason := x.entry.isolated(); reason != "" {
+	if reason := x.entry.refusing(); reason != "" {
 		return &outcome.Refusal{Reason: outcome.Isolated, RetryAfter: minRetryAfter, Detail: reason}
 	}
 	if x.key != "" && x.entry.ledger == nil {
--- a/daemon/entry/isolation_test.go
+++ b/daemon/entry/isolation_test.go
@@ -105,3 +105,21 @@
 		t.Errorf("new default: got %s", w.Header.Get(HeaderAdapter))
 	}
 }
+
+// Guards against a caller that is told that its token is unknown while the process has not read its configuration.
+func TestNoConfigurationYet(t *testing.T) {
+	c := &fixedConfiguration{}
+	c.set.Store(resource.NewSet())
+	r := startEntry(t, testSettings(), twoAgents(t), WithConfiguration(c))
+	if w := r.post(t, "/v1/chat/completions", chat); w.StatusCode != http.StatusServiceUnavailable || errorCode(t, w) != "isolated" {
+		t.Errorf("got %d", w.StatusCode)
+	}
+	if r.ready() == "" {
+		t.Error("ready without a configuration")
+	}
+	c.set.Store(testSet(t, 1, 1))
+	w := r.post(t, "/v1/chat/completions", chat)
+	if readAll(t, w); w.StatusCode != http.StatusOK || r.ready() != "" {
+		t.Errorf("with a configuration: got %d, %s", w.StatusCode, r.ready())
+	}
+}
--- a/daemon/entry/routes.go
+++ b/daemon/entry/routes.go
@@ -67,6 +67,11 @@
 		}
 		scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 		c, ok := v.caller(token)
+		if reason := e.refusing(); !ok && reason != "" {
+			// Without its configuration the process knows no caller.
+			e.reject(w, openai.NewError(http.StatusServiceUnavailable, string(outcome.Isolated), reason))
+			return
+		}
 		if !ok || !strings.EqualFold(scheme, "Bearer") {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			if r.ContentLength != 0 {
