Settle a try that its agent neither admits nor refuses in time

Cause: a paused agent keeps its connections, so a request sent to it waited until its own deadline, 5 minutes by default. Change: AcceptTimeout (5 s) bounds the wait for the first frame; past it the try is settled and, if repeatable, sent elsewhere. Conclusion: a paused agent costs a repeatable request at most AcceptTimeout and SettleTimeout.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -148,12 +148,14 @@
 	t := &http.Transport{
 		DialContext:         d.DialContext,
 		TLSHandshakeTimeout: dialTimeout,
-		MaxIdleConns:        4096,
-		MaxIdleConnsPerHost: 512,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-		ReadBufferSize:      16 << 10,
-		WriteBufferSize:     16 << 10,
+		// The agent sends the header with its first frame.
+		ResponseHeaderTimeout: e.settings.AcceptTimeout,
+		MaxIdleConns:          4096,
+		MaxIdleConnsPerHost:   512,
+		IdleConnTimeout:       time.Minute,
+		DisableCompression:    true,
+		ReadBufferSize:        16 << 10,
+		WriteBufferSize:       16 << 10,
 	}
 	e.scheme = "http://"
 	if e.settings.PeerTLS.Enabled() {
--- a/daemon/entry/fake_test.go
+++ b/daemon/entry/fake_test.go
@@ -84,6 +84,18 @@
 	return a
 }
 
+// inOrder picks the behaviour by the order of the tries, because which endpoint is first is up to the placement.
+func inOrder(first, second func(*frame.Writer, *wire.RunRequest, *http.Request)) func(*frame.Writer, *wire.RunRequest, *http.Request) {
+	var tries atomic.Int64
+	return func(w *frame.Writer, r *wire.RunRequest, h *http.Request) {
+		if tries.Add(1) == 1 {
+			first(w, r, h)
+			return
+		}
+		second(w, r, h)
+	}
+}
+
 func (a *fakeAgent) last() *wire.RunRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/daemon/entry/isolation_test.go
+++ b/daemon/entry/isolation_test.go
@@ -123,3 +123,21 @@
 		t.Errorf("with a configuration: got %d, %s", w.StatusCode, r.ready())
 	}
 }
+
+// Guards against a paused agent that holds a repeatable request until its deadline although another endpoint is free.
+func TestSilentAgent(t *testing.T) {
+	agents := []*fakeAgent{newFakeAgent(t), newFakeAgent(t), newFakeAgent(t)}
+	silent := func(_ *frame.Writer, _ *wire.RunRequest, h *http.Request) { <-h.Context().Done() }
+	agents[0].run = inOrder(silent, echo)
+	agents[1].run = agents[0].run
+	s := testSettings()
+	s.AcceptTimeout = 50 * time.Millisecond
+	r := startEntry(t, s, agents)
+	w := r.post(t, "/v1/chat/completions", chat)
+	if readAll(t, w); w.StatusCode != http.StatusOK || agents[0].runs.Load() != 1 || agents[1].runs.Load() != 1 {
+		t.Errorf("got %d after %d and %d tries", w.StatusCode, agents[0].runs.Load(), agents[1].runs.Load())
+	}
+	if n := agents[0].settles.Load() + agents[1].settles.Load(); n != 1 {
+		t.Errorf("%d tries were settled", n)
+	}
+}
--- a/daemon/entry/load_test.go
+++ b/daemon/entry/load_test.go
@@ -258,15 +258,7 @@
 		"mixed":           {abort, refuse, http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
-			// Which endpoint is first is up to the placement, so the order of the tries picks the fault.
-			var tries atomic.Int64
-			run := func(w *frame.Writer, q *wire.RunRequest, r *http.Request) {
-				if tries.Add(1) == 1 {
-					tt.first(w, q, r)
-					return
-				}
-				tt.second(w, q, r)
-			}
+			run := inOrder(tt.first, tt.second)
 			agents := []*fakeAgent{newFakeAgent(t), newFakeAgent(t), newFakeAgent(t)}
 			for _, a := range agents {
 				a.run = run
--- a/daemon/entry/settings.go
+++ b/daemon/entry/settings.go
@@ -47,6 +47,8 @@
 	WriteTimeout time.Duration
 	// RequestTimeout is the deadline of a request that names none.
 	RequestTimeout time.Duration
+	// AcceptTimeout bounds the time until an agent admits or refuses a try; past it the try is settled.
+	AcceptTimeout time.Duration
 	// SettleTimeout bounds the question to an agent what became of a try.
 	SettleTimeout time.Duration
 	// BalancerWait is the time between the failing readiness check and the close of the listener.
@@ -71,6 +73,7 @@
 		BodyTimeout:      l.BodyTimeout,
 		WriteTimeout:     30 * time.Second,
 		RequestTimeout:   5 * time.Minute,
+		AcceptTimeout:    5 * time.Second,
 		SettleTimeout:    time.Second,
 		BalancerWait:     5 * time.Second,
 	}
@@ -94,6 +97,7 @@
 		{"ReportInterval", int64(s.ReportInterval)}, {"HeaderTimeout", int64(s.HeaderTimeout)},
 		{"BodyTimeout", int64(s.BodyTimeout)}, {"WriteTimeout", int64(s.WriteTimeout)},
 		{"RequestTimeout", int64(s.RequestTimeout)}, {"SettleTimeout", int64(s.SettleTimeout)},
+		{"AcceptTimeout", int64(s.AcceptTimeout)},
 	} {
 		if v.value <= 0 {
 			return eris.Errorf("%s: must be positive", v.key)
