--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -24,16 +25,16 @@
 	"shallotring.dev/transport/timeline"
 )
 
+// dialTimeout bounds the connection to an agent; past it the try goes to another endpoint.
+const dialTimeout = time.Second
+
 // Configuration provides the resources in force.
 type Configuration interface {
 	Current() *resource.Set
 }
 
 // Claim is an agent's claim on its endpoint with the revision that it was made at.
-type Claim struct {
-	registry.ClaimRecord
-	Incarnation ident.Incarnation
-}
+type Claim = registry.Claim
 
 // Agents lists the claims of the live agents.
 type Agents interface {
@@ -139,13 +140,22 @@
 
 // connect builds the pooled HTTP/1.1 transport to the agents.
 func (e *Entry) connect() (err error) {
+	d := &net.Dialer{
+		Timeout: dialTimeout,
+		// A vanished host answers no packet; without probes its tries would last until their deadlines.
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
+	}
 	t := &http.Transport{
-		MaxIdleConns:        4096,
-		MaxIdleConnsPerHost: 512,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-		ReadBufferSize:      16 << 10,
-		WriteBufferSize:     16 << 10,
+		DialContext:         d.DialContext,
+		TLSHandshakeTimeout: dialTimeout,
+		// The agent sends the header with its first frame.
+		ResponseHeaderTimeout: e.settings.AcceptTimeout,
+		MaxIdleConns:          4096,
+		MaxIdleConnsPerHost:   512,
+		IdleConnTimeout:       time.Minute,
+		DisableCompression:    true,
+		ReadBufferSize:        16 << 10,
+		WriteBufferSize:       16 << 10,
 	}
 	e.scheme = "http://"
 	if e.settings.PeerTLS.Enabled() {
@@ -195,6 +205,14 @@
 	if e.stopping.Load() {
 		return "stopping"
 	}
+	return e.refusing()
+}
+
+// refusing says why the process takes no new work, empty if it does.
+func (e *Entry) refusing() (reason string) {
+	if e.configuration.Current().Newest() == 0 {
+		return "no configuration is in force yet"
+	}
 	return e.isolated()
 }
 
--- a/daemon/entry/routes.go
+++ b/daemon/entry/routes.go
@@ -70,8 +70,17 @@
 		}
 		scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 		c, ok := v.caller(token)
+		if reason := e.refusing(); !ok && reason != "" {
+			// Without its configuration the process knows no caller.
+			e.reject(w, openai.NewError(http.StatusServiceUnavailable, string(outcome.Isolated), reason))
+			return
+		}
 		if !ok || !strings.EqualFold(scheme, "Bearer") {
 			w.Header().Set("WWW-Authenticate", "Bearer")
+			if r.ContentLength != 0 {
+				// net/http otherwise reads from an unknown caller's body before it responds.
+				w.Header().Set("Connection", "close")
+			}
 			e.reject(w, openai.NewError(http.StatusUnauthorized, "invalid_token", "a known bearer token is required"))
 			return
 		}
