Add the operator's command line

Cause: operators had no way to write resources, to see where they are in force, or to follow a request through the logs. Change: daemon/operator holds apply, get, delete, watch, status, drain, timeline, check and version; cmd/shallotring only calls it. timeline.Merge orders the logs of many processes. status asks each live process by InForce and counts no process as up to date that does not answer or answers under another id. go.mod is tidied. Before: the program did nothing. After: the tests run each command against the stand-in and twirp servers under the race detector, and check the exit codes. Conclusion: local is added by the caller with kong.DynamicCommand.

--- a/coordination/configuration/editor.go
+++ b/coordination/configuration/editor.go
@@ -68,6 +68,22 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	set, err = decode(resource.NewSet(), records)
+	return set, at, err
+}
+
+// ApplyChanges returns the set with the changes of a watch; an unreadable shard is an error.
+func ApplyChanges(set *resource.Set, changes []keyvalue.Change) (next *resource.Set, err error) {
+	var records []keyvalue.Record
+	for _, c := range changes {
+		if !c.Deleted {
+			records = append(records, c.Record)
+		}
+	}
+	return decode(set, records)
+}
+
+func decode(set *resource.Set, records []keyvalue.Record) (next *resource.Set, err error) {
 	var updates []resource.Update
 	for _, r := range records {
 		x, ok := shardOf(r)
@@ -76,11 +92,11 @@
 		}
 		sh, err := resource.DecodeShard(x.number, x.value)
 		if err != nil {
-			return nil, 0, err
+			return nil, err
 		}
 		updates = append(updates, resource.Update{Number: x.number, Revision: x.revision, Shard: sh})
 	}
-	return resource.NewSet().ApplyAll(updates), at, nil
+	return set.ApplyAll(updates), nil
 }
 
 // Read returns a resource as a pointer to its type and the revision at which it last changed; zero if it is absent.
@@ -230,14 +246,15 @@
 		// A write that had taken effect would have given the resource a newer revision.
 		w.lost = false
 		return 0, false, nil
-	case w.content != nil && present && actual != at && equal(w.content, current):
+	case w.content != nil && present && actual != at && Equal(w.content, current):
 		// A later write of a neighbour hides whose write this was; what the operator asked for is what is declared.
 		return actual, true, nil
 	}
 	return 0, true, &Conflict{Name: w.name, Expected: w.expect, Actual: actual, MayHaveBeenWritten: true}
 }
 
-func equal(a, b any) bool {
+// Equal reports whether two resources have the same content.
+func Equal(a, b any) bool {
 	x, errX := json.Marshal(a)
 	y, errY := json.Marshal(b)
 	return errX == nil && errY == nil && bytes.Equal(x, y)
--- a/coordination/configuration/peer.go
+++ b/coordination/configuration/peer.go
@@ -170,3 +170,13 @@
 	}
 	return a, nil
 }
+
+// PeersOf returns the entries among the processes as peers; connect returns the client of one entry.
+func PeersOf(list []registry.ProcessRecord, connect func(registry.ProcessRecord) Changer) (peers []Peer) {
+	for _, p := range list {
+		if p.Role == registry.RoleEntry {
+			peers = append(peers, Peer{Process: p.Process, Zone: p.Zone, Changer: connect(p)})
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/daemon/operator/output.go
@@ -0,0 +1,42 @@
+package operator
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Forms of the output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+	outputTOML  = "toml"
+)
+
+// print writes rows as a table with a heading, or values as JSON lines.
+func (s *session) print(heading string, rows [][]string, values []any) (err error) {
+	if s.Output == outputJSON {
+		return printJSON(s.Out, values)
+	}
+	w := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
+	if heading != "" {
+		rows = append([][]string{strings.Fields(heading)}, rows...)
+	}
+	for _, r := range rows {
+		if _, err = io.WriteString(w, strings.Join(r, "\t")+"\n"); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+func printJSON(w io.Writer, values []any) (err error) {
+	e := json.NewEncoder(w)
+	for _, v := range values {
+		if err = e.Encode(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/state/resource/file.go
+++ b/state/resource/file.go
@@ -9,11 +9,11 @@
 
 // File is the form in which operators write resources.
 type File struct {
-	Adapter  []Adapter
-	Route    []Route
-	Endpoint []Endpoint
-	Policy   []Policy
-	Caller   []Caller
+	Adapter  []Adapter  `toml:",omitempty"`
+	Route    []Route    `toml:",omitempty"`
+	Endpoint []Endpoint `toml:",omitempty"`
+	Policy   []Policy   `toml:",omitempty"`
+	Caller   []Caller   `toml:",omitempty"`
 }
 
 // ParseFile reads resources from TOML and validates them; unknown keys, other spellings and repeated names are refused.
@@ -71,3 +71,14 @@
 	}
 	return true
 }
+
+// File returns the resources of the shard in the form that operators write.
+func (sh *Shard) File() File {
+	return File{
+		Adapter:  sh.Adapters,
+		Route:    sh.Routes,
+		Endpoint: sh.Endpoints,
+		Policy:   sh.Policies,
+		Caller:   sh.Callers,
+	}
+}
--- /dev/null
+++ b/transport/timeline/merge.go
@@ -0,0 +1,89 @@
+package timeline
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/state/ident"
+)
+
+// maxLineBytes bounds one line; longer lines are no events of the project.
+const maxLineBytes = 1 << 20
+
+// Line is one line of a log as far as the order and the filter need it.
+type Line struct {
+	Time      time.Time
+	Level     string
+	Message   string
+	Process   ident.Process
+	Role      string
+	RequestID ident.RequestID
+	Try       ident.Try
+	Adapter   ident.Adapter
+	Version   ident.Version
+	Endpoint  ident.Endpoint
+	Outcome   string
+	Reason    string
+	Detail    string
+	// Raw is the line as it was written.
+	Raw json.RawMessage `json:"-"`
+}
+
+// Filter selects lines; zero fields select all.
+type Filter struct {
+	RequestID ident.RequestID
+	Adapter   ident.Adapter
+	Endpoint  ident.Endpoint
+	// Since is the first time and Until the first time after the selected lines.
+	Since time.Time
+	Until time.Time
+}
+
+func (f Filter) selects(l *Line) bool {
+	switch {
+	case f.RequestID != "" && f.RequestID != l.RequestID:
+		return false
+	case f.Adapter != "" && f.Adapter != l.Adapter:
+		return false
+	case f.Endpoint != "" && f.Endpoint != l.Endpoint:
+		return false
+	case !f.Since.IsZero() && l.Time.Before(f.Since):
+		return false
+	}
+	return f.Until.IsZero() || l.Time.Before(f.Until)
+}
+
+// Merge reads logs and returns the selected lines in order of time; lines of the same time keep the order of the logs.
+// skipped is the number of lines that are no events, such as output of other programs in the same collection.
+func Merge(f Filter, logs ...io.Reader) (list []Line, skipped int, err error) {
+	for _, r := range logs {
+		lines := bufio.NewScanner(r)
+		lines.Buffer(nil, maxLineBytes)
+		for lines.Scan() {
+			l, ok := parse(lines.Bytes())
+			if !ok {
+				skipped++
+			} else if f.selects(&l) {
+				list = append(list, l)
+			}
+		}
+		if err = lines.Err(); err != nil {
+			return nil, skipped, eris.Wrap(err, "read log")
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return list, skipped, nil
+}
+
+func parse(text []byte) (l Line, ok bool) {
+	if json.Unmarshal(text, &l) != nil || l.Time.IsZero() {
+		return Line{}, false
+	}
+	l.Raw = slices.Clone(text)
+	return l, true
+}
