Keep the stand-in's progress ticker out of the configuration tests

The handler of an ended watch could still hold its progress ticker on the mock clock, and the mock refuses to pass it. The fault is in the test. Change: the tests' stand-in reports progress every 24 h; no test step waits for it. The mock clock no longer logs each call.

--- a/coordination/configuration/world_test.go
+++ b/coordination/configuration/world_test.go
@@ -30,8 +30,10 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{clock: quartz.NewMock(t)}
-	w.service = standin.New(standin.WithClock(w.clock))
+	w := &world{clock: quartz.NewMock(t).WithLogger(quartz.NoOpLogger)}
+	// The handler of a watch that has ended may hold its progress ticker a little longer; with a short interval that
+	// ticker would come between two steps of the clock or not, depending on scheduling.
+	w.service = standin.New(standin.WithClock(w.clock), standin.WithProgress(24*time.Hour))
 	server := httptest.NewServer(w.service.Handler())
 	transport := &http.Transport{}
 	client, err := keyvalue.New([]string{server.URL}, keyvalue.WithTransport(w.service.Transport(transport)),
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -25,7 +25,7 @@
 }
 
 func start(t *testing.T) fixture {
-	f := fixture{clock: quartz.NewMock(t)}
+	f := fixture{clock: quartz.NewMock(t).WithLogger(quartz.NoOpLogger)}
 	f.service = standin.New(standin.WithClock(f.clock))
 	server := httptest.NewServer(f.service.Handler())
 	client, err := keyvalue.New([]string{server.URL})
