--- a/coordination/configuration/editor_test.go
+++ b/coordination/configuration/editor_test.go
@@ -80,42 +80,71 @@
 }
 
 func TestRacingOperators(t *testing.T) {
-	// Guards against two operators who both succeed from the same revision.
-	const operators, rounds = 4, 10
-	w := newWorld(t)
-	w.set(t, "a", 0)
-	var (
-		wg   sync.WaitGroup
-		mu   sync.Mutex
-		wins int
-	)
-	for range operators {
-		wg.Go(func() {
-			for range rounds {
-				r, at, err := w.editor.Read(t.Context(), callerName("a"))
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				c := *r.(*resource.Caller)
-				c.Share++
-				_, err = w.editor.Put(t.Context(), &c, at)
-				var conflict *Conflict
-				if err != nil && !errors.As(err, &conflict) {
-					t.Error(err)
-				}
-				if err == nil {
-					mu.Lock()
-					wins++
-					mu.Unlock()
-				}
+	// Guards against two operators who both succeed from the same revision, and against a write that takes effect twice
+	// because its answer was lost.
+	for _, x := range []struct {
+		name string
+		lose bool
+	}{
+		{"answers arrive", false},
+		{"answers are lost", true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.set(t, "a", 0)
+			r := race{world: w, lose: x.lose}
+			var wg sync.WaitGroup
+			for range 4 {
+				wg.Go(func() { r.operate(t) })
+			}
+			wg.Wait()
+			c, _, err := w.editor.Read(t.Context(), callerName("a"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			share := int(c.(*resource.Caller).Share)
+			if share < r.wins || share > r.wins+r.unsure || (!x.lose && r.unsure > 0) {
+				t.Errorf("share %d after %d successful and %d uncertain writes", share, r.wins, r.unsure)
 			}
 		})
 	}
-	wg.Wait()
-	r, _, err := w.editor.Read(t.Context(), callerName("a"))
-	if err != nil || r.(*resource.Caller).Share != float64(wins) {
-		t.Errorf("share %v after %d successful writes, %v", r, wins, err)
+}
+
+// race counts the writes of operators who all add one to the same caller's share.
+type race struct {
+	world *world
+	lose  bool
+
+	mu     sync.Mutex
+	wins   int
+	unsure int
+}
+
+func (r *race) operate(t *testing.T) {
+	for round := range 10 {
+		old, at, err := r.world.editor.Read(t.Context(), callerName("a"))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if r.lose && round%2 == 0 {
+			r.world.service.LoseAnswers(1)
+		}
+		c := *old.(*resource.Caller)
+		c.Share++
+		_, err = r.world.editor.Put(t.Context(), &c, at)
+		var conflict *Conflict
+		if err != nil && !errors.As(err, &conflict) {
+			t.Error(err)
+		}
+		r.mu.Lock()
+		switch {
+		case err == nil:
+			r.wins++
+		case conflict.MayHaveBeenWritten:
+			r.unsure++
+		}
+		r.mu.Unlock()
 	}
 }
 
--- a/coordination/configuration/source_test.go
+++ b/coordination/configuration/source_test.go
@@ -318,6 +318,52 @@
 	}
 }
 
+func TestRunDuringOutage(t *testing.T) {
+	// Guards against a process that is started while the service is down and stays without a configuration, or that does
+	// not follow the service once it is back.
+	w := newWorld(t)
+	at := w.set(t, "a", 1)
+	var peers []Peer
+	for _, id := range []string{"a", "b", "c"} {
+		s := New(entry(id, "z"), w.client)
+		if err := s.readAll(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		peers = append(peers, Peer{ident.Process(id), "z", changer{s, never}})
+	}
+	w.service.SetOutage(standin.OutageRefused)
+	for _, x := range []struct {
+		name     string
+		identity Identity
+	}{
+		{"entry that watches", entry("0", "z")},
+		{"agent", Identity{Process: "d", Role: registry.RoleAgent, Zone: "z"}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := New(x.identity, w.client, WithPeers(func() []Peer { return peers }))
+			ended := make(chan error)
+			go func() { ended <- s.Run(ctx) }()
+			waitFor(t, s, at)
+			if share(s, "a") != 1 {
+				t.Errorf("share %v, want 1", share(s, "a"))
+			}
+			w.service.SetOutage(standin.OutageNone)
+			at = w.set(t, "a", 1)
+			at = w.set(t, "b", float64(at))
+			for _, p := range peers {
+				if err := p.Changer.(changer).source.readAll(t.Context()); err != nil {
+					t.Error(err)
+				}
+			}
+			waitFor(t, s, at)
+			w.service.SetOutage(standin.OutageRefused)
+			cancel()
+			<-ended
+		})
+	}
+}
+
 func waitFor(t *testing.T, s *Source, at ident.Revision) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
