--- a/cmd/shallotring/main.go
+++ b/cmd/shallotring/main.go
@@ -1,13 +1,22 @@
 // Command shallotring is the operator's command line.
 package main
 
-import "github.com/alecthomas/kong"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
-type commandLine struct {
-	Local localCommand `cmd:"" help:"Run the whole system in one process with embedded stand-ins."`
-}
+	"github.com/alecthomas/kong"
+
+	"shallotring.dev/daemon/operator"
+)
+
+func main() { os.Exit(run()) }
 
-func main() {
-	c := kong.Parse(&commandLine{}, kong.Name("shallotring"), kong.Description("Operates a shallotring deployment."))
-	c.FatalIfErrorf(c.Run())
+func run() (code int) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return operator.Run(ctx, os.Args[1:], operator.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr},
+		kong.DynamicCommand("local", "Run the whole system in one process with embedded stand-ins.", "", &localCommand{}))
 }
--- a/coordination/configuration/source_test.go
+++ b/coordination/configuration/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -282,6 +283,18 @@
 	if watching != 4 {
 		t.Errorf("%d of 20 entries watch, want 2 in each of 2 zones", watching)
 	}
+	first := make(map[ident.Process]int)
+	for i := range 100 {
+		follower := Identity{Process: ident.Process(fmt.Sprintf("agent-%d", i)), Role: registry.RoleAgent, Zone: "z"}
+		list := New(follower, nil, peers, WithWatchers(2)).sources()
+		if len(list) != 4 || list[0].Zone != "z" || list[1].Zone != "z" {
+			t.Fatalf("%s follows %v", follower.Process, list)
+		}
+		first[list[0].Process]++
+	}
+	if len(first) != 2 || first["z0"] < 20 || first["z1"] < 20 {
+		t.Errorf("the followers of a zone spread as %v", first)
+	}
 	agent := Identity{Process: "agent", Role: registry.RoleAgent, Zone: "z"}
 	if New(agent, nil, peers).watches() {
 		t.Error("an agent watches although entries are known")
@@ -318,6 +331,52 @@
 	}
 }
 
+func TestRunDuringOutage(t *testing.T) {
+	// Guards against a process that is started while the service is down and stays without a configuration, or that does
+	// not follow the service once it is back.
+	w := newWorld(t)
+	at := w.set(t, "a", 1)
+	var peers []Peer
+	for _, id := range []string{"a", "b", "c"} {
+		s := New(entry(id, "z"), w.client)
+		if err := s.readAll(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		peers = append(peers, Peer{ident.Process(id), "z", changer{s, never}})
+	}
+	w.service.SetOutage(standin.OutageRefused)
+	for _, x := range []struct {
+		name     string
+		identity Identity
+	}{
+		{"entry that watches", entry("0", "z")},
+		{"agent", Identity{Process: "d", Role: registry.RoleAgent, Zone: "z"}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := New(x.identity, w.client, WithPeers(func() []Peer { return peers }))
+			ended := make(chan error)
+			go func() { ended <- s.Run(ctx) }()
+			waitFor(t, s, at)
+			if share(s, "a") != 1 {
+				t.Errorf("share %v, want 1", share(s, "a"))
+			}
+			w.service.SetOutage(standin.OutageNone)
+			at = w.set(t, "a", 1)
+			at = w.set(t, "b", float64(at))
+			for _, p := range peers {
+				if err := p.Changer.(changer).source.readAll(t.Context()); err != nil {
+					t.Error(err)
+				}
+			}
+			waitFor(t, s, at)
+			w.service.SetOutage(standin.OutageRefused)
+			cancel()
+			<-ended
+		})
+	}
+}
+
 func waitFor(t *testing.T, s *Source, at ident.Revision) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
