bench: drive the decision packages on a simulated clock

Change: fake engines with continuous batches, slots and a prompt cache, a rate limited store, lagging reports and lossy cache events, four entries with their own tables; three baselines and a clairvoyant bound; targets, recovery trace, ablation and plot.

--- /dev/null
+++ b/bench/fleet/clock.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the simulated time at which each run starts.
+var epoch = time.Unix(1_700_000_000, 0)
+
+type event struct {
+	at     time.Duration
+	number int
+	run    func()
+}
+
+type events []event
+
+func (l events) Len() int { return len(l) }
+func (l events) Less(i, j int) bool {
+	return l[i].at < l[j].at || (l[i].at == l[j].at && l[i].number < l[j].number)
+}
+func (l events) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+func (l *events) Push(x any)   { *l = append(*l, x.(event)) }
+func (l *events) Pop() any {
+	last := len(*l) - 1
+	x := (*l)[last]
+	(*l)[last] = event{}
+	*l = (*l)[:last]
+	return x
+}
+
+// Clock runs events in order of their time.
+type Clock struct {
+	now    time.Duration
+	number int
+	events events
+}
+
+// Since returns the simulated time since the start.
+func (c *Clock) Since() time.Duration { return c.now }
+
+// Now returns the simulated time.
+func (c *Clock) Now() time.Time { return epoch.Add(c.now) }
+
+func (c *Clock) after(d time.Duration, run func()) {
+	c.number++
+	heap.Push(&c.events, event{at: c.now + d, number: c.number, run: run})
+}
+
+func (c *Clock) run(end time.Duration) {
+	for len(c.events) > 0 && c.events[0].at <= end {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.run()
+	}
+}
--- /dev/null
+++ b/bench/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet is the fake deployment of the benchmark: engines, a weight store and entries on a simulated clock.
+package fleet
--- /dev/null
+++ b/bench/report/doc.go
@@ -0,0 +1,2 @@
+// Package report runs the benchmark's matrix and prints its tables, lines and plot.
+package report
--- /dev/null
+++ b/bench/report/matrix.go
@@ -0,0 +1,107 @@
+package report
+
+import (
+	"runtime"
+	"sync"
+
+	"shallotring.dev/bench/fleet"
+	"shallotring.dev/bench/policy"
+	"shallotring.dev/bench/workload"
+	"shallotring.dev/state/placement"
+)
+
+// Names of the policies.
+const (
+	Own         = "shallotring"
+	Clairvoyant = "clairvoyant"
+)
+
+// Loads are the fractions of the capacity; the last lines are printed for FixedLoad.
+var Loads = []float64{0.5, 0.8, 0.95, 1.2}
+
+// FixedLoad is the load of the last lines and of most targets.
+const FixedLoad = 0.8
+
+// seed is fixed so that each run has the same output.
+const seed = 7
+
+// Policy makes one policy for one run.
+type Policy struct {
+	Name string
+	New  func() fleet.Policy
+}
+
+// Policies returns the compared policies, the baselines first.
+func Policies() []Policy {
+	return []Policy{
+		{"random-lru", func() fleet.Policy { return &policy.Baseline{Rule: policy.Random, Seed: seed} }},
+		{"least-lru", func() fleet.Policy { return &policy.Baseline{Rule: policy.LeastOutstanding, Seed: seed} }},
+		{"rendezvous-lru", func() fleet.Policy { return &policy.Baseline{Rule: policy.BoundedRendezvous, Seed: seed} }},
+		{Clairvoyant, func() fleet.Policy { return &policy.Clairvoyant{Baseline: policy.Baseline{Seed: seed}} }},
+		{Own, func() fleet.Policy { return &policy.Own{Seed: seed, Terms: placement.AllTerms} }},
+	}
+}
+
+func baselines() []string { return []string{"random-lru", "least-lru", "rendezvous-lru"} }
+
+// Ablations returns the project's policy with one part taken out of each.
+func Ablations() []Policy {
+	without := func(name string, term placement.Terms) Policy {
+		return Policy{name, func() fleet.Policy { return &policy.Own{Seed: seed, Terms: placement.AllTerms &^ term} }}
+	}
+	plain := func(name string, change func(*policy.Own)) Policy {
+		return Policy{name, func() fleet.Policy {
+			o := &policy.Own{Seed: seed, Terms: placement.AllTerms}
+			change(o)
+			return o
+		}}
+	}
+	return []Policy{
+		{Own, func() fleet.Policy { return &policy.Own{Seed: seed, Terms: placement.AllTerms} }},
+		without("no stall term", placement.StallTerm),
+		without("no queue term", placement.QueueTerm),
+		without("no batch term", placement.BatchTerm),
+		without("no prefix term", placement.PrefixTerm),
+		without("no correction by own sends", placement.CorrectionTerm),
+		without("no wanted replicas", placement.ReplicaTerm),
+		without("no preferred endpoint", placement.AffinityTerm),
+		plain("eviction by last use", func(o *policy.Own) { o.PlainEviction = true }),
+		plain("loads in order of asking", func(o *policy.Own) { o.PlainLoadOrder = true }),
+		plain("queue in order of arrival", func(o *policy.Own) { o.PlainAdmission = true }),
+	}
+}
+
+// Key names one run.
+type Key struct {
+	Workload string
+	Policy   string
+	Load     float64
+}
+
+// Runs holds the results of runs.
+type Runs map[Key]*fleet.Result
+
+// Matrix runs each workload at each load under each policy.
+func Matrix(specs []workload.Spec, loads []float64, policies []Policy) Runs {
+	runs := make(Runs)
+	var lock sync.Mutex
+	var group sync.WaitGroup
+	slot := make(chan struct{}, max(runtime.GOMAXPROCS(0)/2, 1))
+	for _, s := range specs {
+		for _, load := range loads {
+			list := s.Generate(load, seed)
+			for _, p := range policies {
+				group.Go(func() {
+					slot <- struct{}{}
+					defer func() { <-slot }()
+					r := fleet.Run(s, list, p.New(), seed)
+					lock.Lock()
+					defer lock.Unlock()
+					runs[Key{s.Name, p.Name, load}] = r
+				})
+			}
+		}
+	}
+	group.Wait()
+	return runs
+}
--- a/state/admission/callers.go
+++ b/state/admission/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"shallotring.dev/state/ident"
@@ -18,6 +19,7 @@
 
 // caller is what the queue knows of one caller.
 type caller struct {
+	name     ident.Caller
 	share    float64
 	waiting  int
 	arrivals float64
@@ -28,6 +30,8 @@
 // callers keeps the shares of the callers that are active.
 type callers struct {
 	known map[ident.Caller]*caller
+	// list has the same callers in a fixed order: sums in map order would differ in their last bits between runs.
+	list []*caller
 	// start is the tag of the item served last; a caller that comes back starts there and gains nothing from its absence.
 	start float64
 }
@@ -38,8 +42,9 @@
 	x, ok := c.known[name]
 	if !ok {
 		c.forget(now)
-		x = &caller{updated: now}
+		x = &caller{name: name, updated: now}
 		c.known[name] = x
+		c.list = append(c.list, x)
 	}
 	x.share = weight(share)
 	x.arrivals = x.decayed(now) + 1
@@ -50,11 +55,13 @@
 }
 
 func (c *callers) forget(now time.Time) {
-	for name, x := range c.known {
-		if x.waiting == 0 && x.decayed(now) < idle {
-			delete(c.known, name)
+	c.list = slices.DeleteFunc(c.list, func(x *caller) bool {
+		if x.waiting > 0 || x.decayed(now) >= idle {
+			return false
 		}
-	}
+		delete(c.known, x.name)
+		return true
+	})
 }
 
 func (c *callers) queued(name ident.Caller, n int) {
@@ -87,11 +94,11 @@
 // fraction is the caller's part of all shares; a caller alone leaves room for one more.
 func (c *callers) fraction(now time.Time, name ident.Caller) float64 {
 	own, sum, active := 1.0, 0.0, 0
-	for x, y := range c.known {
-		if x == name {
+	for _, y := range c.list {
+		if y.name == name {
 			own = y.share
 		}
-		if x == name || y.waiting > 0 || y.decayed(now) >= idle {
+		if y.name == name || y.waiting > 0 || y.decayed(now) >= idle {
 			sum += y.share
 			active++
 		}
@@ -109,7 +116,7 @@
 		return 1
 	}
 	arrivals, shares := 0.0, 0.0
-	for _, x := range c.known {
+	for _, x := range c.list {
 		arrivals += x.decayed(now)
 		shares += x.share
 	}
