slots: bound the demand of an idle adapter by its idle time

Cause: after a shift the former head keeps its slots for minutes, because its decayed demand stays above that of the tail.

--- a/bench/fleet/engine.go
+++ b/bench/fleet/engine.go
@@ -132,6 +132,7 @@
 }
 
 func (e *Engine) begin(av ident.AdapterVersion) {
+	e.fleet.replicated(av)
 	e.Slots.BeginLoad(e.fleet.Clock.Now(), av)
 	start := e.starts
 	began := e.fleet.Clock.now
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -206,3 +206,16 @@
 	}
 	return f.Policy.LoadWait() + f.Spec.Store.LoadTime
 }
+
+// replicated counts a load of an adapter that another engine already has.
+func (f *Fleet) replicated(av ident.AdapterVersion) {
+	if f.Clock.now < workload.WarmUp || f.Clock.now >= workload.End {
+		return
+	}
+	for _, e := range f.Engines {
+		if s := e.Slots.State(av); s == slots.Resident || s == slots.Loading {
+			f.Result.Replicas++
+			return
+		}
+	}
+}
--- a/bench/fleet/result.go
+++ b/bench/fleet/result.go
@@ -21,6 +21,8 @@
 	Late         int
 	NoRetryAfter int
 	Loads        int
+	// Replicas counts the loads of adapters that another engine had or was loading.
+	Replicas     int
 	MostInFlight int
 	MostQueued   int
 	useful, busy float64
--- a/state/slots/history.go
+++ b/state/slots/history.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// memory is the time constant of the decaying demand: long enough to rank the tail, short enough that a former head
-	// adapter gives way within half a minute.
+	// memory is the time constant of the decaying demand, long enough to rank the tail.
 	memory = 60 * time.Second
+	// idleUses bounds the demand by the idle time: at a steady demand, a gap of this many mean intervals is very rare.
+	idleUses = 4
 	// historyPerSlot bounds the adapters whose demand is remembered after their eviction.
 	historyPerSlot = 64
 	// forgotten is the demand below which an entry is dropped.
@@ -46,7 +47,12 @@
 }
 
 func (h *history) rate(now time.Time, av ident.AdapterVersion) float64 {
-	return h.counts[av].at(now) / memory.Seconds()
+	c := h.counts[av]
+	rate := c.at(now) / memory.Seconds()
+	if idle := now.Sub(c.updated); idle > 0 {
+		rate = min(rate, idleUses/idle.Seconds())
+	}
+	return rate
 }
 
 // shrink raises the threshold until a quarter of the limit is free, so that its cost is spread over many additions.
--- a/state/slots/slots_test.go
+++ b/state/slots/slots_test.go
@@ -47,6 +47,10 @@
 			load(s, 0, "former", 50, quick)
 			load(s, 300, "current", 3, quick)
 		}, 310, "former"},
+		{"keeps a former head adapter for longer than half a minute", func(s *Slots) {
+			load(s, 0, "former", 1000, quick)
+			load(s, 25, "current", 60, quick)
+		}, 31, "former"},
 		{"evicts an adapter that has just been loaded and not yet used", func(s *Slots) {
 			load(s, 0, "popular", 20, quick)
 			load(s, 10, "fresh", 0, quick)
