Let the registry's view serve as the entry's list of agents

Cause: an adapter repeated the type that the entry now shares with the registry. Change: the adapter is gone. Before/after: same calls; daemon tests pass. Conclusion: one type for a claim with its incarnation.

--- a/daemon/node/entry.go
+++ b/daemon/node/entry.go
@@ -92,7 +92,7 @@
 	own.PeerAddress = ""
 	n.Entry, err = entry.New(own,
 		entry.WithLog(log), entry.WithProcess(process), entry.WithConfiguration(n.platform.Configuration),
-		entry.WithAgents(agents{n.platform.View}), entry.WithLedger(n.ledger), entry.WithIsolation(n.isolated))
+		entry.WithAgents(n.platform.View), entry.WithLedger(n.ledger), entry.WithIsolation(n.isolated))
 	if err != nil {
 		_ = n.peers.Close()
 	}
@@ -145,17 +145,6 @@
 	return ""
 }
 
-// agents adapts the registry to the entry.
-type agents struct{ view *registry.View }
-
-// Claims lists the live claims.
-func (a agents) Claims() (list []entry.Claim) {
-	for _, c := range a.view.Claims() {
-		list = append(list, entry.Claim{ClaimRecord: c.ClaimRecord, Incarnation: c.Incarnation})
-	}
-	return list
-}
-
 // peerService serves the calls of the project's own processes.
 type peerService struct {
 	*bucket.Server
