Bound the ledger's write rate by a least time between commits

Cause: with commits back to back the group commit made as many calls as there are changes up to 1000 requests a second, so the rate was bounded by 32 buckets / 3 ms, far above the several hundred writes a second that the service takes.

Change: Config.CommitInterval (100 ms). The first commit after a quiet time starts at once; the next one waits, and Wake asks for the step that starts it.

Conclusion: writes are now bounded by the number of buckets; the price is a wait of up to 100 ms for the second change of a bucket within that time.

--- a/coordination/bucket/line.go
+++ b/coordination/bucket/line.go
@@ -188,6 +188,8 @@
 	case ledger.Violation:
 		l.owner.counters.violations.Inc()
 		l.event(timeline.InvariantViolated, fmt.Sprintf("bucket %02x: %v", l.number, x.Err))
+	case ledger.Wake:
+		l.owner.clock.AfterFunc(x.After, func() { l.send(ctx, message{event: ledger.Tick{}}) })
 	case ledger.ReadValue:
 		l.leftOver = nil // what an earlier attempt listed may be in use by now
 		l.background(ctx, c)
--- a/coordination/bucket/owner_test.go
+++ b/coordination/bucket/owner_test.go
@@ -96,6 +96,8 @@
 		group.Wait()
 		f.client.CloseIdleConnections()
 	})
+	c := ledger.DefaultConfig()
+	c.CommitInterval = 0 // the clock stands still
 	for i := range entries {
 		var handler http.Handler
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) }))
@@ -104,7 +106,7 @@
 			Process: ident.Process(fmt.Sprintf("entry-%d", i)), Role: registry.RoleEntry,
 			Address: strings.TrimPrefix(server.URL, "http://"),
 		}
-		o := New(r, f.store, f.peers, WithClock(f.clock), WithHTTPClient(f.client), WithMetrics(metrics.NewSet()),
+		o := New(r, f.store, f.peers, WithClock(f.clock), WithConfig(c), WithHTTPClient(f.client), WithMetrics(metrics.NewSet()),
 			WithTimeline(timeline.New(&f.log, timeline.Process{ID: r.Process}, slog.LevelInfo)))
 		handler = wire.NewEntryServer(entryServer{ledger: o.Server()})
 		f.owners, f.live = append(f.owners, o), append(f.live, r)
--- a/state/ledger/bucket.go
+++ b/state/ledger/bucket.go
@@ -19,6 +19,9 @@
 	MaxValueBytes int
 	// MaxBucketBytes bounds all records of the bucket, which the owner holds in memory.
 	MaxBucketBytes int
+	// CommitInterval is the least time between the starts of two commits; it bounds the write rate of all buckets
+	// together. A commit after a quiet time starts at once.
+	CommitInterval time.Duration
 	// SlowAfter is the time after which calls that wait for a write are refused.
 	SlowAfter time.Duration
 	// Backoff is the time between attempts to reach the service.
@@ -34,6 +37,7 @@
 		SealBytes:      32 << 10,
 		MaxValueBytes:  900 << 10, // the service takes 1 MB; the rest is for the header and the encoding of the call
 		MaxBucketBytes: 8 << 20,
+		CommitInterval: 100 * time.Millisecond, // 32 buckets make at most 320 commits a second
 		SlowAfter:      500 * time.Millisecond,
 		Backoff:        500 * time.Millisecond,
 		SettleAfter:    time.Minute,
@@ -82,6 +86,8 @@
 	parked    []Event
 	settling  map[recordKey]*settlement
 	sealing   *seal
+	lastWrite time.Time
+	waking    bool // a Wake is on its way
 	release   bool
 	// ifReleased restricts the takeover in progress, see Acquire.
 	ifReleased bool
@@ -150,6 +156,7 @@
 	case ClaimRead:
 		b.claimRead(now, e)
 	case Tick:
+		b.waking = false
 		b.tick(now)
 	}
 	b.flush(now)
--- a/state/ledger/bucket_test.go
+++ b/state/ledger/bucket_test.go
@@ -22,6 +22,13 @@
 	result WriteResult
 }
 
+// testConfig commits without pacing, because the clock of the table tests stands still.
+func testConfig() Config {
+	c := DefaultConfig()
+	c.CommitInterval = 0
+	return c
+}
+
 func newDriver(t *testing.T, c Config) *driver {
 	t.Helper()
 	d := &driver{Bucket: New("a", c), now: epochStart, values: map[string][]byte{}}
@@ -132,7 +139,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			d := newDriver(t, DefaultConfig())
+			d := newDriver(t, testConfig())
 			for _, ev := range c.events {
 				d.play(ev)
 			}
@@ -156,7 +163,7 @@
 		{"answer lost, applied", Lost, true, Granted},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d := newDriver(t, DefaultConfig())
+			d := newDriver(t, testConfig())
 			write := d.Step(d.now, intendOf(try("r1", 1)))[0].(WriteValue)
 			if c.applied {
 				d.at++
@@ -172,7 +179,7 @@
 
 // Guards against calls that wait for a service that is down.
 func TestRefusesAtOnceWhileDown(t *testing.T) {
-	d := newDriver(t, DefaultConfig())
+	d := newDriver(t, testConfig())
 	d.result = Down
 	d.play(intendOf(try("r1", 1)))
 	e := intendOf(try("r2", 1))
@@ -185,7 +192,7 @@
 
 // Guards against calls that wait for a service that does not answer a write.
 func TestRefusesWhileSlow(t *testing.T) {
-	d := newDriver(t, DefaultConfig())
+	d := newDriver(t, testConfig())
 	d.Step(d.now, intendOf(try("r1", 1)))
 	d.now = d.now.Add(time.Second)
 	d.play(Tick{})
@@ -196,8 +203,8 @@
 
 // Guards against a former owner that goes on after another process has taken the bucket over.
 func TestFormerOwnerLosesBucket(t *testing.T) {
-	d := newDriver(t, DefaultConfig())
-	other := &driver{Bucket: New("b", DefaultConfig()), now: d.now, values: d.values, at: d.at}
+	d := newDriver(t, testConfig())
+	other := &driver{Bucket: New("b", testConfig()), now: d.now, values: d.values, at: d.at}
 	other.play(Acquire{})
 	d.at, d.result = other.at, Conflict
 	d.play(intendOf(try("r1", 1)))
@@ -209,7 +216,7 @@
 
 // Guards against records that are lost when they move to a segment, on takeover and after the retention.
 func TestSegments(t *testing.T) {
-	c := DefaultConfig()
+	c := testConfig()
 	c.SealBytes = 1 << 10
 	d := newDriver(t, c)
 	largest := 0
@@ -244,7 +251,7 @@
 
 // Guards against a value beyond the service's limit: intents are refused and outcomes still fit.
 func TestValueLimit(t *testing.T) {
-	c := DefaultConfig()
+	c := testConfig()
 	c.MaxValueBytes = 64 << 10
 	d := newDriver(t, c)
 	var ids []Intend
@@ -270,7 +277,7 @@
 
 // Guards against a dispute over a key older than the retention.
 func TestKeyAge(t *testing.T) {
-	d := newDriver(t, DefaultConfig())
+	d := newDriver(t, testConfig())
 	milli := fmt.Sprintf("%012x", epochStart.UnixMilli())
 	key := ident.Key(milli[:8] + "-" + milli[8:] + "-7000-8000-000000000000")
 	e := intendOf(try("r1", 1))
@@ -289,7 +296,7 @@
 
 // Guards against an invariant that is not reported: a superseded try that has run.
 func TestSupersededTryRan(t *testing.T) {
-	d := newDriver(t, DefaultConfig())
+	d := newDriver(t, testConfig())
 	d.play(intendOf(try("r1", 1)))
 	d.play(intendOf(try("r2", 1)))
 	d.play(settledOf(try("r1", 1), TryNeverStarted))
@@ -301,9 +308,23 @@
 	}
 }
 
+// Guards against a write rate that grows with the number of requests.
+func TestCommitInterval(t *testing.T) {
+	d := newDriver(t, DefaultConfig())
+	d.play(intendOf(try("r1", 1)))
+	w, ok := d.last[len(d.last)-1].(Wake)
+	if !ok || w.After != DefaultConfig().CommitInterval || d.decision() != 0 {
+		t.Fatalf("got %v, want a wait", d.last)
+	}
+	d.now = d.now.Add(w.After)
+	if d.play(Tick{}); d.decision() != Granted {
+		t.Fatalf("got %v, want a grant", d.last)
+	}
+}
+
 // Guards against a planned handover that leaves the bucket with its former owner.
 func TestRelease(t *testing.T) {
-	d := newDriver(t, DefaultConfig())
+	d := newDriver(t, testConfig())
 	d.play(intendOf(try("r1", 1)))
 	d.play(Release{})
 	var v Value
--- a/state/ledger/commit.go
+++ b/state/ledger/commit.go
@@ -69,6 +69,13 @@
 	if len(b.queue) == 0 && len(b.unmatched) == 0 {
 		return
 	}
+	if wait := b.lastWrite.Add(b.config.CommitInterval).Sub(now); wait > 0 {
+		if !b.waking {
+			b.waking = true
+			b.emit(Wake{After: wait})
+		}
+		return
+	}
 	c := &commit{owner: b.self, changes: b.queue, unmatched: b.unmatched}
 	b.queue, b.unmatched = nil, nil
 	b.write(now, c)
@@ -78,6 +85,7 @@
 	b.writes++
 	c.id = fmt.Sprintf("%s/%d", b.self, b.writes)
 	c.expect, c.started = b.revision, now
+	b.lastWrite = now
 	c.active = make(map[recordKey]*entry, len(b.active)+len(c.changes))
 	for k, e := range b.active {
 		if !e.expired(now) {
--- a/state/ledger/event.go
+++ b/state/ledger/event.go
@@ -230,6 +230,9 @@
 	Planned bool
 }
 
+// Wake asks for a Tick after a time, when the next commit may start.
+type Wake struct{ After time.Duration }
+
 // Violation reports a broken invariant; the bucket has given up ownership.
 type Violation struct{ Err *InvariantError }
 
@@ -244,4 +247,5 @@
 func (ConcludeReply) command() {}
 func (Taken) command()         {}
 func (Released) command()      {}
+func (Wake) command()          {}
 func (Violation) command()     {}
--- a/state/ledger/world_test.go
+++ b/state/ledger/world_test.go
@@ -126,7 +126,7 @@
 func (p *process) start() {
 	p.life++
 	c := DefaultConfig()
-	c.SealBytes, c.SettleAfter = 2<<10, 5*time.Second
+	c.SealBytes, c.SettleAfter, c.CommitInterval = 2<<10, 5*time.Second, 10*time.Millisecond
 	p.id = ident.Process(fmt.Sprintf("entry-%d-%d", p.number, p.life))
 	p.bucket = New(p.id, c)
 	p.replies = map[Token]func(Command){}
@@ -207,6 +207,8 @@
 		p.reply(x.Token, x)
 	case ConcludeReply:
 		p.reply(x.Token, x)
+	case Wake:
+		p.later(x.After, func() { p.step(Tick{}) })
 	case Violation:
 		w.problem("violation at %s: %v", p.id, x.Err)
 	}
