--- /dev/null
+++ b/soak/backend/doc.go
@@ -0,0 +1,2 @@
+// Package backend is a fake of engines and plain services that keeps a journal of what ran.
+package backend
