gate: keep the adapter of a try pinned while the engine may still run it

A try whose connection to the engine broke, or that was cancelled, ended as unknown and released its adapter at once. The engine could still be running it, so the adapter was evicted in use (G2); and a request that was still on its way could run on weights loaded under the same name since (G1).

Such a try now keeps its adapter pinned until a list of the engine that was read after its end no longer names it. If the engine has neither answered nor listed it, that list must be read a quarantine time (5 s) after the end, the time that the design already allows for a delayed unload. The agent tells the gate whether the endpoint has begun to answer.

The new gate test fails without the call to linger.

--- a/daemon/agent/run.go
+++ b/daemon/agent/run.go
@@ -178,7 +178,7 @@
 	if err == nil && r.GetKey() != "" {
 		j.keep(head, nil)
 	}
-	e = gate.Ended{ID: j.id, Outcome: outcomeOf(err), Answer: j.answer}
+	e = gate.Ended{ID: j.id, Outcome: outcomeOf(err), Reached: head.Status != 0, Answer: j.answer}
 	if err != nil {
 		e.Detail = err.Error()
 	}
--- a/soak/fleet/job.go
+++ b/soak/fleet/job.go
@@ -44,6 +44,8 @@
 	answer  *gate.Answer
 	over    bool
 	broken  bool
+	// reached is set once the endpoint has begun to answer.
+	reached bool
 }
 
 // receive takes a try that has arrived over a stream.
@@ -171,6 +173,7 @@
 	if j.over {
 		return
 	}
+	j.reached = true
 	if j.request.GetKey() != "" {
 		j.keep(data)
 	}
@@ -195,7 +198,7 @@
 		return
 	}
 	j.over = true
-	j.agent.step(gate.Ended{ID: j.id, Outcome: o, Answer: j.answer, Detail: string(o)})
+	j.agent.step(gate.Ended{ID: j.id, Outcome: o, Reached: j.reached, Answer: j.answer, Detail: string(o)})
 }
 
 // hangUp closes the connection to the endpoint after a cancel.
--- a/soak/fleet/order.go
+++ b/soak/fleet/order.go
@@ -48,10 +48,14 @@
 	case x == cutAfter:
 		a.later(f.clock.Between(0, time.Second), func() { failed(engine.MayHaveEffect) })
 	}
+	start := a.site.backend.StartID
 	f.clock.After(delay, func() {
-		if !a.site.down {
+		// What is in the buffers of a process that has ended is gone.
+		if !a.site.down && a.site.backend.StartID == start {
 			arrive(o)
+			return
 		}
+		a.later(f.latency(), func() { failed(engine.MayHaveEffect) })
 	})
 }
 
--- a/soak/fleet/stream.go
+++ b/soak/fleet/stream.go
@@ -74,7 +74,7 @@
 	s.damage(data)
 }
 
-// damage loses, repeats, delays, reorders, changes or misdirects a frame.
+// damage loses, repeats, delays, reorders, cuts or misdirects a frame.
 func (s *stream) damage(data []byte) {
 	c := s.fleet.clock
 	switch c.Random().IntN(6) {
@@ -87,11 +87,8 @@
 		s.exchange.entry.later(c.Between(10*time.Millisecond, 5*time.Second), func() { s.arrive(s.exchange, data) })
 	case 3: // overtaken by the next frame
 		s.held = data
-	case 4: // changed
-		if i := c.Random().IntN(len(data)); i > 2 {
-			data[i] ^= 1 << c.Random().IntN(8)
-		}
-		s.deliver(data)
+	case 4: // cut short
+		s.deliver(data[:len(data)/2])
 	case 5: // sent to another request as well
 		s.deliver(data)
 		if other := s.fleet.anyExchange(); other != nil {
--- a/state/gate/check.go
+++ b/state/gate/check.go
@@ -50,6 +50,11 @@
 			return v, false
 		}
 	}
+	for _, l := range g.lingering {
+		if l.adapter == av {
+			return v, false
+		}
+	}
 	return v, true
 }
 
--- a/state/gate/event.go
+++ b/state/gate/event.go
@@ -39,6 +39,8 @@
 type Ended struct {
 	ID      ident.TryID
 	Outcome outcome.Outcome
+	// Reached is set if the endpoint has begun to answer, so that no copy of the request is still on its way to it.
+	Reached bool
 	// Answer is kept for Settle if the try has a key.
 	Answer *Answer
 	Detail string
--- a/state/gate/gate.go
+++ b/state/gate/gate.go
@@ -89,6 +89,7 @@
 	startID   ident.StartID
 	formerIDs []ident.StartID
 	adopted   map[string]ident.AdapterVersion
+	lingering map[string]linger
 	adapters  map[ident.AdapterVersion]*adapter
 	orders    map[uint64]*order
 	number    uint64
@@ -106,17 +107,18 @@
 // New returns the gate of an endpoint; nothing starts before the first survey of an engine.
 func New(c Config) *Gate {
 	return &Gate{
-		Config:   c,
-		queue:    admission.New(c.Queue),
-		slots:    slots.New(c.Slots),
-		tries:    make(map[ident.TryID]*try),
-		keys:     make(map[callerKey]ident.TryID),
-		active:   make(map[ident.TryID]*try),
-		forgets:  make(map[time.Time][]ident.TryID),
-		synced:   c.Service,
-		adopted:  make(map[string]ident.AdapterVersion),
-		adapters: make(map[ident.AdapterVersion]*adapter),
-		orders:   make(map[uint64]*order),
+		Config:    c,
+		queue:     admission.New(c.Queue),
+		slots:     slots.New(c.Slots),
+		tries:     make(map[ident.TryID]*try),
+		keys:      make(map[callerKey]ident.TryID),
+		active:    make(map[ident.TryID]*try),
+		forgets:   make(map[time.Time][]ident.TryID),
+		synced:    c.Service,
+		adopted:   make(map[string]ident.AdapterVersion),
+		lingering: make(map[string]linger),
+		adapters:  make(map[ident.AdapterVersion]*adapter),
+		orders:    make(map[uint64]*order),
 	}
 }
 
--- /dev/null
+++ b/state/gate/linger_test.go
@@ -0,0 +1,75 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+)
+
+// Guards against the eviction of an adapter that a request is still using after its connection to the agent has broken (G2),
+// and against a request that arrives late and runs on weights that were loaded under the same name since (G1).
+func TestLingeringTryPinsItsAdapter(t *testing.T) {
+	tests := []struct {
+		name    string
+		reached bool
+		// listedUntil is the time until which the engine lists the request, freeAt that from which the adapter may go.
+		listedUntil, freeAt time.Duration
+	}{
+		{"still running", true, 3 * time.Second, 3 * time.Second},
+		{"gone by the first list", true, 0, time.Second},
+		{"never seen", false, 0, 5 * time.Second},
+		{"seen in a list", false, 2 * time.Second, 2 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGate(t, nil)
+			r := try1("r1", a1)
+			g.Step(begin, r)
+			expect(t, "end", g.Step(begin, Ended{ID: r.ID, Outcome: outcome.Unknown, Reached: tt.reached}), "finish unknown")
+			g.Step(begin, Permits{Granted: 1, Until: begin.Add(time.Minute)})
+			g.Step(begin, try1("r2", a2))
+			at, ok := firstUnload(g, func(d time.Duration) (list []Request) {
+				if d < tt.listedUntil {
+					list = []Request{{ID: "r1/1", Adapter: a1}}
+				}
+				return list
+			})
+			if !ok || at != tt.freeAt {
+				t.Errorf("unload after %s (sent: %t), want it after %s", at, ok, tt.freeAt)
+			}
+		})
+	}
+}
+
+// firstUnload answers surveys each second and returns the time of the first unload of a1.
+func firstUnload(g *Gate, running func(time.Duration) []Request) (at time.Duration, ok bool) {
+	for at = 0; at <= 10*time.Second; at += time.Second {
+		now := begin.Add(at)
+		commands := g.Step(now, Tick{})
+		for i := 0; i < len(commands); i++ {
+			switch x := commands[i].(type) {
+			case Unload:
+				return at, x.Adapter == a1
+			case Survey:
+				commands = append(commands, g.Step(now, Surveyed{
+					Number: x.Number, StartID: "s1", Models: []Model{{Adapter: a1, Digest: "d"}}, Running: running(at),
+				})...)
+			}
+		}
+	}
+	return at, false
+}
+
+// Guards against slots that stay pinned for ever by tries of an engine process that has ended.
+func TestRestartEndsLingering(t *testing.T) {
+	g := newGate(t, nil)
+	r := try1("r1", a1)
+	g.Step(begin, r)
+	g.Step(begin, Ended{ID: r.ID, Outcome: outcome.Unknown})
+	g.Step(begin, Observed{StartID: ident.StartID("s2")})
+	if len(g.lingering) != 0 || g.slots.InUse(a1) != 0 {
+		t.Errorf("after a restart %d tries linger, %d pins are left", len(g.lingering), g.slots.InUse(a1))
+	}
+}
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -18,6 +18,7 @@
 
 type surveyState struct {
 	number  uint64
+	started time.Time
 	flying  bool
 	due     time.Time
 	changes uint64
@@ -33,7 +34,7 @@
 		return
 	}
 	g.number++
-	g.survey = surveyState{number: g.number, flying: true, changes: g.changes}
+	g.survey = surveyState{number: g.number, started: g.now, flying: true, changes: g.changes}
 	g.emit(Survey{Number: g.number})
 }
 
@@ -61,6 +62,8 @@
 		return
 	}
 	g.releaseAdopted(s.Running)
+	g.markReached(s.Running)
+	g.releaseLingering(g.survey.started, s.Running)
 	if g.survey.changes == g.changes && len(g.orders) == 0 {
 		g.compare(s.Models)
 	}
@@ -109,6 +112,7 @@
 		o.stale = true
 	}
 	g.slots.Reset()
+	clear(g.lingering)
 	clear(g.adapters)
 	g.synced = false
 	g.changes++
--- a/state/gate/try.go
+++ b/state/gate/try.go
@@ -34,8 +34,10 @@
 	outcome  outcome.Outcome
 	admitted time.Time
 	canceled bool
-	forget   time.Time
-	answer   *Answer
+	// reached is set once the engine has listed the try.
+	reached bool
+	forget  time.Time
+	answer  *Answer
 }
 
 // callerKey is an idempotency key, which is scoped to its caller.
@@ -168,6 +170,9 @@
 	if t.Key != "" && e.Outcome == outcome.Completed {
 		g.keep(t, e.Answer)
 	}
+	if e.Outcome == outcome.Unknown {
+		g.linger(t, e.Reached)
+	}
 	g.stopRunning(t, e.Outcome)
 	var refusal *outcome.Refusal
 	if e.Outcome == outcome.NotRun {
