gate: do not accuse the engine of an eviction in use while a try's end is on its way

An agent that has lost its claim without knowing compares its view with the engine's list. If its successor has evicted an adapter after the last request on it had ended, the former agent still counted a user whose end had not arrived, and reported a violation of G2 that never happened.

The assertion now needs a request that the engine itself lists as running on the adapter. Otherwise tries that only linger are dropped with the slot, and a try whose end is on its way is waited for.

--- a/state/gate/linger_test.go
+++ b/state/gate/linger_test.go
@@ -73,3 +73,35 @@
 		t.Errorf("after a restart %d tries linger, %d pins are left", len(g.lingering), g.slots.InUse(a1))
 	}
 }
+
+// Guards against an assertion that accuses the engine while the end of a try is still on its way, and against one that
+// stays silent although a running request has lost its adapter (G2).
+func TestAdapterLostToASuccessor(t *testing.T) {
+	tests := []struct {
+		name    string
+		ended   bool
+		running []Request
+		want    []string
+	}{
+		{"the end is on its way", false, nil, nil},
+		{"the try lingers", true, nil, nil},
+		{"the engine runs it", false, []Request{{ID: "r1/1", Adapter: a1}}, []string{"violation G2"}},
+		{"the engine runs it after its end", true, []Request{{ID: "r1/1", Adapter: a1}}, []string{"violation G2"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGate(t, nil)
+			r := try1("r1", a1)
+			g.Step(begin, r)
+			if tt.ended {
+				g.Step(begin, Ended{ID: r.ID, Outcome: outcome.Unknown})
+			}
+			now := begin.Add(time.Second)
+			survey := g.Step(now, Tick{})[0].(Survey)
+			expect(t, "survey", g.Step(now, Surveyed{Number: survey.Number, StartID: "s1", Running: tt.running}), tt.want...)
+			if tt.ended && tt.running == nil && g.slots.Free() != 1 {
+				t.Error("the slot of an adapter that is gone is still taken")
+			}
+		})
+	}
+}
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -65,7 +65,7 @@
 	g.markReached(s.Running)
 	g.releaseLingering(g.survey.started, s.Running)
 	if g.survey.changes == g.changes && len(g.orders) == 0 {
-		g.compare(s.Models)
+		g.compare(s)
 	}
 }
 
@@ -158,9 +158,9 @@
 }
 
 // compare corrects the view where adapters came or went without a command of this gate.
-func (g *Gate) compare(models []Model) {
+func (g *Gate) compare(s Surveyed) {
 	listed := make(map[ident.AdapterVersion]bool)
-	for _, m := range models {
+	for _, m := range s.Models {
 		listed[m.Adapter] = true
 		if g.slots.State(m.Adapter) == slots.Absent {
 			g.slots.Loaded(g.now, m.Adapter)
@@ -175,13 +175,28 @@
 	})
 	sortAdapters(lost)
 	for _, av := range lost {
-		if g.slots.InUse(av) > 0 {
-			g.violate(Violation{Guarantee: G2, Adapter: av, Detail: "the engine no longer lists an adapter in use"})
-			continue
+		g.lost(av, s.Running)
+	}
+}
+
+// lost drops an adapter that the engine no longer lists. A successor of this agent may have evicted it after the end of
+// a request whose end has not been reported here yet; only a request that the engine still runs proves an eviction in use.
+func (g *Gate) lost(av ident.AdapterVersion, running []Request) {
+	if slices.ContainsFunc(running, func(r Request) bool { return r.Adapter == av }) {
+		g.violate(Violation{Guarantee: G2, Adapter: av, Detail: "the engine no longer lists an adapter in use"})
+		return
+	}
+	for name, l := range g.lingering {
+		if l.adapter == av {
+			delete(g.lingering, name)
+			g.slots.Release(g.now, av)
 		}
-		g.slots.Drop(av)
-		delete(g.adapters, av)
 	}
+	if g.slots.InUse(av) > 0 {
+		return
+	}
+	g.slots.Drop(av)
+	delete(g.adapters, av)
 }
 
 func sortAdapters(list []ident.AdapterVersion) {
