Account for every request in log, record, metric and answer

Cause: an intent refused as expired was answered as an unavailable ledger (503 with Retry-After) although a repeat can never succeed. Requests refused for their input left no line in the log and no record, refusals of keys had no reason, a replayed answer looked like a run of its own, and the agent's lines named neither caller nor endpoint of a try.

Change: the attempt ends INTENT_STATE_EXPIRED as not-run (422, key_expired). Each refusal writes a line with request id, reason and status; requests of known callers also get a record. A replay names the request that ran in ReplayOf. The timeline command shows caller, service, status, tokens, stall and duration. Refusals are counted by reason in shallotring_entry_refusals_total, which replaces shallotring_entry_requests_rejected_total; refused input now counts as not-run in shallotring_entry_requests_total.

--- a/daemon/agent/control.go
+++ b/daemon/agent/control.go
@@ -9,6 +9,7 @@
 
 	"shallotring.dev/state/gate"
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
 	"shallotring.dev/transport/timeline"
 )
 
@@ -61,7 +62,7 @@
 		if x, ok := c.(gate.Accept); ok && m.stream != nil {
 			a.streams[x.ID] = m.stream
 		}
-		a.carryOut(c)
+		a.carryOut(c, m.event)
 	}
 	if m.reply != nil {
 		m.reply <- commands
@@ -69,12 +70,16 @@
 }
 
 // carryOut starts what a command asks for; it does not wait for the endpoint.
-func (a *Agent) carryOut(c gate.Command) {
+func (a *Agent) carryOut(c gate.Command, cause gate.Event) {
 	switch x := c.(type) {
 	case gate.Accept:
-		a.log.Event(timeline.Event{Kind: timeline.TryAccepted, RequestID: x.ID.RequestID, Try: x.ID.Try, Incarnation: x.ID.Incarnation})
+		a.log.Event(a.tryEvent(timeline.TryAccepted, x.ID, cause))
 	case gate.Refuse:
-		a.refused(x)
+		a.refused(x, cause)
+	case gate.Abandon:
+		e := a.tryEvent(timeline.TryAbandoned, x.ID, cause)
+		e.Outcome, e.Reason = outcome.Unknown, x.Reason
+		a.log.Event(e)
 	case gate.Start:
 		a.started(x)
 	case gate.Finish:
@@ -115,12 +120,22 @@
 	}
 }
 
-func (a *Agent) refused(x gate.Refuse) {
+// tryEvent names caller and adapter if the cause is the call that brought the try.
+func (a *Agent) tryEvent(kind timeline.Kind, id ident.TryID, cause gate.Event) (e timeline.Event) {
+	e = timeline.Event{
+		Kind: kind, RequestID: id.RequestID, Try: id.Try, Incarnation: id.Incarnation, Endpoint: a.settings.Endpoint,
+	}
+	if r, ok := cause.(gate.Run); ok && r.ID == id {
+		e.Caller, e.Adapter, e.Version = r.Caller, r.Adapter.Adapter, r.Adapter.Version
+	}
+	return e
+}
+
+func (a *Agent) refused(x gate.Refuse, cause gate.Event) {
 	a.meters.refusals(x.Refusal.Reason).Inc()
-	a.log.Event(timeline.Event{
-		Kind: timeline.TryRefused, RequestID: x.ID.RequestID, Try: x.ID.Try, Incarnation: x.ID.Incarnation,
-		Endpoint: a.settings.Endpoint, Reason: x.Refusal.Reason, Detail: x.Refusal.Detail,
-	})
+	e := a.tryEvent(timeline.TryRefused, x.ID, cause)
+	e.Outcome, e.Reason, e.Detail = outcome.NotRun, x.Refusal.Reason, x.Refusal.Detail
+	a.log.Event(e)
 }
 
 func (a *Agent) started(x gate.Start) {
--- a/daemon/agent/run.go
+++ b/daemon/agent/run.go
@@ -48,6 +48,7 @@
 func (a *Agent) run(w http.ResponseWriter, r *http.Request) {
 	request, err := readRequest(r)
 	if err != nil {
+		a.log.WarnContext(r.Context(), "run request refused", errorAttr(err))
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -100,6 +101,9 @@
 func (j *job) admit(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	commands, err := j.agent.ask(r.Context(), j.event(r.Context()), j.stream)
 	if err != nil {
+		e := j.agent.tryEvent(timeline.TryAbandoned, j.id, nil)
+		e.Outcome, e.Detail = outcome.Unknown, err.Error()
+		j.agent.log.Event(e)
 		http.Error(w, "the agent has stopped", http.StatusServiceUnavailable)
 		return
 	}
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -42,7 +42,8 @@
 		}
 	}
 	s.agent.log.Event(timeline.Event{
-		Kind: timeline.TrySettled, RequestID: id.RequestID, Try: id.Try, Incarnation: id.Incarnation, Detail: resp.GetState().String(),
+		Kind: timeline.TrySettled, RequestID: id.RequestID, Try: id.Try, Incarnation: id.Incarnation,
+		Endpoint: s.agent.settings.Endpoint, Detail: resp.GetState().String(),
 	})
 	return resp, nil
 }
--- a/daemon/entry/exchange.go
+++ b/daemon/entry/exchange.go
@@ -83,7 +83,7 @@
 		if x.body == nil && x.in.ContentLength != 0 {
 			x.out.w.Header().Set("Connection", "close")
 		}
-		x.entry.reject(x.out.w, err)
+		x.reject(err)
 		return
 	}
 	x.event(timeline.Event{Kind: timeline.RequestReceived, Revision: x.revision})
@@ -388,7 +388,7 @@
 // event fills in what all events of the request share.
 func (x *exchange) event(e timeline.Event) {
 	e.RequestID, e.Caller = x.id, x.caller.Name
-	e.Adapter, e.Version = x.adapter.Adapter, x.adapter.Version
+	e.Adapter, e.Version, e.Service = x.adapter.Adapter, x.adapter.Version, x.service
 	x.entry.log.Event(e)
 }
 
--- a/daemon/entry/fake_test.go
+++ b/daemon/entry/fake_test.go
@@ -314,6 +314,7 @@
 type fakeLedger struct {
 	mu       sync.Mutex
 	failing  bool
+	expired  bool
 	granted  map[string]string
 	answers  map[string]*wire.Answer
 	outcomes map[string]wire.Outcome
@@ -332,6 +333,8 @@
 	switch {
 	case l.failing:
 		return nil, &outcome.Refusal{Reason: outcome.LedgerDown}
+	case l.expired:
+		state = wire.IntentState_INTENT_STATE_EXPIRED
 	case seen && digest != string(r.GetBodyDigest()):
 		state = wire.IntentState_INTENT_STATE_MISMATCH
 	case l.outcomes[k] == wire.Outcome_OUTCOME_COMPLETED:
--- a/daemon/entry/input.go
+++ b/daemon/entry/input.go
@@ -50,11 +50,15 @@
 	}
 	x.key = ident.Key(keys[0])
 	if t, ok := keyTime(keys[0]); ok && x.received.Sub(t) > time.Duration(v.Policy().KeyRetention) {
-		return openai.NewError(http.StatusUnprocessableEntity, "key_expired", HeaderKey+" is older than the retention of keys")
+		return keyExpired()
 	}
 	return nil
 }
 
+func keyExpired() *openai.Error {
+	return openai.NewError(http.StatusUnprocessableEntity, "key_expired", HeaderKey+" is older than the retention of keys")
+}
+
 func validKey(key string) bool {
 	if key == "" || len(key) > maxKeyBytes {
 		return false
--- a/daemon/entry/input_test.go
+++ b/daemon/entry/input_test.go
@@ -119,7 +119,13 @@
 	if w := pull("k2", "pallet"); w.StatusCode != http.StatusConflict || errorCode(t, w) != "key_in_progress" || w.Header.Get("Retry-After") == "" {
 		t.Errorf("key in progress: %d", w.StatusCode)
 	}
-	l.failing = true
+	l.expired = true
+	// The ledger's owner refuses a key by its own clock and retention, which can differ from those of this entry.
+	w := pull("k4", "pallet")
+	if w.StatusCode != http.StatusUnprocessableEntity || errorCode(t, w) != "key_expired" || w.Header.Get(HeaderOutcome) != "not-run" {
+		t.Errorf("expired key: %d %s", w.StatusCode, w.Header.Get(HeaderOutcome))
+	}
+	l.expired, l.failing = false, true
 	if w := pull("k3", "pallet"); w.StatusCode != http.StatusServiceUnavailable || errorCode(t, w) != "ledger-down" {
 		t.Errorf("ledger down: %d", w.StatusCode)
 	}
--- a/daemon/entry/meters.go
+++ b/daemon/entry/meters.go
@@ -1,11 +1,10 @@
 package entry
 
 import (
-	"time"
+	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"shallotring.dev/state/attempt"
 	"shallotring.dev/state/outcome"
 )
 
@@ -14,7 +13,6 @@
 	completed     *metrics.Counter
 	notRun        *metrics.Counter
 	unknown       *metrics.Counter
-	rejected      *metrics.Counter
 	tries         *metrics.Counter
 	retries       *metrics.Counter
 	brokenStreams *metrics.Counter
@@ -33,7 +31,6 @@
 		completed:     s.NewCounter(`shallotring_entry_requests_total{outcome="completed"}`),
 		notRun:        s.NewCounter(`shallotring_entry_requests_total{outcome="not-run"}`),
 		unknown:       s.NewCounter(`shallotring_entry_requests_total{outcome="unknown"}`),
-		rejected:      s.NewCounter("shallotring_entry_requests_rejected_total"),
 		tries:         s.NewCounter("shallotring_entry_tries_total"),
 		retries:       s.NewCounter("shallotring_entry_retries_total"),
 		brokenStreams: s.NewCounter("shallotring_entry_broken_streams_total"),
@@ -44,14 +41,20 @@
 	}
 }
 
-func (m *meters) finished(r *attempt.Result, d time.Duration) {
+// refusals counts the requests that were refused for a reason.
+func (m *meters) refusals(r outcome.Reason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("shallotring_entry_refusals_total{reason=%q}", string(r)))
+}
+
+func (m *meters) finished(r *Record) {
 	switch r.Outcome {
 	case outcome.Completed:
 		m.completed.Inc()
 	case outcome.NotRun:
 		m.notRun.Inc()
+		m.refusals(r.Reason).Inc()
 	default:
 		m.unknown.Inc()
 	}
-	m.duration.Update(d.Seconds())
+	m.duration.Update(r.Finished.Sub(r.Received).Seconds())
 }
--- a/daemon/entry/records.go
+++ b/daemon/entry/records.go
@@ -19,15 +19,17 @@
 
 // Record is what GET /v1/requests/{id} returns to the caller of the request.
 type Record struct {
-	Request          ident.RequestID
-	Caller           ident.Caller
-	Adapter          ident.Adapter `json:",omitempty"`
-	Version          ident.Version `json:",omitempty"`
-	Service          ident.Service `json:",omitempty"`
-	Status           int
-	Outcome          outcome.Outcome
-	Failure          attempt.Failure `json:",omitempty"`
-	Reason           outcome.Reason  `json:",omitempty"`
+	Request ident.RequestID
+	Caller  ident.Caller
+	Adapter ident.Adapter `json:",omitempty"`
+	Version ident.Version `json:",omitempty"`
+	Service ident.Service `json:",omitempty"`
+	Status  int
+	Outcome outcome.Outcome
+	Failure attempt.Failure `json:",omitempty"`
+	Reason  outcome.Reason  `json:",omitempty"`
+	// ReplayOf is the request whose recorded answer was returned; this request had no try.
+	ReplayOf         ident.RequestID `json:",omitempty"`
 	Tries            []TryRecord
 	PromptTokens     ident.Tokens
 	CompletionTokens ident.Tokens
--- a/daemon/entry/respond.go
+++ b/daemon/entry/respond.go
@@ -91,13 +91,25 @@
 	}
 	abort := x.conclusion()
 	x.record()
-	x.entry.meters.finished(r, x.entry.clock.Since(x.received))
 	if abort {
 		// Anything but a broken connection would end a plain body as if it were complete.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// reject answers a request whose input was refused; nothing was dispatched.
+func (x *exchange) reject(err *openai.Error) {
+	x.result = &attempt.Result{
+		Outcome: outcome.NotRun, Failure: attempt.Rejected, Proof: attempt.NothingDispatched,
+		Refusal: &outcome.Refusal{Reason: outcome.Reason(err.Code)},
+	}
+	x.out.extend()
+	x.out.status = err.Status
+	x.out.w.Header().Set(HeaderOutcome, string(outcome.NotRun))
+	writeRejection(x.out.w, err)
+	x.record()
+}
+
 // conclusion writes what remains of the response; abort asks for the connection to be broken.
 func (x *exchange) conclusion() (abort bool) {
 	r := x.result
@@ -179,6 +191,8 @@
 		return openai.NewError(http.StatusBadGateway, "outcome_unknown", "the request may have run: "+string(r.Failure))
 	case r.Failure == attempt.KeyMismatch:
 		return openai.NewError(http.StatusUnprocessableEntity, "key_reused", "the key was used with another body")
+	case r.Failure == attempt.KeyExpired:
+		return keyExpired()
 	case r.Failure == attempt.Expired:
 		return openai.NewError(http.StatusRequestTimeout, "deadline_expired", "the deadline passed before the request was run")
 	case r.Refusal != nil && r.Refusal.Reason == outcome.CallerLimit:
@@ -210,7 +224,14 @@
 	if r.Refusal != nil {
 		y.Reason = r.Refusal.Reason
 	}
+	if y.Reason == "" {
+		y.Reason = outcome.Reason(r.Failure)
+	}
+	if id := ident.RequestID(r.Replay.GetRequestID()); id != x.id {
+		y.ReplayOf = id
+	}
 	x.entry.records.add(y)
+	x.entry.meters.finished(y)
 	x.event(timeline.Event{
 		Kind:             timeline.RequestFinished,
 		Try:              ident.Try(len(x.tries)),
@@ -222,6 +243,7 @@
 		CompletionTokens: y.CompletionTokens,
 		Stall:            time.Duration(y.StallMilli) * time.Millisecond,
 		Duration:         y.Finished.Sub(x.received),
+		ReplayOf:         y.ReplayOf,
 		Detail:           r.Detail,
 	})
 }
--- a/daemon/entry/routes.go
+++ b/daemon/entry/routes.go
@@ -15,6 +15,7 @@
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
 	"shallotring.dev/state/resource"
+	"shallotring.dev/transport/timeline"
 )
 
 // Headers of the callers' API.
@@ -40,10 +41,10 @@
 func (e *Entry) routes() http.Handler {
 	m := chi.NewRouter()
 	m.NotFound(func(w http.ResponseWriter, _ *http.Request) {
-		e.reject(w, openai.NewError(http.StatusNotFound, "not_found", "no such path"))
+		e.reject(w, "", openai.NewError(http.StatusNotFound, "not_found", "no such path"))
 	})
 	m.MethodNotAllowed(func(w http.ResponseWriter, _ *http.Request) {
-		e.reject(w, openai.NewError(http.StatusMethodNotAllowed, "method_not_allowed", "method is not allowed on this path"))
+		e.reject(w, "", openai.NewError(http.StatusMethodNotAllowed, "method_not_allowed", "method is not allowed on this path"))
 	})
 	m.Get("/v1/models", e.authenticate(e.models))
 	m.Get("/v1/requests/{id}", e.authenticate(e.showRequest))
@@ -59,7 +60,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		if headerBytes(r) > e.settings.HeaderBytes {
 			w.Header().Set("Connection", "close")
-			e.reject(w, openai.NewError(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large",
+			e.reject(w, "", openai.NewError(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large",
 				"headers exceed "+strconv.Itoa(e.settings.HeaderBytes)+" bytes"))
 			return
 		}
@@ -72,7 +73,7 @@
 		c, ok := v.caller(token)
 		if reason := e.refusing(); !ok && reason != "" {
 			// Without its configuration the process knows no caller.
-			e.reject(w, openai.NewError(http.StatusServiceUnavailable, string(outcome.Isolated), reason))
+			e.reject(w, "", openai.NewError(http.StatusServiceUnavailable, string(outcome.Isolated), reason))
 			return
 		}
 		if !ok || !strings.EqualFold(scheme, "Bearer") {
@@ -81,7 +82,7 @@
 				// net/http otherwise reads from an unknown caller's body before it responds.
 				w.Header().Set("Connection", "close")
 			}
-			e.reject(w, openai.NewError(http.StatusUnauthorized, "invalid_token", "a known bearer token is required"))
+			e.reject(w, "", openai.NewError(http.StatusUnauthorized, "invalid_token", "a known bearer token is required"))
 			return
 		}
 		next(w, r, v, c)
@@ -107,7 +108,7 @@
 func (e *Entry) showRequest(w http.ResponseWriter, r *http.Request, _ *view, c *resource.Caller) {
 	x, ok := e.records.get(c.Name, ident.RequestID(chi.URLParam(r, "id")))
 	if !ok {
-		e.reject(w, openai.NewError(http.StatusNotFound, "request_not_found", "no record of a request with this id"))
+		e.reject(w, c.Name, openai.NewError(http.StatusNotFound, "request_not_found", "no record of a request with this id"))
 		return
 	}
 	writeJSON(w, http.StatusOK, x)
@@ -169,10 +170,20 @@
 	return plain, full, nil
 }
 
-// reject answers a request that was refused for its input; nothing was dispatched.
-func (e *Entry) reject(w http.ResponseWriter, err *openai.Error) {
-	e.meters.rejected.Inc()
+// reject answers a call that was refused before it became a request of a known caller; caller is empty if it is not known.
+func (e *Entry) reject(w http.ResponseWriter, caller ident.Caller, err *openai.Error) {
+	id := ident.NewRequestID()
+	w.Header().Set(HeaderRequest, string(id))
 	w.Header().Set(HeaderOutcome, string(outcome.NotRun))
+	reason := outcome.Reason(err.Code)
+	e.meters.refusals(reason).Inc()
+	e.log.Event(timeline.Event{
+		Kind: timeline.RequestRefused, RequestID: id, Caller: caller, Outcome: outcome.NotRun, Reason: reason, Status: err.Status,
+	})
+	writeRejection(w, err)
+}
+
+func writeRejection(w http.ResponseWriter, err *openai.Error) {
 	var after time.Duration
 	if err.Status == http.StatusServiceUnavailable {
 		after = minRetryAfter
--- a/daemon/local/local.go
+++ b/daemon/local/local.go
@@ -16,6 +16,7 @@
 	"shallotring.dev/daemon/entry"
 	"shallotring.dev/daemon/node"
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
 	"shallotring.dev/transport/settings"
 	"shallotring.dev/transport/timeline"
 )
@@ -29,6 +30,7 @@
 	interval     time.Duration
 	out          io.Writer
 	level        slog.Level
+	callers      []resource.Caller
 
 	platform *Platform
 	entry    *node.Entry
@@ -53,6 +55,11 @@
 	return func(d *Deployment) { d.interval = interval }
 }
 
+// WithCallers declares callers; the entry then refuses requests without the token of one of them.
+func WithCallers(callers ...resource.Caller) Option {
+	return func(d *Deployment) { d.callers = callers }
+}
+
 // New starts the stand-ins, declares the example deployment and opens the listeners.
 func New(ctx context.Context, options ...Option) (d *Deployment, err error) {
 	d = &Deployment{
@@ -65,7 +72,7 @@
 	if d.platform, err = newPlatform(d.interval); err != nil {
 		return nil, err
 	}
-	if err = declare(ctx, d.platform.keyValueURL); err != nil {
+	if err = declare(ctx, d.platform.keyValueURL, d.callers); err != nil {
 		return nil, err
 	}
 	for name := range d.platform.urls {
@@ -94,7 +101,7 @@
 	s := node.EntrySettings{Settings: entry.DefaultSettings(), Service: node.Service{KeyValue: []string{d.platform.keyValueURL}}}
 	s.Identity = settings.Identity{Host: entryHost, Zone: zone}
 	s.Address, s.AdminAddress, s.PeerAddress = d.address, d.adminAddress, anyPort
-	s.AllowAnonymous = true
+	s.AllowAnonymous = len(d.callers) == 0
 	// No balancer stands before the local entry.
 	s.BalancerWait = 0
 	process, log := d.process(registry.RoleEntry, s.Identity)
--- a/daemon/local/local_test.go
+++ b/daemon/local/local_test.go
@@ -19,11 +19,12 @@
 const testTimeout = 60 * time.Second
 
 // start runs a deployment until the test ends; the test fails if its graceful stop does.
-func start(t *testing.T) (d *Deployment) {
+func start(t *testing.T, options ...Option) (d *Deployment) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	d, err := New(ctx, WithAddresses(anyPort, anyPort), WithLog(io.Discard, slog.LevelError), WithTokenInterval(0))
+	options = append([]Option{WithAddresses(anyPort, anyPort), WithLog(io.Discard, slog.LevelError), WithTokenInterval(0)}, options...)
+	d, err := New(ctx, options...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/local/resources.go
+++ b/daemon/local/resources.go
@@ -62,7 +62,7 @@
 func hostOf(e ident.Endpoint) ident.Host { return ident.Host("host-" + string(e)) }
 
 // declare writes the resources as an operator does.
-func declare(ctx context.Context, url string) (err error) {
+func declare(ctx context.Context, url string, callers []resource.Caller) (err error) {
 	defer func() { err = eris.Wrap(err, "declare the example deployment") }()
 	store, err := keyvalue.New([]string{url})
 	if err != nil {
@@ -70,7 +70,11 @@
 	}
 	defer store.Close()
 	editor := configuration.NewEditor(store, quartz.NewReal())
-	for _, r := range resources() {
+	list := resources()
+	for i := range callers {
+		list = append(list, &callers[i])
+	}
+	for _, r := range list {
 		if _, err = editor.Put(ctx, r, 0); err != nil {
 			return err
 		}
--- a/daemon/operator/timeline.go
+++ b/daemon/operator/timeline.go
@@ -1,10 +1,12 @@
 package operator
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,7 +30,10 @@
 
 Example:
 
-    shallotring timeline --request req-0123 --output json logs/*.log`
+    shallotring timeline --request req-0123 --output json logs/*.log
+
+TOKENS shows prompt+completion. A repeated idempotency key has a request of its own without a try; its last line names
+the request whose answer was returned, and only that one ran.`
 }
 
 // Run merges the logs.
@@ -67,26 +72,47 @@
 	for i, l := range list {
 		rows[i], values[i] = timelineRow(l), l.Raw
 	}
-	return s.print("TIME PROCESS EVENT REQUEST TRY ADAPTER ENDPOINT OUTCOME REASON DETAIL", rows, values)
+	return s.print("TIME PROCESS EVENT REQUEST TRY CALLER ADAPTER ENDPOINT STATUS OUTCOME REASON TOKENS STALL DURATION DETAIL", rows, values)
 }
 
 func timelineRow(l timeline.Line) []string {
-	try := ""
-	if l.Try > 0 {
-		try = fmt.Sprint(l.Try)
+	detail := l.Detail
+	if l.ReplayOf != "" {
+		detail = "answer of " + string(l.ReplayOf)
 	}
 	return []string{
 		l.Time.UTC().Format(time.RFC3339Nano),
 		string(l.Process),
 		l.Message,
 		string(l.RequestID),
-		try,
-		ident.AdapterVersion{Adapter: l.Adapter, Version: l.Version}.String(),
+		positive(int64(l.Try), ""),
+		string(l.Caller),
+		cmp.Or(ident.AdapterVersion{Adapter: l.Adapter, Version: l.Version}.String(), string(l.Service)),
 		string(l.Endpoint),
+		positive(int64(l.Status), ""),
 		l.Outcome,
 		l.Reason,
-		l.Detail,
+		tokens(l),
+		positive(l.StallMilli, "ms"),
+		positive(l.DurationMilli, "ms"),
+		detail,
+	}
+}
+
+// positive shows a number with its unit; zero means that the event does not have it.
+func positive(n int64, unit string) string {
+	if n <= 0 {
+		return ""
+	}
+	return strconv.FormatInt(n, 10) + unit
+}
+
+// tokens shows prompt and completion tokens.
+func tokens(l timeline.Line) string {
+	if l.PromptTokens == 0 && l.CompletionTokens == 0 {
+		return ""
 	}
+	return fmt.Sprintf("%d+%d", l.PromptTokens, l.CompletionTokens)
 }
 
 type versionCommand struct{}
--- a/state/attempt/attempt.go
+++ b/state/attempt/attempt.go
@@ -162,6 +162,8 @@
 		a.finish(Result{Outcome: outcome.Unknown, Failure: KeyInProgress, Refusal: &outcome.Refusal{RetryAfter: after}})
 	case wire.IntentState_INTENT_STATE_MISMATCH:
 		a.finishNotRun(KeyMismatch)
+	case wire.IntentState_INTENT_STATE_EXPIRED:
+		a.finishNotRun(KeyExpired)
 	case wire.IntentState_INTENT_STATE_UNKNOWN:
 		a.finish(Result{Outcome: outcome.Unknown, Failure: KeyUnknown})
 	default:
--- a/state/attempt/attempt_test.go
+++ b/state/attempt/attempt_test.go
@@ -191,6 +191,9 @@
 		{"key of another body", keyed, func(r *run) *run {
 			return intent(r, wire.IntentState_INTENT_STATE_MISMATCH)
 		}, NothingDispatched, KeyMismatch},
+		{"key older than the retention", keyed, func(r *run) *run {
+			return intent(r, wire.IntentState_INTENT_STATE_EXPIRED)
+		}, NothingDispatched, KeyExpired},
 		{"deadline while intending", keyed, func(r *run) *run {
 			return r.step(Event{Kind: Started}).step(Event{Kind: Placed, Endpoint: "e"}).step(Event{Kind: DeadlinePassed})
 		}, NothingDispatched, Expired},
--- a/state/attempt/event.go
+++ b/state/attempt/event.go
@@ -119,6 +119,8 @@
 const (
 	// Refused means that the endpoints, the placement or the ledger refused the request.
 	Refused Failure = "refused"
+	// Rejected means that the input of the request was refused before any try.
+	Rejected Failure = "rejected"
 	// Expired means that the deadline passed.
 	Expired Failure = "deadline"
 	// Abandoned means that the caller disconnected.
@@ -129,6 +131,8 @@
 	KeyInProgress Failure = "key-in-progress"
 	// KeyMismatch means that the key was used with another body.
 	KeyMismatch Failure = "key-mismatch"
+	// KeyExpired means that the key carries a time older than the retention of keys.
+	KeyExpired Failure = "key-expired"
 	// KeyUnknown means that an earlier request with the key may have run.
 	KeyUnknown Failure = "key-unknown"
 )
--- a/transport/timeline/merge.go
+++ b/transport/timeline/merge.go
@@ -24,12 +24,21 @@
 	Role      string
 	RequestID ident.RequestID
 	Try       ident.Try
+	Caller    ident.Caller
 	Adapter   ident.Adapter
 	Version   ident.Version
+	Service   ident.Service
 	Endpoint  ident.Endpoint
 	Outcome   string
 	Reason    string
-	Detail    string
+	Status    int
+	// PromptTokens and CompletionTokens are those that the engine reported for the try or the request.
+	PromptTokens     ident.Tokens
+	CompletionTokens ident.Tokens
+	StallMilli       int64
+	DurationMilli    int64
+	ReplayOf         ident.RequestID
+	Detail           string
 	// Raw is the line as it was written.
 	Raw json.RawMessage `json:"-"`
 }
--- a/transport/timeline/timeline.go
+++ b/transport/timeline/timeline.go
@@ -16,10 +16,12 @@
 // Kinds of events.
 const (
 	RequestReceived   Kind = "request received"
+	RequestRefused    Kind = "request refused"
 	TryDispatched     Kind = "try dispatched"
 	TryAccepted       Kind = "try accepted"
 	TryStarted        Kind = "try started"
 	TryRefused        Kind = "try refused"
+	TryAbandoned      Kind = "try abandoned"
 	TryEnded          Kind = "try ended"
 	TrySettled        Kind = "try settled"
 	RequestFinished   Kind = "request finished"
@@ -49,6 +51,7 @@
 	Caller           ident.Caller
 	Adapter          ident.Adapter
 	Version          ident.Version
+	Service          ident.Service
 	Endpoint         ident.Endpoint
 	Incarnation      ident.Incarnation
 	Outcome          outcome.Outcome
@@ -59,7 +62,9 @@
 	Stall            time.Duration
 	Duration         time.Duration
 	Revision         ident.Revision
-	Detail           string
+	// ReplayOf is the request whose recorded answer was returned.
+	ReplayOf ident.RequestID
+	Detail   string
 }
 
 // Process identifies the writer of a time line.
@@ -115,6 +120,7 @@
 	text("Caller", string(e.Caller))
 	text("Adapter", string(e.Adapter))
 	text("Version", string(e.Version))
+	text("Service", string(e.Service))
 	text("Endpoint", string(e.Endpoint))
 	number("Incarnation", int64(e.Incarnation))
 	text("Outcome", string(e.Outcome))
@@ -125,6 +131,7 @@
 	number("StallMilli", e.Stall.Milliseconds())
 	number("DurationMilli", e.Duration.Milliseconds())
 	number("Revision", int64(e.Revision))
+	text("ReplayOf", string(e.ReplayOf))
 	text("Detail", e.Detail)
 	return list
 }
