--- /dev/null
+++ b/coordination/loadpermit/fake_test.go
@@ -0,0 +1,213 @@
+package loadpermit
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"shallotring.dev/coordination/registry"
+	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/resource"
+)
+
+// fault says what happens to one call.
+type fault int
+
+const (
+	none fault = iota
+	// refused means that the call has no effect and the caller knows.
+	refused
+	// lost means that the call takes effect and its answer is lost.
+	lost
+)
+
+// fakeStore is a key-value service with one key and leases on the clock of the test.
+type fakeStore struct {
+	mu     sync.Mutex
+	lease  keyvalue.LeaseID
+	leases map[keyvalue.LeaseID]time.Time
+	record *keyvalue.Record
+	delay  time.Duration
+	fail   func(operation string) fault
+}
+
+func newStore() *fakeStore {
+	return &fakeStore{leases: map[keyvalue.LeaseID]time.Time{}, fail: func(string) fault { return none }}
+}
+
+func (f *fakeStore) call(operation string, effect func() error) (err error) {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	time.Sleep(delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, end := range f.leases {
+		if !time.Now().Before(end) {
+			f.drop(id)
+		}
+	}
+	switch f.fail(operation) {
+	case refused:
+		return keyvalue.ErrUnavailable
+	case lost:
+		_ = effect()
+		return keyvalue.ErrOutcomeUnknown
+	}
+	return effect()
+}
+
+func (f *fakeStore) drop(id keyvalue.LeaseID) {
+	delete(f.leases, id)
+	if f.record != nil && f.record.Lease == id {
+		f.record = nil
+	}
+}
+
+func (f *fakeStore) Get(context.Context, string) (r keyvalue.Record, found bool, err error) {
+	err = f.call("get", func() error {
+		if f.record != nil {
+			r, found = *f.record, true
+		}
+		return nil
+	})
+	return r, found, err
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, s keyvalue.Swap) (at ident.Revision, swapped bool, err error) {
+	err = f.call("swap", func() error {
+		if _, ok := f.leases[s.Lease]; !ok {
+			return keyvalue.ErrLeaseExpired
+		}
+		if f.record == nil {
+			f.record, swapped = &keyvalue.Record{Key: s.Key, Value: s.Value, Lease: s.Lease}, true
+		}
+		return nil
+	})
+	return at, swapped && err == nil, err
+}
+
+func (f *fakeStore) Grant(_ context.Context, ttl time.Duration) (id keyvalue.LeaseID, err error) {
+	err = f.call("grant", func() error {
+		f.lease++
+		id = f.lease
+		f.leases[id] = time.Now().Add(ttl)
+		return nil
+	})
+	return id, err
+}
+
+func (f *fakeStore) KeepAlive(_ context.Context, id keyvalue.LeaseID) (err error) {
+	return f.call("keep", func() error {
+		if _, ok := f.leases[id]; !ok {
+			return keyvalue.ErrLeaseExpired
+		}
+		f.leases[id] = time.Now().Add(registry.LeaseTime)
+		return nil
+	})
+}
+
+func (f *fakeStore) Revoke(_ context.Context, id keyvalue.LeaseID) (err error) {
+	return f.call("revoke", func() error {
+		f.drop(id)
+		return nil
+	})
+}
+
+// policy is a configuration with a load budget.
+type policy struct{ set *resource.Set }
+
+func newPolicy(rate float64, inFlight int) policy {
+	p := resource.DefaultPolicy()
+	p.LoadsPerSecond, p.LoadsInFlight = rate, inFlight
+	shard := &resource.Shard{}
+	shard.Put(&p)
+	return policy{resource.NewSet().Apply(0, 1, shard)}
+}
+
+func (p policy) Current() *resource.Set { return p.set }
+
+// grant is one permit that a holder granted.
+type grant struct {
+	at     time.Time
+	holder string
+}
+
+// network connects agents to holders by address.
+type network struct {
+	mu      sync.Mutex
+	holders map[string]*Holder
+	grants  []grant
+	fail    func() fault
+}
+
+func newNetwork() *network {
+	return &network{holders: map[string]*Holder{}, fail: func() fault { return none }}
+}
+
+func (n *network) add(s Store, c Configuration, address string) *Holder {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := New(s, registry.ProcessRecord{Process: ident.Process(address), Role: registry.RoleEntry, Address: address}, c)
+	n.holders[address] = h
+	return h
+}
+
+func (n *network) granter(address string) Granter { return &connection{n, address} }
+
+type connection struct {
+	*network
+	address string
+}
+
+func (c *connection) Permit(ctx context.Context, q *wire.PermitRequest) (a *wire.PermitResponse, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := c.fail()
+	if f == refused {
+		return nil, twirp.NewError(twirp.Unavailable, "refused")
+	}
+	a, err = c.holders[c.address].Permit(ctx, q)
+	for range a.GetGranted() {
+		c.grants = append(c.grants, grant{time.Now(), c.address})
+	}
+	if f == lost {
+		return nil, twirp.NewError(twirp.Unavailable, "answer lost")
+	}
+	return a, err
+}
+
+// noShare grants nothing, so that all permits are those of holders.
+type noShare struct{}
+
+func (noShare) Take(context.Context, ident.Endpoint, int) (granted int, expiry time.Duration, err error) {
+	return 0, 0, nil
+}
+
+func (noShare) Done(ident.Endpoint) {}
+
+// countingShare grants one permit at each ask.
+type countingShare struct{ taken, done int }
+
+func (s *countingShare) Take(context.Context, ident.Endpoint, int) (granted int, expiry time.Duration, err error) {
+	s.taken++
+	return 1, time.Second, nil
+}
+
+func (s *countingShare) Done(ident.Endpoint) { s.done++ }
+
+// chance returns faults of calls by a seeded source.
+func chance(r *rand.Rand, percent int) fault {
+	switch n := r.IntN(100); {
+	case n < percent/2:
+		return refused
+	case n < percent:
+		return lost
+	}
+	return none
+}
--- a/state/permit/budget.go
+++ b/state/permit/budget.go
@@ -9,8 +9,8 @@
 const (
 	// Expiry is the time after which an unused permit is void.
 	Expiry = 2 * time.Second
-	// longestLoad bounds the time that a begun load counts, so that a dead agent cannot hold a permit for ever.
-	longestLoad = 30 * time.Second
+	// LongestLoad bounds the time that a begun load counts, so that a dead agent cannot hold a permit for ever.
+	LongestLoad = 30 * time.Second
 	// askExpiry is the time for which an ask competes; agents ask again more often than this.
 	askExpiry = 500 * time.Millisecond
 	// agingPerSecond raises the weight of an ask that waits, so that a load with little stalled work is not starved.
@@ -74,7 +74,7 @@
 func (b *Budget) Begin(now time.Time, e ident.Endpoint) {
 	for i, h := range b.held[e] {
 		if !h.begun {
-			b.held[e][i] = held{until: now.Add(longestLoad), begun: true}
+			b.held[e][i] = held{until: now.Add(LongestLoad), begun: true}
 			return
 		}
 	}
