--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -14,6 +14,8 @@
 	batchCharge = 60.0
 	// affinity is the cost in milliseconds of an endpoint that is not preferred for an absent adapter.
 	affinity = 20.0
+	// displaced is the number of loads that one more replica than wanted costs later, because it takes a slot of the tail.
+	displaced = 4.0
 	// extraReplica is the cost in milliseconds of using a holder beyond the wanted replicas, so that it falls idle.
 	extraReplica = 40.0
 )
@@ -106,7 +108,7 @@
 func (c *choice) absent(p *pool, a *adapter, hash uint64) {
 	duplicate := 0.0
 	if a != nil && len(a.holders) >= a.replicas && c.t.has(ReplicaTerm) {
-		duplicate = c.t.stall(c.t.absentTime())
+		duplicate = displaced * c.t.stall(c.t.absentTime())
 	}
 	if c.t.has(AffinityTerm) {
 		for i, e := range p.prefer(a, hash) {
