--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -15,7 +15,7 @@
 	// affinity is the cost in milliseconds of an endpoint that is not preferred for an absent adapter.
 	affinity = 20.0
 	// displaced is the number of loads that one more replica than wanted costs later, because it takes a slot of the tail.
-	displaced = 4.0
+	displaced = 12.0
 	// extraReplica is the cost in milliseconds of using a holder beyond the wanted replicas, so that it falls idle.
 	extraReplica = 40.0
 )
