placement: see a new head adapter within seconds

Cause: demand averaged over 20 s hides a new head from the wanted replicas. Change: from eight requests on, the rate is taken over the time since they began.

--- a/state/placement/adapter.go
+++ b/state/placement/adapter.go
@@ -12,6 +12,12 @@
 const (
 	// demandMemory is the time constant of the decaying demand in seconds.
 	demandMemory = 20.0
+	// quiet is the demand below which the next request counts as the first one.
+	quiet = 0.3
+	// burst is the demand from which the time since the first request counts: fewer requests say little about a rate.
+	burst = 8.0
+	// shortestSpan is the least time in seconds over which a rate is taken, so that two requests at once are not a burst.
+	shortestSpan = 2.0
 	// targetLoad is the part of a batch that one replica is planned to take.
 	targetLoad = 0.75
 	// hysteresis is the number of replicas that demand must fall by before one is given up.
@@ -27,8 +33,10 @@
 	name ident.AdapterVersion
 	hash uint64
 	// holders are the endpoints that have it resident or loading, in rendezvous order.
-	holders    []*endpoint
-	demand     float64
+	holders []*endpoint
+	demand  float64
+	// since is the time at which requests began after a time without any.
+	since      float64
 	updated    float64
 	replicas   int
 	preferred  [2]*endpoint
@@ -91,9 +99,12 @@
 
 // demand counts a request and adjusts the number of replicas.
 func (t *Table) demand(s float64, a *adapter, e *endpoint) {
-	a.demand = a.decayed(s) + 1
+	if a.demand = a.decayed(s); a.demand < quiet {
+		a.since = s
+	}
+	a.demand++
 	a.updated = s
-	needed := a.demand / demandMemory * t.service.scale * t.service.time() / (float64(max(e.BatchSize, 1)) * targetLoad)
+	needed := a.rate(s) * t.service.scale * t.service.time() / (float64(max(e.BatchSize, 1)) * targetLoad)
 	switch {
 	case needed > float64(a.replicas):
 		a.replicas = int(math.Ceil(needed))
@@ -103,6 +114,15 @@
 	t.forgetIdle(s)
 }
 
+// rate is the demand per second over the time since the requests began, so that a new head adapter is seen within seconds.
+func (a *adapter) rate(s float64) float64 {
+	if a.demand < burst {
+		return a.demand / demandMemory
+	}
+	seen := 1 - math.Exp(-max(s-a.since, shortestSpan)/demandMemory)
+	return a.demand / (demandMemory * seen)
+}
+
 func (a *adapter) decayed(s float64) float64 {
 	return a.demand * math.Exp(-max(s-a.updated, 0)/demandMemory)
 }
--- a/state/placement/table_test.go
+++ b/state/placement/table_test.go
@@ -175,6 +175,25 @@
 	}
 }
 
+// Guards against a new head adapter that waits for its replicas as long as the demand is averaged, and against replicas for a
+// pair of requests.
+func TestReplicasOfNewHead(t *testing.T) {
+	table := New(WithServiceTime(2 * time.Second))
+	observe(table, 0, engine("a", 0, "x"))
+	for i := range 2 {
+		table.Sent(at(100+float64(i)/100), "a", query("y"))
+	}
+	if n := table.adapters[version("y")].replicas; n != 1 {
+		t.Errorf("%d replicas after two requests", n)
+	}
+	for i := range 60 {
+		table.Sent(at(100+float64(i)/20), "a", query("x"))
+	}
+	if n := table.adapters[version("x")].replicas; n < 5 {
+		t.Errorf("%d replicas after three seconds at 20 requests per second, want at least 5", n)
+	}
+}
+
 // Guards against memory that grows with every adapter ever requested.
 func TestIdleAdaptersAreForgotten(t *testing.T) {
 	table := New()
