admission: count items that wait for a load apart, cap a caller over its share

Cause: the expected wait counted items that wait for a load, so requests that could run at once were refused; a flooding caller filled half of each queue and its requests expired there. Change: only runnable items count and measure the drain rate (Queue.Loaded, added, tells when a load has ended); the wait is estimated by the fair order; a caller over its share may hold its part of the queue only.

--- a/bench/fleet/engine.go
+++ b/bench/fleet/engine.go
@@ -154,6 +154,7 @@
 func (e *Engine) loaded(av ident.AdapterVersion) {
 	delete(e.failed, av)
 	e.Slots.Loaded(e.fleet.Clock.Now(), av)
+	e.Queue.Loaded(e.fleet.Clock.Now(), av)
 	e.Queue.Each(func(it admission.Item) {
 		if it.Adapter == av {
 			e.waiting[it.ID].ready = e.fleet.Clock.now
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -37,6 +37,7 @@
 	Expired(now time.Time) []admission.Item
 	Each(fn func(admission.Item))
 	Served(now time.Time)
+	Loaded(now time.Time, av ident.AdapterVersion)
 	ExpectedWait(now time.Time) time.Duration
 	NextLoad(now time.Time, absent func(ident.AdapterVersion) bool) (ident.AdapterVersion, float64, bool)
 }
--- a/bench/policy/fifo.go
+++ b/bench/policy/fifo.go
@@ -57,6 +57,8 @@
 
 func (q *fifo) Served(time.Time) {}
 
+func (q *fifo) Loaded(time.Time, ident.AdapterVersion) {}
+
 func (q *fifo) ExpectedWait(time.Time) time.Duration { return 0 }
 
 // NextLoad returns the adapter of the item that waits longest.
--- a/state/admission/callers.go
+++ b/state/admission/callers.go
@@ -77,6 +77,18 @@
 	return 0
 }
 
+// ahead is the number of waiting items that go before a new one of a caller by the fair order.
+func (c *callers) ahead(name ident.Caller) (n int) {
+	own, share := 0, 1.0
+	if x, ok := c.known[name]; ok {
+		own, share = x.waiting, x.share
+	}
+	for _, x := range c.list {
+		n += min(x.waiting, int(math.Ceil(float64(own+1)*x.share/share)))
+	}
+	return n
+}
+
 func (c *callers) tag(name ident.Caller) float64 {
 	if x, ok := c.known[name]; ok {
 		return x.tag
--- a/state/admission/queue.go
+++ b/state/admission/queue.go
@@ -37,6 +37,8 @@
 	callers callers
 	drain   drain
 	order   []int
+	// runnable counts the items that need no load.
+	runnable int
 }
 
 // New returns an empty queue for at most limit items.
@@ -52,9 +54,9 @@
 		return &outcome.Refusal{Reason: reason, RetryAfter: q.RetryAfter(now)}
 	}
 	it.Arrived = now
-	q.drain.advance(now, len(q.items) > 0)
+	q.drain.advance(now, q.runnable > 0)
 	q.items = append(q.items, it)
-	q.callers.queued(it.Caller, 1)
+	q.count(it, 1)
 	return nil
 }
 
@@ -62,16 +64,37 @@
 	switch {
 	case it.LoadWait > 0 && q.callers.excess(now, it.Caller) > overShare:
 		return outcome.CallerLimit
+	case q.callers.excess(now, it.Caller) > overShare && q.callers.waiting(it.Caller) >= q.allowance(now, it.Caller):
+		return outcome.CallerLimit
 	case len(q.items) >= q.limit/2 && q.callers.waiting(it.Caller) >= q.allowance(now, it.Caller):
 		return outcome.CallerLimit
 	case len(q.items) >= q.limit:
 		return outcome.QueueFull
-	case !it.Deadline.IsZero() && now.Add(max(q.ExpectedWait(now), it.LoadWait)).After(it.Deadline):
+	case !it.Deadline.IsZero() && now.Add(max(q.expectedWait(now, it.Caller), it.LoadWait)).After(it.Deadline):
 		return outcome.Deadline
 	}
 	return ""
 }
 
+// count keeps the sums when an item comes or goes.
+func (q *Queue) count(it Item, n int) {
+	q.callers.queued(it.Caller, n)
+	if it.LoadWait == 0 {
+		q.runnable += n
+	}
+}
+
+// Loaded records that an adapter has become resident: its items no longer wait for a load.
+func (q *Queue) Loaded(now time.Time, av ident.AdapterVersion) {
+	q.drain.advance(now, q.runnable > 0)
+	for i := range q.items {
+		if x := &q.items[i]; x.Adapter == av && x.LoadWait > 0 {
+			x.LoadWait = 0
+			q.runnable++
+		}
+	}
+}
+
 // allowance is the number of places that a caller may hold once half of the queue is taken.
 func (q *Queue) allowance(now time.Time, c ident.Caller) int {
 	return max(1, int(float64(q.limit)*q.callers.fraction(now, c)))
@@ -107,8 +130,8 @@
 }
 
 func (q *Queue) delete(now time.Time, i int) {
-	q.drain.advance(now, len(q.items) > 0)
-	q.callers.queued(q.items[i].Caller, -1)
+	q.drain.advance(now, q.runnable > 0)
+	q.count(q.items[i], -1)
 	q.items = slices.Delete(q.items, i, i+1)
 }
 
@@ -116,7 +139,7 @@
 func (q *Queue) Remove(id ident.TryID) bool {
 	for i, x := range q.items {
 		if x.ID == id {
-			q.callers.queued(x.Caller, -1)
+			q.count(x, -1)
 			q.items = slices.Delete(q.items, i, i+1)
 			return true
 		}
@@ -129,11 +152,11 @@
 	if !slices.ContainsFunc(q.items, func(x Item) bool { return expired(now, x) }) {
 		return nil
 	}
-	q.drain.advance(now, true)
+	q.drain.advance(now, q.runnable > 0)
 	kept := q.items[:0]
 	for _, x := range q.items {
 		if expired(now, x) {
-			q.callers.queued(x.Caller, -1)
+			q.count(x, -1)
 			list = append(list, x)
 			continue
 		}
@@ -154,20 +177,28 @@
 func (q *Queue) Len() int { return len(q.items) }
 
 // Served records that an item has finished, which measures the drain rate.
-func (q *Queue) Served(now time.Time) { q.drain.served(now, len(q.items) > 0) }
+func (q *Queue) Served(now time.Time) { q.drain.served(now, q.runnable > 0) }
+
+// ExpectedWait returns the time until a new item that needs no load would start, from the measured drain rate; zero while
+// nothing is known. Items that wait for a load hold up no other.
+func (q *Queue) ExpectedWait(now time.Time) time.Duration { return q.wait(now, q.runnable) }
+
+// expectedWait is the wait of one caller: of each other caller, no more items go first than of its own.
+func (q *Queue) expectedWait(now time.Time, c ident.Caller) time.Duration {
+	return q.wait(now, min(q.runnable, q.callers.ahead(c)))
+}
 
-// ExpectedWait returns the time until a new item would start, from the measured drain rate; zero while nothing is known.
-func (q *Queue) ExpectedWait(now time.Time) time.Duration {
-	rate, ok := q.drain.rate(now, len(q.items) > 0)
+func (q *Queue) wait(now time.Time, items int) time.Duration {
+	rate, ok := q.drain.rate(now, q.runnable > 0)
 	if !ok {
 		return 0
 	}
-	return time.Duration(float64(len(q.items)) / rate * float64(time.Second))
+	return time.Duration(float64(items) / rate * float64(time.Second))
 }
 
 // RetryAfter returns the time after which a refused item is likely to be accepted: half of the queue has drained by then.
 func (q *Queue) RetryAfter(now time.Time) time.Duration {
-	rate, ok := q.drain.rate(now, len(q.items) > 0)
+	rate, ok := q.drain.rate(now, q.runnable > 0)
 	if !ok {
 		return time.Second
 	}
--- a/state/admission/queue_test.go
+++ b/state/admission/queue_test.go
@@ -79,6 +79,29 @@
 				serve(q, 20, 2, 0)
 			}
 		}, Item{Caller: "x", LoadWait: time.Second}, outcome.CallerLimit},
+		{"refuses what can run because other items wait for a load", func(q *Queue) {
+			fill(q, 0, "x", 8)
+			serve(q, 0, 8, 1)
+			for i := range 6 {
+				q.Push(at(20), Item{Caller: ident.Caller(fmt.Sprint("c", i)), Adapter: item(0, "").Adapter, LoadWait: time.Minute})
+			}
+		}, Item{Caller: "x", Deadline: at(22)}, ""},
+		{"forgets that a load has ended", func(q *Queue) {
+			fill(q, 0, "x", 8)
+			serve(q, 0, 8, 1)
+			for i := range 6 {
+				q.Push(at(8), Item{Caller: ident.Caller(fmt.Sprint("c", i)), Adapter: item(0, "").Adapter, LoadWait: time.Minute})
+			}
+			q.Loaded(at(8), item(0, "").Adapter)
+		}, Item{Caller: "x", Deadline: at(22)}, outcome.Deadline},
+		{"lets a flooding caller fill its part of the queue in vain", func(q *Queue) {
+			for i := range 40 {
+				fill(q, 20, "x", 1)
+				fill(q, 20, fmt.Sprint("c", i%4), i%2)
+				serve(q, 20, 1, 0)
+			}
+			fill(q, 20, "x", 3)
+		}, Item{Caller: "x"}, outcome.CallerLimit},
 		{"holds a lone caller to a share", func(q *Queue) { fill(q, 20, "x", 7) }, Item{Caller: "x", LoadWait: time.Second}, ""},
 	}
 	for _, c := range cases {
