placement: expect a short wait for the load of a hot adapter

Cause: the expected wait for the load budget was the same for all adapters, though loads with more stalled work go first; with a slow store no replica of the head was ever loaded and its queues were refused. Change: the wait for the budget shrinks with the adapter's demand.

--- a/state/placement/adapter.go
+++ b/state/placement/adapter.go
@@ -116,11 +116,12 @@
 
 // rate is the demand per second over the time since the requests began, so that a new head adapter is seen within seconds.
 func (a *adapter) rate(s float64) float64 {
-	if a.demand < burst {
-		return a.demand / demandMemory
+	demand := a.decayed(s)
+	if demand < burst {
+		return demand / demandMemory
 	}
 	seen := 1 - math.Exp(-max(s-a.since, shortestSpan)/demandMemory)
-	return a.demand / (demandMemory * seen)
+	return demand / (demandMemory * seen)
 }
 
 func (a *adapter) decayed(s float64) float64 {
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -75,7 +75,7 @@
 	c.absent(p, a, hash)
 	if c.best == nil {
 		for _, e := range p.members {
-			c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e)))
+			c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e, 0)))
 		}
 	}
 }
@@ -106,20 +106,21 @@
 
 // absent compares endpoints that would have to load the adapter: the preferred ones and two random ones.
 func (c *choice) absent(p *pool, a *adapter, hash uint64) {
+	hot := c.t.hot(c.seconds, a)
 	duplicate := 0.0
 	if a != nil && len(a.holders) >= a.replicas && c.t.has(ReplicaTerm) {
-		duplicate = displaced * c.t.stall(c.t.absentTime())
+		duplicate = displaced * c.t.stall(c.t.absentTime(hot))
 	}
 	if c.t.has(AffinityTerm) {
 		for i, e := range p.prefer(a, hash) {
 			if e != nil && !holds(e, a) {
-				c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e))+duplicate+float64(i)*affinity)
+				c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e, hot))+duplicate+float64(i)*affinity)
 			}
 		}
 	}
 	for range 2 {
 		if e := p.members[c.t.random.IntN(len(p.members))]; !holds(e, a) {
-			c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e))+duplicate+2*affinity)
+			c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e, hot))+duplicate+2*affinity)
 		}
 	}
 }
@@ -150,15 +151,24 @@
 	return t.weights.LoadStall * wait
 }
 
-// absentTime is the wait for the load budget and the load itself, in milliseconds.
-func (t *Table) absentTime() float64 {
+// hot is the demand for an adapter at all entries in requests per second.
+func (t *Table) hot(s float64, a *adapter) float64 {
+	if a == nil {
+		return 0
+	}
+	return a.rate(s) * t.service.scale
+}
+
+// absentTime is the wait for the load budget and the load itself, in milliseconds. Loads with more stalled work go first, so
+// the wait for the budget shrinks with the demand.
+func (t *Table) absentTime(hot float64) float64 {
 	crowd := max(1, float64(t.loads+1)/float64(t.loadsInFlight))
-	return max(float64(t.loads)-1, 0)/t.loadRate*1000 + t.loadTime*crowd
+	return max(float64(t.loads)-1, 0)/(1+hot)/t.loadRate*1000 + t.loadTime*crowd
 }
 
 // absentWait adds the wait for a slot if all of them are pinned.
-func (t *Table) absentWait(e *endpoint) float64 {
-	wait := t.absentTime()
+func (t *Table) absentWait(e *endpoint, hot float64) float64 {
+	wait := t.absentTime(hot)
 	if e.Slots > 0 && e.Pinned+e.loads >= e.Slots {
 		wait += t.service.time() * 1000 / 2
 	}
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -220,7 +220,7 @@
 	t.demand(s, a, e)
 	e.remember(s, prefixKey(a.hash, q.Prefix))
 	if e.find(a) == nil {
-		ready := s + t.absentWait(e)/1000
+		ready := s + t.absentWait(e, t.hot(s, a))/1000
 		t.hold(e, hold{adapter: a, loading: true, own: true, since: s, ready: ready})
 		e.find(a).own = true
 		t.countLoads(e)
