--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -11,7 +11,7 @@
 	// scanned bounds the holders whose cost is compared for one request.
 	scanned = 6
 	// batchCharge is the cost in milliseconds of joining an empty batch.
-	batchCharge = 60.0
+	batchCharge = 120.0
 	// affinity is the cost in milliseconds of an endpoint that is not preferred for an absent adapter.
 	affinity = 20.0
 	// displaced is the number of loads that one more replica than wanted costs later, because it takes a slot of the tail.
