--- a/bench/workload/workload.go
+++ b/bench/workload/workload.go
@@ -74,7 +74,7 @@
 		Prompt: 200, Output: 60, Deadline: 15 * time.Second, Store: store,
 	}
 	saloum := Spec{
-		Name: "saloum", Weights: placement.Weights{LoadStall: 1, BatchEfficiency: 2}, Exponent: 1.35,
+		Name: "saloum", Weights: placement.Weights{LoadStall: 1, BatchEfficiency: 4}, Exponent: 1.35,
 		Prompt: 2000, Prefix: 1500, Manuals: 4, Output: 200, Deadline: time.Minute, Night: true, Store: store,
 	}
 	variant := func(name string, change func(*Spec)) Spec {
