slots: keep the adapters that waiting requests are about to use

Cause: above capacity, queued requests wait at an engine whose batch is full; their adapter was idle, was evicted and was loaded again.

--- a/bench/policy/own.go
+++ b/bench/policy/own.go
@@ -74,7 +74,9 @@
 	if o.PlainEviction {
 		return o.used.victim(e)
 	}
-	return e.Slots.Victim(o.fleet.Clock.Now())
+	awaited := make(map[ident.AdapterVersion]bool)
+	e.Queue.Each(func(it admission.Item) { awaited[it.Adapter] = true })
+	return e.Slots.VictimExcept(o.fleet.Clock.Now(), func(av ident.AdapterVersion) bool { return awaited[av] })
 }
 
 // Permit asks the shared budget.
--- a/state/slots/slots.go
+++ b/state/slots/slots.go
@@ -145,9 +145,14 @@
 // Victim returns the adapter that is cheapest to reload, by demand times load time; ok is false if every adapter is in use,
 // in transition or protected.
 func (s *Slots) Victim(now time.Time) (av ident.AdapterVersion, ok bool) {
+	return s.VictimExcept(now, func(ident.AdapterVersion) bool { return false })
+}
+
+// VictimExcept is Victim without the adapters that the caller keeps, such as those that waiting requests are about to use.
+func (s *Slots) VictimExcept(now time.Time, keep func(ident.AdapterVersion) bool) (av ident.AdapterVersion, ok bool) {
 	var least float64
 	for x, h := range s.held {
-		if h.state != Resident || h.inUse > 0 || h.protected(now) {
+		if h.state != Resident || h.inUse > 0 || h.protected(now) || keep(x) {
 			continue
 		}
 		cost := s.history.rate(now, x) * h.loadTime.Seconds()
--- a/state/slots/slots_test.go
+++ b/state/slots/slots_test.go
@@ -147,3 +147,17 @@
 		}
 	})
 }
+
+// Guards against evicting an adapter that a waiting request is about to use, which would load it again at once.
+func TestVictimExcept(t *testing.T) {
+	s := New(2)
+	load(s, 0, "awaited", 1, time.Second)
+	load(s, 0, "popular", 20, time.Second)
+	keep := func(av ident.AdapterVersion) bool { return av == adapter("awaited") }
+	if av, ok := s.VictimExcept(at(5), keep); !ok || av != adapter("popular") {
+		t.Errorf("victim %v %v, want popular", av, ok)
+	}
+	if av, ok := s.VictimExcept(at(5), func(ident.AdapterVersion) bool { return true }); ok {
+		t.Errorf("victim %v although all are kept", av)
+	}
+}
