bench: measure proxy overhead, idle entries and the configuration path

'bench overhead' starts stand-ins, agents and one entry as separate processes and sends the same completions directly and through the entry. 'bench capacity entry' measures an idle entry process against adapters and endpoints, 'bench capacity fleet' calls, bytes and times of the configuration path with many real sources, views, presences and permit holders in one process.

--- /dev/null
+++ b/bench/capacity/doc.go
@@ -0,0 +1,2 @@
+// Package capacity measures what the roles of a deployment cost against its size.
+package capacity
--- /dev/null
+++ b/bench/capacity/entry.go
@@ -0,0 +1,125 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/bench/load"
+	"shallotring.dev/protocol/wire"
+)
+
+// settle is the time after the start until an idle process is measured.
+const settle = 8 * time.Second
+
+// Entry measures one idle entry process against adapters and endpoints.
+type Entry struct {
+	Bin       string        `help:"Directory of the programs." default:"bin"`
+	Adapters  []int         `help:"Numbers of adapters." default:"3000,10000,40000"`
+	Endpoints []int         `help:"Numbers of endpoints." default:"20,200,600"`
+	Duration  time.Duration `help:"Time of each measurement." default:"10s"`
+	Changes   int           `help:"Configuration changes during the measurement."`
+}
+
+// Run prints one line for each number of adapters with the fewest endpoints and for each number of endpoints with the
+// fewest adapters, and one for the largest of both.
+func (e *Entry) Run(ctx context.Context, out io.Writer) (err error) {
+	defer func() { err = eris.Wrap(err, "measure an entry") }()
+	for _, n := range e.Adapters {
+		if err = e.once(ctx, out, n, e.Endpoints[0]); err != nil {
+			return err
+		}
+	}
+	for _, n := range e.Endpoints[1:] {
+		if err = e.once(ctx, out, e.Adapters[0], n); err != nil {
+			return err
+		}
+	}
+	return e.once(ctx, out, e.Adapters[len(e.Adapters)-1], e.Endpoints[len(e.Endpoints)-1])
+}
+
+func (e *Entry) once(ctx context.Context, out io.Writer, adapters, endpoints int) (err error) {
+	s, err := newService()
+	if err != nil {
+		return err
+	}
+	defer s.end()
+	agents := &reporter{}
+	var agentTraffic traffic
+	address, end, err := serve(wire.NewAgentServer(agents), &agentTraffic)
+	if err != nil {
+		return err
+	}
+	defer end()
+	if err = s.declare(ctx, adapters, endpoints); err != nil {
+		return err
+	}
+	if err = s.claim(ctx, endpoints, []string{address}); err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	fleet := &load.Fleet{Bin: e.Bin, Dir: dir}
+	defer fleet.Stop()
+	p, err := startEntry(ctx, fleet, s.url)
+	if err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	before, err := load.ReadUsage(p.PID())
+	if err != nil {
+		return err
+	}
+	bytes, reports, reportBytes := s.traffic.total(), agents.reports.Load(), agentTraffic.total()
+	if err = e.wait(ctx, s, adapters); err != nil {
+		return err
+	}
+	after, err := load.ReadUsage(p.PID())
+	if err != nil {
+		return err
+	}
+	seconds := e.Duration.Seconds()
+	fetched := agents.reports.Load() - reports
+	_, err = fmt.Fprintf(out, "entry: adapters=%d endpoints=%d changes=%d rss_mb=%.1f peak_mb=%.1f core_percent=%.2f reports_per_s=%.1f "+
+		"report_bytes=%.0f keyvalue_bytes_per_s=%.0f load_average=%s\n",
+		adapters, endpoints, e.Changes, mebibytes(after.Resident), mebibytes(after.Peak), 100*(after.CPU-before.CPU).Seconds()/seconds,
+		float64(fetched)/seconds, float64(agentTraffic.total()-reportBytes)/max(float64(fetched), 1),
+		float64(s.traffic.total()-bytes)/seconds, load.MachineLoad())
+	return err
+}
+
+// wait lets the time pass and makes the changes at even intervals.
+func (e *Entry) wait(ctx context.Context, s *service, adapters int) (err error) {
+	end := time.Now().Add(e.Duration)
+	for i := range e.Changes {
+		if err = s.change(ctx, i%adapters); err != nil {
+			return err
+		}
+		time.Sleep(e.Duration / time.Duration(e.Changes+1))
+	}
+	time.Sleep(time.Until(end))
+	return nil
+}
+
+func startEntry(ctx context.Context, fleet *load.Fleet, keyValue string) (p *load.Process, err error) {
+	var addresses [3]string
+	for i := range addresses {
+		if addresses[i], err = load.FreeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	p, err = fleet.StartWithSettings("entry", "entry", load.EntrySettings(addresses[0], addresses[1], addresses[2], keyValue))
+	if err != nil {
+		return nil, err
+	}
+	return p, load.AwaitOK(ctx, "http://"+addresses[1]+"/readyz")
+}
+
+func mebibytes(n int64) float64 { return float64(n) / (1 << 20) }
--- /dev/null
+++ b/bench/load/usage.go
@@ -0,0 +1,67 @@
+package load
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// clockTick is the unit of processor times in /proc; Linux reports them in hundredths of a second to programs.
+	clockTick = 10 * time.Millisecond
+	// The fields of /proc/<pid>/stat after the command's name, counted from the state.
+	userField, systemField = 11, 12
+)
+
+// Usage is what a process has used.
+type Usage struct {
+	CPU time.Duration
+	// Resident and Peak are the resident memory in bytes, now and at most.
+	Resident, Peak int64
+}
+
+// ReadUsage reads the usage of a process from /proc.
+func ReadUsage(pid int) (u Usage, err error) {
+	defer func() { err = eris.Wrapf(err, "usage of process %d", pid) }()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u, err
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	for _, n := range []int{userField, systemField} {
+		ticks, err := strconv.ParseInt(fields[n], 10, 64)
+		if err != nil {
+			return u, err
+		}
+		u.CPU += time.Duration(ticks) * clockTick
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return u, err
+	}
+	u.Resident, u.Peak = kibibytes(string(status), "VmRSS:"), kibibytes(string(status), "VmHWM:")
+	return u, nil
+}
+
+// kibibytes returns the value of a line such as "VmRSS:  1024 kB" in bytes; zero if there is none.
+func kibibytes(status, key string) (bytes int64) {
+	_, rest, ok := strings.Cut(status, key)
+	if !ok {
+		return 0
+	}
+	n, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+	return n << 10
+}
+
+// MachineLoad returns the machine's load average over one minute.
+func MachineLoad() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Fields(string(text))[0]
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,6 +13,9 @@
 )
 
 func main() {
+	if measure(os.Args[1:]) {
+		return
+	}
 	var flags struct {
 		Plot     string `help:"Write the plot of stall against load to this SVG file."`
 		Ablation bool   `help:"Also take each part of the policy out in turn." default:"true" negatable:""`
--- /dev/null
+++ b/cmd/bench/measure.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"shallotring.dev/bench/capacity"
+	"shallotring.dev/bench/load"
+)
+
+// measurements are the commands that measure real processes; without one of them bench runs the decision benchmark.
+type measurements struct {
+	Overhead overheadCommand `cmd:"" help:"Measure the proxy overhead with separate processes on loopback."`
+	Capacity struct {
+		Entry entryCommand `cmd:"" help:"Memory and processor time of an idle entry process against adapters and endpoints."`
+		Fleet fleetCommand `cmd:"" help:"Calls, bytes and times of the configuration path against processes."`
+	} `cmd:"" help:"Measure the slopes of docs/CAPACITY.md."`
+}
+
+type overheadCommand struct {
+	load.Overhead `embed:""`
+}
+
+// Run measures and prints.
+func (c *overheadCommand) Run() (err error) { return c.Overhead.Run(context.Background(), os.Stdout) }
+
+type entryCommand struct {
+	capacity.Entry `embed:""`
+}
+
+// Run measures and prints.
+func (c *entryCommand) Run() (err error) { return c.Entry.Run(context.Background(), os.Stdout) }
+
+type fleetCommand struct {
+	capacity.Fleet `embed:""`
+}
+
+// Run measures and prints.
+func (c *fleetCommand) Run() (err error) { return c.Fleet.Run(context.Background(), os.Stdout) }
+
+// measure runs the named measurement, if the first argument names one.
+func measure(args []string) (ran bool) {
+	if len(args) == 0 || (args[0] != "overhead" && args[0] != "capacity") {
+		return false
+	}
+	p := kong.Must(&measurements{}, kong.Name("bench"), kong.Description("Measures separate processes on loopback."))
+	c, err := p.Parse(args)
+	p.FatalIfErrorf(err)
+	p.FatalIfErrorf(c.Run())
+	return true
+}
