--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -39,6 +39,7 @@
 	store         claim.Store
 	configuration Configuration
 	permits       Permits
+	hosts         HostList
 	clock         quartz.Clock
 	log           *timeline.Log
 	transport     http.RoundTripper
@@ -90,6 +91,7 @@
 	if a.permits == nil {
 		a.permits = NewFixedShare(a.configuration, a.clock)
 	}
+	a.setHostList()
 	a.work, a.stop = context.WithCancelCause(context.Background())
 	a.notReady("starting")
 	return a, a.listen()
@@ -140,6 +142,9 @@
 	a.spawn(func() { a.check(a.listener.Serve()) })
 	a.spawn(a.keepClaim)
 	a.spawn(a.watchConfiguration)
+	if a.hosts != nil {
+		a.spawn(a.watchHosts)
+	}
 	a.ready()
 	return a.wait(ctx)
 }
@@ -209,7 +214,7 @@
 func (a *Agent) wait(ctx context.Context) (err error) {
 	select {
 	case <-ctx.Done():
-		a.drain()
+		a.drain("stop was asked for")
 	case <-a.drained:
 	case <-a.work.Done():
 		return context.Cause(a.work)
@@ -228,10 +233,11 @@
 	return nil
 }
 
-func (a *Agent) drain() {
+// drain refuses new tries from now on; the first reason is logged.
+func (a *Agent) drain(reason string) {
 	a.once.Do(func() {
 		a.notReady("leaving")
-		a.log.Event(timeline.Event{Kind: timeline.DrainStarted, Endpoint: a.settings.Endpoint})
+		a.log.Event(timeline.Event{Kind: timeline.DrainStarted, Endpoint: a.settings.Endpoint, Detail: reason})
 	})
 	a.post(gate.Drain{})
 }
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -75,7 +75,7 @@
 
 // Drain starts a drain and returns the number of tries in progress.
 func (s *service) Drain(ctx context.Context, _ *wire.DrainRequest) (resp *wire.DrainResponse, err error) {
-	s.agent.drain()
+	s.agent.drain("drain was called")
 	var r gate.Report
 	if err = s.agent.look(ctx, func(g *gate.Gate) { r = g.Report() }); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
