--- a/state/placement/adapter.go
+++ b/state/placement/adapter.go
@@ -19,7 +19,7 @@
 	// shortestSpan is the least time in seconds over which a rate is taken, so that two requests at once are not a burst.
 	shortestSpan = 2.0
 	// targetLoad is the part of a batch that one replica is planned to take.
-	targetLoad = 0.75
+	targetLoad = 0.9
 	// hysteresis is the number of replicas that demand must fall by before one is given up.
 	hysteresis = 1.3
 	// forgotten is the demand below which an adapter without holders is dropped.
