--- a/bench/fleet/result.go
+++ b/bench/fleet/result.go
@@ -130,3 +130,13 @@
 	}
 	return most
 }
+
+// LoadsBetween returns the number of loads begun in a span of time.
+func (r *Result) LoadsBetween(from, to time.Duration) (n int) {
+	for _, s := range r.starts {
+		if s >= from && s < to {
+			n++
+		}
+	}
+	return n
+}
--- a/bench/report/print.go
+++ b/bench/report/print.go
@@ -63,21 +63,22 @@
 	fmt.Fprintln(w)
 }
 
-// printRecovery writes the mean stall in ten-second spans around the fault.
+// printRecovery writes the mean stall and the loads in ten-second spans around the fault.
 func printRecovery(w *strings.Builder, runs Runs) {
 	const span = 10 * time.Second
-	fmt.Fprintf(w, "\nmean stall in ms by arrival at %.0f%%, seconds after the fault", FixedLoad*100)
-	for _, name := range []string{"shift", "restart"} {
-		fmt.Fprintf(w, "\n%-26s", "")
+	fmt.Fprintf(w, "\nmean stall in ms by arrival, and loads, at %.0f%%, seconds after the fault", FixedLoad*100)
+	line := func(name, policy, unit string, value func(from time.Duration) float64) {
+		fmt.Fprintf(w, "\n%-10s %-15s %-6s", name, policy, unit)
 		for at := -2 * span; at < 10*span; at += span {
-			fmt.Fprintf(w, " %6.0f", at.Seconds())
+			fmt.Fprintf(w, " %6.0f", value(workload.Event+at))
 		}
+	}
+	for _, name := range []string{"shift", "restart"} {
+		line(name, "", "s", func(from time.Duration) float64 { return (from - workload.Event).Seconds() })
 		for _, p := range Policies() {
-			fmt.Fprintf(w, "\n%-10s %-15s", name, p.Name)
-			for at := -2 * span; at < 10*span; at += span {
-				from := workload.Event + at
-				fmt.Fprintf(w, " %6.0f", runs[Key{name, p.Name, FixedLoad}].Between(from, from+span, false))
-			}
+			r := runs[Key{name, p.Name, FixedLoad}]
+			line(name, p.Name, "stall", func(from time.Duration) float64 { return r.Between(from, from+span, false) })
+			line(name, p.Name, "loads", func(from time.Duration) float64 { return float64(r.LoadsBetween(from, from+span)) })
 		}
 	}
 	fmt.Fprintln(w)
