Add journals and fault switches to the stand-ins

Cause: a test that runs the stand-ins as processes could neither read what an engine ran nor inject a fault.

The service stand-in holds calls before or after their effect and notes the request id. The host list takes PUT and DELETE.

Before: these faults were reachable from Go only. After: they are reachable over HTTP; the tests of the stand-ins pass.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -56,13 +56,20 @@
 
 type keyValueCommand struct {
 	listenFlag `embed:""`
+	Data       string `placeholder:"FILE" help:"Read the data at the start, if the file exists, and save them at the end."`
 }
 
 // Run serves the key-value stand-in.
 func (c *keyValueCommand) Run() (err error) {
 	s := keyvalue.New()
 	defer s.Close()
-	return c.serve(s.Handler())
+	if err = s.Load(c.Data); err != nil {
+		return err
+	}
+	if err = c.serve(s.Handler()); err != nil {
+		return err
+	}
+	return s.Save(c.Data)
 }
 
 type weightsCommand struct {
--- a/standin/engine/api.go
+++ b/standin/engine/api.go
@@ -65,13 +65,15 @@
 	Error apiError `json:"error"`
 }
 
-// Handler serves the engine's API.
+// Handler serves the engine's API, GET /journal for the verdict of a test, and POST /fault/restart.
 func (e *Engine) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Use(e.stamp)
 	r.Get("/v1/models", e.listModels)
 	r.Get("/running", e.listRunning)
 	r.Get("/load", e.report)
+	r.Get("/journal", e.showJournal)
+	r.Post("/fault/restart", func(http.ResponseWriter, *http.Request) { e.Restart() })
 	r.Group(func(r chi.Router) {
 		r.Use(e.fence)
 		r.Post("/v1/completions", e.completions)
@@ -97,8 +99,7 @@
 // fence refuses commands with an old fencing number if the engine checks them.
 func (e *Engine) fence(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		number, _ := strconv.ParseInt(r.Header.Get(HeaderFencing), 10, 64)
-		if !e.checkFencing(number) {
+		if !e.checkFencing(r.URL.Path, fencingNumber(r)) {
 			writeError(w, http.StatusPreconditionFailed, "old_fencing_number", "the fencing number is old")
 			return
 		}
@@ -106,6 +107,11 @@
 	})
 }
 
+func fencingNumber(r *http.Request) (number int64) {
+	number, _ = strconv.ParseInt(r.Header.Get(HeaderFencing), 10, 64)
+	return number
+}
+
 func (e *Engine) listModels(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	list := modelList{Object: "list", Data: []modelEntry{{ID: string(e.base), Object: "model", OwnedBy: "engine"}}}
@@ -132,6 +138,17 @@
 	writeJSON(w, http.StatusOK, list)
 }
 
+// JournalReport is the answer to GET /journal.
+type JournalReport struct {
+	Runs           []Run
+	EvictionsInUse []string
+	StaleCommands  []string
+}
+
+func (e *Engine) showJournal(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, JournalReport{Runs: e.Journal(), EvictionsInUse: e.EvictionsInUse(), StaleCommands: e.StaleCommands()})
+}
+
 func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	r := loadReport{Running: len(e.running), Waiting: e.waiting, BatchSize: cap(e.batch), Slots: e.slots}
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -90,7 +90,7 @@
 		c.MaxTokens = defaultMaxTokens
 	}
 	id := r.Header.Get(HeaderRequestID)
-	ctx, _, end, err := e.begin(r.Context(), id, c.Model, PromptDigest(prompt))
+	ctx, _, end, err := e.begin(r.Context(), id, c.Model, PromptDigest(prompt), fencingNumber(r))
 	if err != nil {
 		writeError(w, http.StatusNotFound, "model_not_found", err.Error())
 		return
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -22,8 +22,10 @@
 	RequestID    string
 	Model        string
 	PromptDigest string
-	Cancelled    bool
-	Finished     bool
+	// FencingNumber is the number that the request came with.
+	FencingNumber int64
+	Cancelled     bool
+	Finished      bool
 }
 
 type running struct {
@@ -58,8 +60,10 @@
 	waiting   int
 	journal   []*Run
 	evictions []string
-	epoch     context.Context
-	stop      context.CancelFunc
+	// stale lists the commands that were carried out with an old fencing number.
+	stale []string
+	epoch context.Context
+	stop  context.CancelFunc
 }
 
 // Option changes how an engine is built.
@@ -133,6 +137,13 @@
 	return append([]string(nil), e.evictions...)
 }
 
+// StaleCommands returns the commands that were carried out with an old fencing number; an engine that checks has none.
+func (e *Engine) StaleCommands() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.stale...)
+}
+
 // Loaded returns the names of the loaded adapters.
 func (e *Engine) Loaded() (names []string) {
 	e.mu.Lock()
@@ -192,18 +203,21 @@
 }
 
 // checkFencing records the number and reports whether a command with it may be executed.
-func (e *Engine) checkFencing(number int64) bool {
+func (e *Engine) checkFencing(command string, number int64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.checksFencing && number < e.fencing {
-		return false
+	if number < e.fencing {
+		if e.checksFencing {
+			return false
+		}
+		e.stale = append(e.stale, fmt.Sprintf("%s with %d after %d", command, number, e.fencing))
 	}
 	e.fencing = max(e.fencing, number)
 	return true
 }
 
 // begin admits a request; end must be called when it is over.
-func (e *Engine) begin(ctx context.Context, id, model, promptDigest string) (runCtx context.Context, run *Run, end func(finished bool), err error) {
+func (e *Engine) begin(ctx context.Context, id, model, promptDigest string, fencing int64) (runCtx context.Context, run *Run, end func(finished bool), err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a, ok := e.adapters[model]
@@ -213,7 +227,7 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	detach := context.AfterFunc(e.epoch, cancel)
 	r := &running{id: id, model: model, cancel: cancel}
-	run = &Run{RequestID: id, Model: model, PromptDigest: promptDigest}
+	run = &Run{RequestID: id, Model: model, PromptDigest: promptDigest, FencingNumber: fencing}
 	e.running[r] = struct{}{}
 	e.journal = append(e.journal, run)
 	if ok {
--- a/standin/hosts/list.go
+++ b/standin/hosts/list.go
@@ -77,8 +77,26 @@
 	l.shown[c.Host] = c.Entry
 }
 
-// ServeHTTP answers GET /hosts with the visible hosts as JSON.
-func (l *List) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+// ServeHTTP answers GET with the visible hosts as JSON. PUT takes one Entry and DELETE removes the host that it names,
+// as the platform does when it plans work.
+func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut || r.Method == http.MethodDelete {
+		l.change(w, r)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(l.Hosts())
 }
+
+func (l *List) change(w http.ResponseWriter, r *http.Request) {
+	var e Entry
+	if err := json.NewDecoder(r.Body).Decode(&e); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if r.Method == http.MethodDelete {
+		l.Remove(e.Host)
+		return
+	}
+	l.Set(e)
+}
--- a/standin/keyvalue/fault.go
+++ b/standin/keyvalue/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"strings"
@@ -44,6 +45,33 @@
 	lost int
 }
 
+// Fault is the body of POST /fault; it replaces the fault in force.
+type Fault struct {
+	LatencyMilli int64
+	// Outage is "", "refused" or "silent".
+	Outage string
+	// LoseAnswers is the number of writes whose answers are lost.
+	LoseAnswers int
+}
+
+var outages = map[string]Outage{"": OutageNone, "refused": OutageRefused, "silent": OutageSilent}
+
+func (s *Service) serveFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	o, ok := outages[f.Outage]
+	if !ok {
+		http.Error(w, "unknown outage "+f.Outage, http.StatusBadRequest)
+		return
+	}
+	s.SetLatency(time.Duration(f.LatencyMilli) * time.Millisecond)
+	s.SetOutage(o)
+	s.LoseAnswers(f.LoseAnswers)
+}
+
 // SetLatency delays each call before it takes effect.
 func (s *Service) SetLatency(d time.Duration) {
 	s.mu.Lock()
--- a/standin/keyvalue/handler.go
+++ b/standin/keyvalue/handler.go
@@ -10,7 +10,7 @@
 	"shallotring.dev/protocol/keyvalue/gateway"
 )
 
-// Handler serves the JSON gateway.
+// Handler serves the JSON gateway and POST /fault, which takes a Fault.
 func (s *Service) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Post(gateway.PathRange, call(s, CallRange, func(q gateway.RangeRequest) (any, *gateway.Error) {
@@ -33,6 +33,7 @@
 		return struct{}{}, nil
 	}))
 	r.Post(gateway.PathWatch, s.serveWatch)
+	r.Post("/fault", s.serveFault)
 	return r
 }
 
--- a/standin/keyvalue/service.go
+++ b/standin/keyvalue/service.go
@@ -206,10 +206,14 @@
 	defer s.mu.Unlock()
 	s.lastLease++
 	id = s.lastLease
+	s.lease(id, ttl)
+	return id
+}
+
+func (s *Service) lease(id int64, ttl time.Duration) {
 	l := &lease{ttl: ttl, expiry: s.clock.Now().Add(ttl)}
 	l.timer = s.clock.AfterFunc(ttl, func() { s.expire(id) })
 	s.leases[id] = l
-	return id
 }
 
 func (s *Service) keepAlive(id int64) (ttl time.Duration) {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -11,10 +11,12 @@
 
 // Run is one call that the service executed.
 type Run struct {
-	Key    string
-	Method string
-	Path   string
-	Body   string
+	// RequestID is the header X-Request-Id, which names request and try.
+	RequestID string
+	Key       string
+	Method    string
+	Path      string
+	Body      string
 }
 
 // Receipt is the service's answer to a call.
@@ -32,6 +34,13 @@
 	journal []Run
 	before  func(r *http.Request)
 	after   func(r *http.Request)
+	hold    hold
+}
+
+// hold makes calls wait until the channel is closed.
+type hold struct {
+	after   bool
+	release chan struct{}
 }
 
 // New returns a service with an empty journal.
@@ -51,10 +60,45 @@
 	return append([]Run(nil), s.journal...)
 }
 
-// Handler serves GET /journal and executes any other call.
+// Hold makes each call wait, before or after it takes effect, until Release.
+func (s *Service) Hold(after bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end()
+	s.hold = hold{after: after, release: make(chan struct{})}
+}
+
+// Release lets the calls that wait go on.
+func (s *Service) Release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end()
+}
+
+func (s *Service) end() {
+	if s.hold.release != nil {
+		close(s.hold.release)
+	}
+	s.hold = hold{}
+}
+
+// wait returns once no call is to be held at this point.
+func (s *Service) wait(after bool) {
+	s.mu.Lock()
+	h := s.hold
+	s.mu.Unlock()
+	if h.release != nil && h.after == after {
+		<-h.release
+	}
+}
+
+// Handler serves GET /journal, POST /fault/hold-before, /fault/hold-after and /fault/release, and executes any other call.
 func (s *Service) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/journal", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Journal()) })
+	r.Post("/fault/hold-before", func(http.ResponseWriter, *http.Request) { s.Hold(false) })
+	r.Post("/fault/hold-after", func(http.ResponseWriter, *http.Request) { s.Hold(true) })
+	r.Post("/fault/release", func(http.ResponseWriter, *http.Request) { s.Release() })
 	r.HandleFunc("/*", s.execute)
 	return r
 }
@@ -69,7 +113,9 @@
 	if before != nil {
 		before(r)
 	}
+	s.wait(false)
 	receipt := s.record(r, body)
+	s.wait(true)
 	if after != nil {
 		after(r)
 	}
@@ -86,7 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := r.Header.Get("Idempotency-Key")
-	s.journal = append(s.journal, Run{Key: key, Method: r.Method, Path: r.URL.Path, Body: string(body)})
+	s.journal = append(s.journal, Run{RequestID: r.Header.Get("X-Request-Id"), Key: key, Method: r.Method, Path: r.URL.Path, Body: string(body)})
 	return Receipt{Number: len(s.journal), Method: r.Method, Path: r.URL.Path, Key: key}
 }
 
