Let agents read the host list and answer for their contact with the key-value service

Cause: an agent left on command or by signal only, although the platform lists leaving hosts. An agent knows by its keep-alives whether the key-value service answers, but could not say so.

Change: HostList in the settings names the list; the agent reads it every second, drains when its host is leaving and claims no endpoint there. A list that cannot be read is counted and changes nothing. InForce answers with the age of the contact if it is asked for; the agent then renews its claim early if the last renewal is older than 2 s, so the answer is about now. wire.proto: InForceRequest.Contact, InForceResponse.Confirmed and ContactAgeMilli. The log of a drain names its reason, and shallotring_agent_claim_age_seconds shows the age of the last renewal.

--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -76,6 +76,10 @@
 
 	// pending holds the leases of writes whose outcome is unknown.
 	pending map[keyvalue.LeaseID]bool
+
+	// hasten asks Keep to renew the claim at once; attempted is closed at the end of each renewal.
+	hasten    chan struct{}
+	attempted chan struct{}
 }
 
 // Option changes how a claim is built.
@@ -89,7 +93,8 @@
 
 // New returns a claim that is not held yet.
 func New(store Store, r registry.ClaimRecord, options ...Option) *Claim {
-	c := &Claim{store: store, record: r, key: registry.ClaimKey(r.Endpoint), clock: quartz.NewReal(), pending: make(map[keyvalue.LeaseID]bool)}
+	c := &Claim{store: store, record: r, key: registry.ClaimKey(r.Endpoint), clock: quartz.NewReal(), pending: make(map[keyvalue.LeaseID]bool),
+		hasten: make(chan struct{}, 1), attempted: make(chan struct{})}
 	for _, o := range options {
 		o(c)
 	}
--- a/coordination/claim/keep.go
+++ b/coordination/claim/keep.go
@@ -15,14 +15,16 @@
 	last, _ := c.Status()
 	next := c.clock.Now().Add(KeepAlive)
 	for {
-		if err = c.sleep(ctx, retryEvery); err != nil {
+		asked, err := c.pause(ctx)
+		if err != nil {
 			return err
 		}
-		if !c.clock.Now().Before(next) {
+		if asked || !c.clock.Now().Before(next) {
 			started := c.clock.Now()
 			if err = c.Renew(ctx); err == nil {
 				next = started.Add(KeepAlive)
 			}
+			c.announce()
 		}
 		s, i := c.Status()
 		if s == Released {
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -39,14 +39,17 @@
 	store         claim.Store
 	configuration Configuration
 	permits       Permits
+	hosts         HostList
 	clock         quartz.Clock
 	log           *timeline.Log
 	transport     http.RoundTripper
 	limits        func(*gate.Config)
 
-	meters  *meters
-	client  *engine.Client
-	claim   *claim.Claim
+	meters *meters
+	client *engine.Client
+	claim  *claim.Claim
+	// claimed shares the claim with the admin port, which is open before there is one.
+	claimed atomic.Pointer[claim.Claim]
 	inbox   chan message
 	streams map[ident.TryID]*stream
 	unready atomic.Pointer[string]
@@ -90,7 +93,9 @@
 	if a.permits == nil {
 		a.permits = NewFixedShare(a.configuration, a.clock)
 	}
+	a.setHostList()
 	a.work, a.stop = context.WithCancelCause(context.Background())
+	a.meters.set.NewGauge("shallotring_agent_claim_age_seconds", func() float64 { return a.claimAge().Seconds() })
 	a.notReady("starting")
 	return a, a.listen()
 }
@@ -140,6 +145,9 @@
 	a.spawn(func() { a.check(a.listener.Serve()) })
 	a.spawn(a.keepClaim)
 	a.spawn(a.watchConfiguration)
+	if a.hosts != nil {
+		a.spawn(a.watchHosts)
+	}
 	a.ready()
 	return a.wait(ctx)
 }
@@ -160,6 +168,7 @@
 	a.notReady("waiting for the claim on the endpoint")
 	service := e.Kind == resource.Service
 	a.claim = claim.New(a.store, a.claimRecord(), claim.WithClock(a.clock), claim.ChecksFencing(e.ChecksFencing || service))
+	a.claimed.Store(a.claim)
 	i, err := a.claim.Acquire(ctx)
 	if err != nil {
 		return nil, err
@@ -209,7 +218,7 @@
 func (a *Agent) wait(ctx context.Context) (err error) {
 	select {
 	case <-ctx.Done():
-		a.drain()
+		a.drain("stop was asked for")
 	case <-a.drained:
 	case <-a.work.Done():
 		return context.Cause(a.work)
@@ -228,10 +237,11 @@
 	return nil
 }
 
-func (a *Agent) drain() {
+// drain refuses new tries from now on; the first reason is logged.
+func (a *Agent) drain(reason string) {
 	a.once.Do(func() {
 		a.notReady("leaving")
-		a.log.Event(timeline.Event{Kind: timeline.DrainStarted, Endpoint: a.settings.Endpoint})
+		a.log.Event(timeline.Event{Kind: timeline.DrainStarted, Endpoint: a.settings.Endpoint, Detail: reason})
 	})
 	a.post(gate.Drain{})
 }
@@ -257,6 +267,14 @@
 	}
 }
 
+// claimAge is the time since the last renewal of the claim; zero before there is a claim.
+func (a *Agent) claimAge() time.Duration {
+	if c := a.claimed.Load(); c != nil {
+		return c.Age()
+	}
+	return 0
+}
+
 func (a *Agent) ready()                 { a.unready.Store(nil) }
 func (a *Agent) notReady(reason string) { a.unready.Store(&reason) }
 
--- a/daemon/agent/configuration.go
+++ b/daemon/agent/configuration.go
@@ -15,15 +15,20 @@
 // refreshTimeout bounds the wait of a try for a newer configuration.
 const refreshTimeout = 2 * time.Second
 
-// declared waits until the endpoint is declared and not leaving.
+// declared waits until the endpoint is declared and neither it nor its host is leaving.
 func (a *Agent) declared(ctx context.Context) (e *resource.Endpoint, err error) {
 	a.notReady("waiting for the declaration of the endpoint")
 	for {
 		e, ok := a.configuration.Current().Endpoint(a.settings.Endpoint)
+		wait := configurationPoll
 		if ok && !e.Leaving {
-			return e, nil
+			if !a.hostLeaving(ctx) {
+				return e, nil
+			}
+			a.notReady("host is leaving")
+			wait = hostListPoll
 		}
-		if err = a.sleep(ctx, configurationPoll); err != nil {
+		if err = a.sleep(ctx, wait); err != nil {
 			return nil, err
 		}
 	}
@@ -41,7 +46,7 @@
 		a.log.Event(timeline.Event{Kind: timeline.ConfigurationSet, Revision: set.Newest()})
 		e, ok := set.Endpoint(a.settings.Endpoint)
 		if !ok || e.Leaving {
-			a.drain()
+			a.drain("endpoint is leaving or not declared any more")
 			continue
 		}
 		a.post(gate.Configure{BatchSize: e.BatchSize})
--- a/daemon/agent/metrics.go
+++ b/daemon/agent/metrics.go
@@ -59,6 +59,10 @@
 	return m.counter("violations_total", "guarantee", string(g))
 }
 
+func (m *meters) hostListFailures() *metrics.Counter {
+	return m.set.GetOrCreateCounter("shallotring_agent_host_list_failures_total")
+}
+
 func (m *meters) stalled(d time.Duration) { m.stall.Update(d.Seconds()) }
 
 func (m *meters) report(r gate.Report) {
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/twitchtv/twirp"
@@ -75,7 +76,7 @@
 
 // Drain starts a drain and returns the number of tries in progress.
 func (s *service) Drain(ctx context.Context, _ *wire.DrainRequest) (resp *wire.DrainResponse, err error) {
-	s.agent.drain()
+	s.agent.drain("drain was called")
 	var r gate.Report
 	if err = s.agent.look(ctx, func(g *gate.Gate) { r = g.Report() }); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
@@ -83,11 +84,22 @@
 	return &wire.DrainResponse{Running: uint32(r.Running + r.Queued)}, nil
 }
 
-// InForce returns the newest configuration revision in force.
-func (s *service) InForce(context.Context, *wire.InForceRequest) (resp *wire.InForceResponse, err error) {
-	return &wire.InForceResponse{
+// InForce returns the newest configuration revision in force and, if asked for, the contact with the key-value service.
+func (s *service) InForce(ctx context.Context, r *wire.InForceRequest) (resp *wire.InForceResponse, err error) {
+	resp = &wire.InForceResponse{
 		Process: string(s.agent.process), Role: string(registry.RoleAgent), Generation: int64(s.agent.configuration.Current().Newest()),
-	}, nil
+	}
+	if r.GetContact() {
+		var age time.Duration
+		if age, resp.Confirmed, err = s.agent.claim.Contact(ctx); err != nil {
+			return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		}
+		if resp.Confirmed {
+			// Rounded up, so that a contact never looks newer than it is.
+			resp.ContactAgeMilli = age.Milliseconds() + 1
+		}
+	}
+	return resp, nil
 }
 
 func tryID(id *wire.TryID) ident.TryID {
--- a/daemon/agent/settings.go
+++ b/daemon/agent/settings.go
@@ -24,6 +24,8 @@
 	Admin string
 	// KeyValue lists the base URLs of the key-value service.
 	KeyValue []string
+	// HostList is the URL of the platform's list of live and leaving hosts; empty if the platform has none.
+	HostList string
 	// AllowInsecure permits listeners off loopback without TLS keys.
 	AllowInsecure bool
 	TLS           settings.TLS
@@ -45,6 +47,11 @@
 			return err
 		}
 	}
+	if s.HostList != "" {
+		if err = checkURL("HostList", s.HostList); err != nil {
+			return err
+		}
+	}
 	if err = settings.Address("Listen", s.Listen); err != nil {
 		return err
 	}
--- /dev/null
+++ b/protocol/hostlist/client.go
@@ -0,0 +1,67 @@
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/state/ident"
+)
+
+const (
+	// callTimeout bounds one read of the list.
+	callTimeout = 2 * time.Second
+	// maxBytes bounds the list; 1,000 hosts need about 50 KB.
+	maxBytes = 8 << 20
+)
+
+// Host is one entry of the list.
+type Host struct {
+	Host    ident.Host
+	Leaving bool
+}
+
+// Client reads the list at one URL.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// New returns a client of the list at the URL.
+func New(url string) *Client {
+	return &Client{url: url, http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+}
+
+// Leaving reports whether the list marks the host as leaving; a host that is not listed is not marked.
+func (c *Client) Leaving(ctx context.Context, host ident.Host) (leaving bool, err error) {
+	defer func() { err = eris.Wrap(err, "read the host list") }()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, http.NoBody)
+	if err != nil {
+		return false, err
+	}
+	a, err := c.http.Do(r)
+	if err != nil {
+		return false, err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return false, eris.Errorf("status %s", a.Status)
+	}
+	var list []Host
+	if err = json.NewDecoder(io.LimitReader(a.Body, maxBytes)).Decode(&list); err != nil {
+		return false, err
+	}
+	for _, h := range list {
+		if h.Host == host {
+			return h.Leaving, nil
+		}
+	}
+	return false, nil
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/protocol/hostlist/doc.go
@@ -0,0 +1,2 @@
+// Package hostlist reads the platform's list of live and leaving hosts.
+package hostlist
