Count agents as peers when a process decides whether it is isolated

Cause: a process that cannot reach the key-value service asked other entries only. An entry that knows no other entry counted as isolated 3 s after the service was lost, so a deployment with one entry refused everything in an outage.

Change: the probe asks agents with the calls that the entries leave of the nine, spread over the list. An agent that answers and has lost the service counts as agreeing; its contact does not count as the entry's own, because it brings no configuration. The check of the service and the probe run apart, because a silent service holds its check for a second.

Before: 'outage, one agent' in TestIsolatedWithAgents is isolated. After: it goes on, a cut-off entry with agents in contact refuses, and 600 agents cost at most nine calls.

--- a/coordination/configuration/isolation.go
+++ b/coordination/configuration/isolation.go
@@ -23,7 +23,7 @@
 const emptyPrefix = registry.ConfigPrefix + "~"
 
 // Isolated reports whether the process must refuse new work, because it cannot tell an outage of the service from its
-// own partition. A process that knows no peer is isolated as soon as the service is lost.
+// own partition. A process that knows neither entry nor agent is isolated as soon as the service is lost.
 func (s *Source) Isolated() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -50,33 +50,43 @@
 	return s.clock.Since(s.contact) > confirmTime
 }
 
-// check renews the contact of a process that reads the service, and asks the peers if there is none.
+// check renews the contact and asks the peers if there is none.
 func (s *Source) check(ctx context.Context) {
-	if s.watches() {
-		sent := s.clock.Now()
-		call, cancel := context.WithTimeout(ctx, peerTimeout)
-		_, _, err := s.store.List(call, emptyPrefix)
-		cancel()
-		if err == nil {
-			s.touch(sent)
-		}
+	s.checkService(ctx)
+	s.checkPeers(ctx)
+}
+
+// checkService renews the contact of a process that reads the service.
+func (s *Source) checkService(ctx context.Context) {
+	if !s.watches() {
+		return
 	}
+	sent := s.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if _, _, err := s.store.List(ctx, emptyPrefix); err == nil {
+		s.touch(sent)
+	}
+}
+
+func (s *Source) checkPeers(ctx context.Context) {
 	if s.stale() {
 		s.probe(ctx)
 	}
 }
 
-// probe asks several of the last known peers for changes and whether they have lost the service too.
-// It returns the number of peers asked and of those that answered with a configuration.
+// probe asks several of the last known peers, entries first, whether they have lost the service too; entries are also
+// asked for changes. It returns the number of entries asked and of those that answered with a configuration.
 func (s *Source) probe(ctx context.Context) (asked, loaded int) {
-	list := s.sample()
+	entries := spread(s.others(), maxProbePeers)
+	agents := spread(s.witnesses(), maxProbePeers-len(entries))
 	sent := s.clock.Now()
 	var (
 		wg   sync.WaitGroup
 		mu   sync.Mutex
 		lost int
 	)
-	for _, p := range list {
+	for _, p := range entries {
 		wg.Go(func() {
 			a, err := s.poll(ctx, p, 0)
 			if err != nil {
@@ -92,23 +102,21 @@
 			}
 		})
 	}
+	for _, w := range agents {
+		wg.Go(func() {
+			if !w.lost(ctx) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			lost++
+		})
+	}
 	wg.Wait()
-	if len(list) > 0 && 2*lost > len(list) {
+	if 2*lost > len(entries)+len(agents) {
 		s.mu.Lock()
 		s.agreed = sent
 		s.mu.Unlock()
 	}
-	return len(list), loaded
-}
-
-// sample returns peers spread evenly over the list, so that all zones are asked.
-func (s *Source) sample() (list []Peer) {
-	all := s.others()
-	if len(all) <= maxProbePeers {
-		return all
-	}
-	for i := range maxProbePeers {
-		list = append(list, all[i*len(all)/maxProbePeers])
-	}
-	return list
+	return len(entries), loaded
 }
--- a/coordination/configuration/run.go
+++ b/coordination/configuration/run.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/coder/quartz"
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/coordination/registry"
@@ -24,15 +25,20 @@
 
 // Run keeps the configuration up to date until ctx ends.
 func (s *Source) Run(ctx context.Context) (err error) {
-	probes := s.clock.TickerFunc(ctx, probeInterval, func() error {
-		s.check(ctx)
-		return nil
-	}, "configuration", "probe")
+	// The two checks run apart: while the service is silent, its check lasts as long as the time left to ask the peers.
+	every := func(check func(context.Context), tag string) quartz.Waiter {
+		return s.clock.TickerFunc(ctx, probeInterval, func() error {
+			check(ctx)
+			return nil
+		}, "configuration", tag)
+	}
+	service, probes := every(s.checkService, "contact"), every(s.checkPeers, "probe")
 	for ctx.Err() == nil {
 		if err := s.follow(ctx); err != nil && ctx.Err() == nil {
 			s.pause(ctx, retryWait)
 		}
 	}
+	_ = service.Wait()
 	_ = probes.Wait()
 	return ctx.Err()
 }
--- a/coordination/configuration/source.go
+++ b/coordination/configuration/source.go
@@ -34,9 +34,11 @@
 	identity Identity
 	store    Store
 	peers    func() []Peer
-	watchers int
-	clock    quartz.Clock
-	log      *timeline.Log
+	// witnesses returns the last known agents.
+	witnesses func() []Witness
+	watchers  int
+	clock     quartz.Clock
+	log       *timeline.Log
 	// fetching admits one Refresh at a time, so that many requests for a new revision cost one read.
 	fetching chan struct{}
 
@@ -78,6 +80,10 @@
 // Peers named by the settings are needed to start while the service is down.
 func WithPeers(fn func() []Peer) Option { return func(s *Source) { s.peers = fn } }
 
+// WithWitnesses sets the function that returns the last known agents. They serve no configuration; they only tell an
+// outage of the service from a partition.
+func WithWitnesses(fn func() []Witness) Option { return func(s *Source) { s.witnesses = fn } }
+
 // WithWatchers sets the number of entries per zone that watch the service.
 func WithWatchers(n int) Option { return func(s *Source) { s.watchers = n } }
 
@@ -86,15 +92,16 @@
 // New returns a source with nothing in force.
 func New(id Identity, store Store, options ...Option) *Source {
 	s := &Source{
-		identity: id,
-		store:    store,
-		peers:    func() []Peer { return nil },
-		watchers: defaultWatchers,
-		clock:    quartz.NewReal(),
-		log:      timeline.Discard(),
-		fetching: make(chan struct{}, 1),
-		failures: make(map[int]failure),
-		changed:  make(chan struct{}),
+		identity:  id,
+		store:     store,
+		peers:     func() []Peer { return nil },
+		witnesses: func() []Witness { return nil },
+		watchers:  defaultWatchers,
+		clock:     quartz.NewReal(),
+		log:       timeline.Discard(),
+		fetching:  make(chan struct{}, 1),
+		failures:  make(map[int]failure),
+		changed:   make(chan struct{}),
 	}
 	for _, o := range options {
 		o(s)
--- /dev/null
+++ b/coordination/configuration/witness.go
@@ -0,0 +1,39 @@
+package configuration
+
+import (
+	"context"
+
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/ident"
+)
+
+// Reporter is the part of the wire service Agent that a Source calls.
+type Reporter interface {
+	InForce(ctx context.Context, q *wire.InForceRequest) (a *wire.InForceResponse, err error)
+}
+
+// Witness is an agent that knows by its own keep-alives whether the service answers.
+type Witness struct {
+	Process  ident.Process
+	Reporter Reporter
+}
+
+// lost reports whether the agent answers and has lost the service. An agent's contact brings no configuration, so it
+// does not count as contact of the process that asks.
+func (w Witness) lost(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	a, err := w.Reporter.InForce(ctx, &wire.InForceRequest{Contact: true})
+	return err == nil && !a.GetConfirmed()
+}
+
+// spread returns at most n elements, evenly over the list, so that all zones are asked.
+func spread[T any](all []T, n int) (list []T) {
+	if len(all) <= n {
+		return all
+	}
+	for i := range n {
+		list = append(list, all[i*len(all)/n])
+	}
+	return list
+}
--- /dev/null
+++ b/coordination/configuration/witness_test.go
@@ -0,0 +1,81 @@
+package configuration
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/protocol/wire"
+)
+
+// reporter is an agent that gives one answer; nil means none.
+type reporter struct {
+	answer *wire.InForceResponse
+	calls  *atomic.Int64
+}
+
+func (r *reporter) InForce(_ context.Context, q *wire.InForceRequest) (*wire.InForceResponse, error) {
+	r.calls.Add(1)
+	if r.answer == nil || !q.GetContact() {
+		return nil, eris.New("no answer")
+	}
+	return r.answer, nil
+}
+
+// Guards against a single entry that refuses everything in an outage although its agents report it too, against one that
+// is cut off and goes on, and against a probe that grows with the fleet.
+func TestIsolatedWithAgents(t *testing.T) {
+	lost, fresh := &wire.InForceResponse{}, &wire.InForceResponse{Confirmed: true, ContactAgeMilli: 100}
+	many := make([]*wire.InForceResponse, 600)
+	for i := range many {
+		many[i] = lost
+	}
+	lostEntry := &wire.ChangesResponse{}
+	for _, x := range []struct {
+		name    string
+		entries []*wire.ChangesResponse
+		agents  []*wire.InForceResponse
+		want    bool
+	}{
+		{"outage", nil, []*wire.InForceResponse{lost, lost, nil}, false},
+		{"outage, one agent", nil, []*wire.InForceResponse{lost}, false},
+		{"outage of 600 agents", nil, many, false},
+		{"cut off, agents have the service", nil, []*wire.InForceResponse{fresh, fresh, lost}, true},
+		{"cut off from the agents too", nil, []*wire.InForceResponse{lost, nil, nil}, true},
+		{"half of the agents", nil, []*wire.InForceResponse{lost, fresh}, true},
+		{"entry and agents lost", []*wire.ChangesResponse{lostEntry}, []*wire.InForceResponse{lost, nil}, false},
+		{"entry silent", []*wire.ChangesResponse{nil}, []*wire.InForceResponse{lost, lost}, false},
+		{"entry lost, agents have the service", []*wire.ChangesResponse{lostEntry}, []*wire.InForceResponse{fresh, fresh}, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			w := newWorld(t)
+			l := &link{world: w}
+			var calls atomic.Int64
+			witnesses := func() (list []Witness) {
+				for _, a := range x.agents {
+					list = append(list, Witness{Reporter: &reporter{answer: a, calls: &calls}})
+				}
+				return list
+			}
+			s := New(entry("a", "z"), l, WithClock(w.clock), WithPeers(fixedPeers(x.entries...)), WithWitnesses(witnesses))
+			if err := s.readAll(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			l.cut = true
+			for range 8 {
+				w.clock.Advance(probeInterval).MustWait(t.Context())
+				s.check(t.Context())
+			}
+			if got := s.Isolated(); got != x.want {
+				t.Errorf("isolated %v, want %v", got, x.want)
+			}
+			before := calls.Load()
+			s.check(t.Context())
+			if n := int(calls.Load()-before) + len(x.entries); n > maxProbePeers {
+				t.Errorf("%d calls in one probe", n)
+			}
+		})
+	}
+}
--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -49,10 +49,11 @@
 	Configuration *configuration.Source
 	View          *registry.View
 
-	clock  quartz.Clock
-	scheme string
-	client *http.Client
-	fixed  []string
+	process ident.Process
+	clock   quartz.Clock
+	scheme  string
+	client  *http.Client
+	fixed   []string
 
 	mu    sync.Mutex
 	peers map[string]wire.Entry
@@ -64,7 +65,7 @@
 	if err = s.Check(); err != nil {
 		return nil, err
 	}
-	p = &Platform{clock: quartz.NewReal(), scheme: "http://", fixed: s.Peers, peers: make(map[string]wire.Entry)}
+	p = &Platform{process: id.Process, clock: quartz.NewReal(), scheme: "http://", fixed: s.Peers, peers: make(map[string]wire.Entry)}
 	t := &http.Transport{MaxIdleConnsPerHost: peerIdleConnections, IdleConnTimeout: time.Minute}
 	if keys.Enabled() {
 		p.scheme = "https://"
@@ -76,7 +77,8 @@
 	if p.Store, err = keyvalue.New(s.KeyValue); err != nil {
 		return nil, err
 	}
-	p.Configuration = configuration.New(id, p.Store, configuration.WithLog(log), configuration.WithPeers(p.entries))
+	p.Configuration = configuration.New(id, p.Store, configuration.WithLog(log), configuration.WithPeers(p.entries),
+		configuration.WithWitnesses(p.agents))
 	p.View = registry.NewView(p.Store, p.clock, log)
 	return p, nil
 }
@@ -108,6 +110,16 @@
 	return wire.NewAgentProtobufClient(p.scheme+address, p.client)
 }
 
+// agents lists the last known agents but the process itself.
+func (p *Platform) agents() (list []configuration.Witness) {
+	for _, c := range p.View.Claims() {
+		if c.Process != p.process {
+			list = append(list, configuration.Witness{Process: c.Process, Reporter: p.Agent(c.Address)})
+		}
+	}
+	return list
+}
+
 // entries lists the entries that serve the configuration: those of the registry, else those of the settings.
 func (p *Platform) entries() (list []configuration.Peer) {
 	for _, r := range p.View.Processes() {
