End background calls before the wait for them, and report a stop that was cut short

Cause: the second signal closes the connections of an entry while handlers still run. A handler that then cancels its try adds to the WaitGroup that Run waits for; the race detector reported it in TestSecondSignal (exit code 66). The program also ended with exit code 0 although it had interrupted requests, unlike the agent.

Change: background calls start under a lock and not after the end. Run returns ErrAborted after Abort, so the exit code is 1. TestNeverEndingBody aborts its entry and now expects ErrAborted in place of nil.

Before: WARNING: DATA RACE, write by node.(*Entry).Run, previous read by entry.(*exchange).do.

--- /dev/null
+++ b/daemon/entry/background_test.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"sync"
+	"testing"
+)
+
+// Guards against a data race, or a call that starts after the end, when handlers outlive an aborted stop.
+func TestBackgroundEnd(t *testing.T) {
+	var b background
+	var handlers sync.WaitGroup
+	ran, after := make(chan struct{}, 1000), false
+	for range 8 {
+		handlers.Go(func() {
+			for range 100 {
+				b.Go(func() { ran <- struct{}{} })
+			}
+		})
+	}
+	b.end()
+	b.Go(func() { after = true })
+	handlers.Wait()
+	b.calls.Wait()
+	if after {
+		t.Error("a call started after the end")
+	}
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -25,6 +25,9 @@
 	"shallotring.dev/transport/timeline"
 )
 
+// ErrAborted means that a graceful stop was cut short.
+var ErrAborted = eris.New("stopped before all requests in progress had finished")
+
 // dialTimeout bounds the connection to an agent; past it the try goes to another endpoint.
 const dialTimeout = time.Second
 
@@ -75,7 +78,7 @@
 	stopping atomic.Bool
 	aborted  chan struct{}
 	abort    sync.Once
-	cancels  sync.WaitGroup
+	cancels  background
 }
 
 // Option changes how an entry is built.
@@ -238,7 +241,7 @@
 	case err = <-failed:
 	}
 	e.closeServers()
-	e.cancels.Wait()
+	e.cancels.end()
 	end()
 	work.Wait()
 	e.client.CloseIdleConnections()
@@ -255,7 +258,7 @@
 	select {
 	case <-wait.C:
 	case <-e.aborted:
-		return nil
+		return ErrAborted
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -268,7 +271,7 @@
 	}()
 	err = e.public.Shutdown(ctx)
 	if errors.Is(err, context.Canceled) {
-		return nil
+		return ErrAborted
 	}
 	return err
 }
--- a/daemon/entry/load_test.go
+++ b/daemon/entry/load_test.go
@@ -106,6 +106,7 @@
 	}
 	// Interrupts the connections, which the graceful stop would otherwise wait for.
 	r.stop()
+	r.want = ErrAborted
 	r.Abort("end of test")
 }
 
