--- /dev/null
+++ b/daemon/processes/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package processes
+
+const raceFlag = "-race=false"
