Check the claim while a request is written, not only before its connection is obtained

Cause: TestFrozenAgent failed once at the engine that ignores fencing numbers: a frozen agent that woke after its successor had started sent a completion with its old number. The claim is checked before net/http obtains a connection; a dial and hand-overs between goroutines lie between the check and the write, and the agent was frozen there.

Change: the body of each command and request checks the claim again when the connection's writer reads it. Without its whole body no request runs, so the error has no effect and the try is not-run. What remains is a pause within the write itself.

After: TestClaimEndsDuringDial passes.

--- a/protocol/engine/client.go
+++ b/protocol/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -255,11 +256,16 @@
 	if r.Body == http.NoBody {
 		r.Body = io.NopCloser(strings.NewReader(""))
 	}
+	r.Body = guardedBody{ReadCloser: r.Body, guard: c.guard}
 	trace := &connectTrace{}
 	if err = c.guard(); err != nil {
 		return nil, &CallError{Effect: NoEffect, Err: err}
 	}
 	resp, err = c.http.Do(trace.attach(r))
+	var refused *CallError
+	if errors.As(err, &refused) {
+		return nil, refused
+	}
 	if err != nil {
 		return nil, &CallError{Effect: trace.effect(err), Err: err}
 	}
--- /dev/null
+++ b/protocol/engine/guarded_test.go
@@ -0,0 +1,50 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rotisserie/eris"
+)
+
+// Guards against a request that runs although the claim ended between the first check and the write, for example because
+// the process was frozen while it dialled.
+func TestClaimEndsDuringDial(t *testing.T) {
+	for _, service := range []bool{false, true} {
+		for _, body := range []string{`{"model":"a1"}`, ""} {
+			if !service && body == "" {
+				continue
+			}
+			var ended atomic.Bool
+			var runs atomic.Int64
+			lost := eris.New("claim is lost")
+			guard := func() error {
+				if ended.Load() {
+					return lost
+				}
+				return nil
+			}
+			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+				defer ended.Store(true)
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+			transport := &http.Transport{DialContext: dial}
+			c := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); err == nil {
+					runs.Add(1)
+				}
+			}, WithGuard(guard), WithTransport(transport))
+			_, _, err := c.Run(t.Context(), 7, Call{
+				ID: id, Adapter: av, Service: service, Method: http.MethodPost, Path: "/v1/completions", Body: []byte(body),
+			}, func(Answer, []byte) error { return nil })
+			if EffectOf(err) != NoEffect || !errors.Is(err, lost) || runs.Load() > 0 {
+				t.Errorf("service %t, body %q: effect %v, error %v, %d runs", service, body, EffectOf(err), err, runs.Load())
+			}
+		}
+	}
+}
