Send orders during the rolling restart

Cause: TestRollingRestart sent streams only, so the hand-over of ledger buckets and the drain of service agents went untested.

Change: four callers send one keyed order after another and repeat what is not run.

Before: streams only.

--- a/daemon/processes/rolling_test.go
+++ b/daemon/processes/rolling_test.go
@@ -1,7 +1,11 @@
 package processes
 
 import (
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"shallotring.dev/standin/engine"
 )
@@ -33,12 +37,37 @@
 	return list
 }
 
-// Guards G7: a planned stop that cuts, doubles or loses a stream while every entry and every agent is restarted in turn.
+// continuousOrders sends one order after another, each repeated until it has completed, until end is called.
+func (d *deployment) continuousOrders(callers int) (o *orders, end func()) {
+	o = &orders{seen: make(map[string][]answer)}
+	pick := d.balancer()
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				key := fmt.Sprintf("crew-%d-order-%d", i, n)
+				for a := o.send(pick(), key); a.status != 200 && a.outcome == "not-run"; a = o.send(pick(), key) {
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+	}
+	end = func() {
+		stop.Store(true)
+		wg.Wait()
+	}
+	d.t.Cleanup(end)
+	return o, end
+}
+
+// Guards G7: a planned stop that cuts, doubles or loses a stream or an order while every entry and every agent is restarted in turn.
 func TestRollingRestart(t *testing.T) {
 	t.Parallel()
-	d := deploy(t, plan{entries: 2, engines: []bool{true, true}})
+	d := deploy(t, plan{entries: 2, engines: []bool{true, true}, services: 2})
 	before := len(d.runs())
 	l := streams(t, 8, 60, d.balancer())
+	o, endOrders := d.continuousOrders(4)
 	l.more(16)
 	for _, g := range d.entries {
 		g.process.stop()
@@ -54,6 +83,15 @@
 		until(t, string(e.Name)+" has a ready agent again", func() bool { return ready(e.admin) })
 		l.more(8)
 	}
+	endOrders()
+	o.judge(t, d)
+	for key, list := range o.seen {
+		for _, a := range list {
+			if a.status != 200 && a.outcome != "not-run" {
+				t.Errorf("%s is neither completed nor refused: %+v", key, a)
+			}
+		}
+	}
 	list := l.stop()
 	for _, r := range list {
 		if !r.whole() {
