--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -45,9 +45,11 @@
 	transport     http.RoundTripper
 	limits        func(*gate.Config)
 
-	meters  *meters
-	client  *engine.Client
-	claim   *claim.Claim
+	meters *meters
+	client *engine.Client
+	claim  *claim.Claim
+	// claimed shares the claim with the admin port, which is open before there is one.
+	claimed atomic.Pointer[claim.Claim]
 	inbox   chan message
 	streams map[ident.TryID]*stream
 	unready atomic.Pointer[string]
@@ -93,6 +95,7 @@
 	}
 	a.setHostList()
 	a.work, a.stop = context.WithCancelCause(context.Background())
+	a.meters.set.NewGauge("shallotring_agent_claim_age_seconds", func() float64 { return a.claimAge().Seconds() })
 	a.notReady("starting")
 	return a, a.listen()
 }
@@ -165,6 +168,7 @@
 	a.notReady("waiting for the claim on the endpoint")
 	service := e.Kind == resource.Service
 	a.claim = claim.New(a.store, a.claimRecord(), claim.WithClock(a.clock), claim.ChecksFencing(e.ChecksFencing || service))
+	a.claimed.Store(a.claim)
 	i, err := a.claim.Acquire(ctx)
 	if err != nil {
 		return nil, err
@@ -263,6 +267,14 @@
 	}
 }
 
+// claimAge is the time since the last renewal of the claim; zero before there is a claim.
+func (a *Agent) claimAge() time.Duration {
+	if c := a.claimed.Load(); c != nil {
+		return c.Age()
+	}
+	return 0
+}
+
 func (a *Agent) ready()                 { a.unready.Store(nil) }
 func (a *Agent) notReady(reason string) { a.unready.Store(&reason) }
 
