Serve TLS on each listener, reload keys and CA, and refuse faulty settings

A read timeout of 30 s stayed in force after the body and cancelled longer tries at the agent. Idle connections could keep new ones out for two minutes. Settings took a duration without a unit as nanoseconds, keys in another case, and ReportsPerSecond above 1e9, which stopped the program.

Change: server.DialTLS replaces ClientTLS and reads certificate, key and CA again when they change, as listeners do; KeyValueTLS and AdminTLS exist in both programs; PeerTLS needs a CA, so that peers always verify each other. Nothing counts as sent before a connection is handed to the request. The read timeout ends with the body on each listener. At the limit of connections the one that has been idle longest is closed. Peer and admin listeners have limits of their own, and a time to take the answer. Settings are checked for exact keys, units, ranges, duplicates and listeners off loopback.

The two programs name the same things by the same keys: the agent's Listen, Address, Admin and TLS are now PeerAddress, PeerAdvertise, AdminAddress and PeerTLS.

--- a/cmd/agent/main_test.go
+++ b/cmd/agent/main_test.go
@@ -1,15 +1,63 @@
 package main
 
 import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
 	"testing"
 
 	"shallotring.dev/daemon/agent"
+	"shallotring.dev/daemon/node"
 	"shallotring.dev/transport/settings"
 )
 
-// Guards against an example file that the program refuses.
-func TestExampleSettings(t *testing.T) {
-	if err := settings.Load("agent.example.toml", &agent.Settings{}); err != nil {
-		t.Error(err)
+// Guards against an example file that the program refuses, and against errors that do not name file, key and reason.
+func TestSettingsFiles(t *testing.T) {
+	example, err := os.ReadFile("agent.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct{ name, from, to, want string }{
+		{"example", "", "", ""},
+		{"unknown key", "Endpoint = ", "Engine = ", "Engine: unknown key"},
+		{"no endpoint", `Endpoint = "engine-1"`, "", "Endpoint: must be set"},
+		{"base URL without scheme", "http://127.0.0.1:9000", "127.0.0.1:9000", "BaseURL: "},
+		{"no peer address", `PeerAddress = "10.0.0.5:9100"`, "", "PeerAddress: must be set"},
+		{"no key-value service", `KeyValue = ["https://10.0.0.5:2379"]`, "", "KeyValue: must name at least one URL"},
+		{"peer twice", `["10.0.0.17:8444"]`, `["10.0.0.17:1", "10.0.0.17:1"]`, "Peers: \"10.0.0.17:1\" is listed twice"},
+		{"peers that do not verify each other", `CAFile = "/etc/shallotring/peers.pem"`, "", "PeerTLS: CAFile: must be set"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "agent.toml")
+			if err := os.WriteFile(file, []byte(strings.Replace(string(example), tt.from, tt.to, 1)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			err := settings.Load(file, &node.AgentSettings{})
+			if tt.want == "" {
+				if err != nil {
+					t.Error(err)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), tt.want) || !strings.Contains(err.Error(), file) {
+				t.Errorf("got %v, want %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a setting that the example does not show.
+func TestExampleShowsEachKey(t *testing.T) {
+	text, err := os.ReadFile("agent.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range []reflect.Type{reflect.TypeFor[agent.Settings](), reflect.TypeFor[node.Service]()} {
+		for i := range v.NumField() {
+			if f := v.Field(i); !f.Anonymous && !strings.Contains(string(text), f.Name) {
+				t.Errorf("the example does not show %s", f.Name)
+			}
+		}
 	}
 }
--- a/cmd/entry/main_test.go
+++ b/cmd/entry/main_test.go
@@ -3,8 +3,12 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
+
+	"shallotring.dev/daemon/entry"
+	"shallotring.dev/daemon/node"
 )
 
 // Guards against an example file that the program refuses, and against errors that do not name file, key and reason.
@@ -16,10 +20,32 @@
 	for _, tt := range []struct{ name, from, to, want string }{
 		{"example", "", "", ""},
 		{"unknown key", "MaxTries", "MaxTrials", "MaxTrials: unknown key"},
+		{"unknown key in a table", "KeyFile", "SecretFile", "TLS.SecretFile: unknown key"},
+		{"key in another case", "MaxTries", "maxtries", "maxtries: unknown key; it is written MaxTries"},
+		{"key twice", "MaxTries = 3", "MaxTries = 3\nMaxTries = 4", "MaxTries"},
 		{"wrong type", "MaxTries = 3", `MaxTries = "three"`, "MaxTries"},
-		{"zero", "MaxTries = 3", "MaxTries = 0", "MaxTries: must be positive"},
+		{"zero", "MaxTries = 3", "MaxTries = 0", "MaxTries: 0 is not between 1 and 100"},
+		{"too large", "BodyBytes = 4194304", "BodyBytes = 8388608", "BodyBytes: 8388608 is not between"},
+		{"negative time", `BalancerWait = "5s"`, `BalancerWait = "-1s"`, "BalancerWait: -1s is not between"},
+		{"time without a unit", `BodyTimeout = "30s"`, "BodyTimeout = 30", "BodyTimeout: must be a string with a unit"},
+		{"time with a wrong unit", `BodyTimeout = "30s"`, `BodyTimeout = "30 sec"`, "BodyTimeout"},
+		{"no host", `Host = "host-17"`, "", "Host: must be set"},
+		{"no zone", `Zone = "zone-a"`, "", "Zone: must be set"},
+		{"no address", `Address = "0.0.0.0:8443"`, "", "Address: must be set"},
+		{"no admin address", `AdminAddress = "127.0.0.1:8081"`, "", "AdminAddress: must be set"},
+		{"no peer address", `PeerAddress = "10.0.0.17:8444"`, "", "PeerAddress: must be set"},
 		{"host name as address", "0.0.0.0:8443", "localhost:8443", "Address: \"localhost\" is not an IP number"},
+		{"port", "0.0.0.0:8443", "0.0.0.0:84430", "Address: port \"84430\" must be between"},
+		{"one address twice", "10.0.0.17:8444", "0.0.0.0:8443", `PeerAddress: "0.0.0.0:8443" is the address of Address`},
+		{"admin port off loopback", "127.0.0.1:8081", "10.0.0.17:8081", "AdminAddress: \"10.0.0.17:8081\" is not on loopback"},
+		{"no key-value service", `["https://10.0.0.5:2379"]`, "[]", "KeyValue: must name at least one URL"},
+		{"key-value service without scheme", `["https://10.0.0.5:2379"]`, `["10.0.0.5:2379"]`, "KeyValue: "},
+		{"key-value service without TLS", `["https://10.0.0.5:2379"]`, `["http://10.0.0.5:2379"]`, "must be an https URL"},
+		{"key-value service twice", `["https://10.0.0.5:2379"]`, `["https://a:1", "https://a:1"]`, "KeyValue: \"https://a:1\" is listed twice"},
+		{"peer twice", `["10.0.0.18:8444"]`, `["10.0.0.18:1", "10.0.0.18:1"]`, "Peers: \"10.0.0.18:1\" is listed twice"},
+		{"peer on any address", `["10.0.0.18:8444"]`, `["0.0.0.0:8444"]`, "Peers: "},
 		{"key file missing", `KeyFile = "/etc/shallotring/entry.key"`, "", "TLS: CertFile, KeyFile: must be set together"},
+		{"peers that do not verify each other", `CAFile = "/etc/shallotring/peers.pem"`, "", "PeerTLS: CAFile: must be set"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			file := filepath.Join(t.TempDir(), "entry.toml")
@@ -40,3 +66,29 @@
 		})
 	}
 }
+
+// Guards against an example file that says another default than the program has.
+func TestExampleSaysTheDefaults(t *testing.T) {
+	got, err := load("entry.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := node.DefaultEntrySettings()
+	want.Identity, want.Service = got.Identity, got.Service
+	want.Address, want.AdminAddress, want.PeerAddress = got.Address, got.AdminAddress, got.PeerAddress
+	want.TLS, want.PeerTLS = got.TLS, got.PeerTLS
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("example: %+v\ndefaults: %+v", got, want)
+	}
+	text, err := os.ReadFile("entry.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range []reflect.Type{reflect.TypeFor[entry.Settings](), reflect.TypeFor[node.Service](), reflect.TypeFor[node.EntrySettings]()} {
+		for i := range v.NumField() {
+			if f := v.Field(i); !f.Anonymous && !strings.Contains(string(text), f.Name) {
+				t.Errorf("the example does not show %s", f.Name)
+			}
+		}
+	}
+}
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -19,13 +19,9 @@
 	"shallotring.dev/state/resource"
 	"shallotring.dev/transport/admin"
 	"shallotring.dev/transport/server"
-	"shallotring.dev/transport/settings"
 	"shallotring.dev/transport/timeline"
 )
 
-// bodyBytes bounds a RunRequest; entries bound the callers' bodies below it.
-const bodyBytes = 8 << 20
-
 // configurationPoll is the time between two looks at the configuration in force; Leaving takes effect within it.
 const configurationPoll = 250 * time.Millisecond
 
@@ -96,17 +92,14 @@
 }
 
 func (a *Agent) listen() (err error) {
-	limits := server.DefaultLimits()
-	limits.BodyBytes = bodyBytes
-	a.listener, err = server.Listen(a.settings.Listen, a.handler(),
-		server.WithLimits(limits), server.WithTLS(a.settings.TLS), server.AllowInsecure(a.settings.AllowInsecure))
+	s := a.settings
+	a.listener, err = server.Listen(s.PeerAddress, a.handler(), server.WithLimits(server.PeerLimits()),
+		server.WithTLS(s.PeerTLS), server.AllowInsecure(s.AllowInsecure), server.WithLog(a.log.Logger))
 	if err != nil {
 		return err
 	}
-	// Probes of the platform have no client certificate.
-	keys := settings.TLS{CertFile: a.settings.TLS.CertFile, KeyFile: a.settings.TLS.KeyFile}
-	a.adminPort, err = server.Listen(a.settings.Admin, admin.Handler(a.meters.set, a.readiness),
-		server.WithTLS(keys), server.AllowInsecure(a.settings.AllowInsecure))
+	a.adminPort, err = server.Listen(s.AdminAddress, admin.Handler(a.meters.set, a.readiness), server.WithLimits(server.AdminLimits()),
+		server.WithTLS(s.AdminTLS), server.AllowInsecure(s.AllowInsecure), server.WithLog(a.log.Logger))
 	if err != nil {
 		return errors.Join(err, a.listener.Close())
 	}
@@ -196,7 +189,7 @@
 }
 
 func (a *Agent) claimRecord() registry.ClaimRecord {
-	address := a.settings.Address
+	address := a.settings.PeerAdvertise
 	if address == "" {
 		address = a.Address()
 	}
--- a/daemon/agent/agent_test.go
+++ b/daemon/agent/agent_test.go
@@ -42,7 +42,7 @@
 	var err error
 	s.agent, err = New(Settings{
 		Identity: settings.Identity{Host: "h1", Zone: "z1"}, Endpoint: "e1", BaseURL: s.engine.URL,
-		Listen: "127.0.0.1:0", Admin: "127.0.0.1:0",
+		PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
 	}, WithStore(s.store), WithConfiguration(s.config))
 	if err != nil {
 		t.Fatal(err)
--- a/daemon/agent/settings.go
+++ b/daemon/agent/settings.go
@@ -1,32 +1,30 @@
 package agent
 
 import (
-	"net/url"
-
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/settings"
 )
 
-// Settings is the content of the agent's settings file.
+// Settings are the local settings of an agent process.
 type Settings struct {
 	settings.Identity
 	// Endpoint is the name of the Endpoint resource.
 	Endpoint ident.Endpoint
 	// BaseURL is the base URL of the engine or plain service.
 	BaseURL string
-	// Listen is the IP:port of the listener for entries.
-	Listen string
-	// Address is the IP:port under which entries reach the listener; it is Listen if empty.
-	Address string
-	// Admin is the IP:port of the admin port.
-	Admin string
-	// KeyValue lists the base URLs of the key-value service.
-	KeyValue []string
+	// PeerAddress is the IP:port of the listener for entries.
+	PeerAddress string
+	// PeerAdvertise is the IP:port under which entries reach the listener; it is PeerAddress if empty.
+	PeerAdvertise string
+	// AdminAddress is the IP:port of the admin port.
+	AdminAddress string
 	// AllowInsecure permits listeners off loopback without TLS keys.
 	AllowInsecure bool
-	TLS           settings.TLS
+	// PeerTLS holds the keys towards entries, AdminTLS those of the admin port.
+	PeerTLS  settings.TLS
+	AdminTLS settings.TLS
 }
 
 // Check refuses settings that cannot work; the error starts with the key.
@@ -37,32 +35,21 @@
 	if s.Endpoint == "" {
 		return eris.New("Endpoint: must be set")
 	}
-	if err = checkURL("BaseURL", s.BaseURL); err != nil {
+	if err = settings.URL("BaseURL", s.BaseURL); err != nil {
 		return err
 	}
-	for _, u := range s.KeyValue {
-		if err = checkURL("KeyValue", u); err != nil {
-			return err
-		}
+	if err = eris.Wrap(s.PeerTLS.CheckMutual(), "PeerTLS"); err != nil {
+		return err
 	}
-	if err = settings.Address("Listen", s.Listen); err != nil {
+	if err = eris.Wrap(s.AdminTLS.CheckListener(), "AdminTLS"); err != nil {
 		return err
 	}
-	if s.Address != "" {
-		if err = settings.Address("Address", s.Address); err != nil {
+	if s.PeerAdvertise != "" {
+		if err = settings.Advertised("PeerAdvertise", s.PeerAdvertise); err != nil {
 			return err
 		}
 	}
-	if err = settings.Address("Admin", s.Admin); err != nil {
-		return err
-	}
-	return eris.Wrap(s.TLS.Check(), "TLS")
-}
-
-func checkURL(key, text string) (err error) {
-	u, err := url.Parse(text)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		return eris.Errorf("%s: %q must be an http or https URL", key, text)
-	}
-	return nil
+	return settings.CheckListeners(s.AllowInsecure,
+		settings.Listener{Key: "PeerAddress", Address: s.PeerAddress, TLS: s.PeerTLS},
+		settings.Listener{Key: "AdminAddress", Address: s.AdminAddress, TLS: s.AdminTLS})
 }
--- a/daemon/agent/settings_test.go
+++ b/daemon/agent/settings_test.go
@@ -11,8 +11,8 @@
 Zone = "z"
 Endpoint = "e"
 BaseURL = "http://127.0.0.1:1"
-Listen = "127.0.0.1:2"
-Admin = "127.0.0.1:3"
+PeerAddress = "127.0.0.1:2"
+AdminAddress = "127.0.0.1:3"
 `
 
 // Guards against a wrong settings file that starts an agent, and an error that does not name the key.
@@ -23,9 +23,16 @@
 		{"no host", `Host = "h"`, "", "Host: must be set"},
 		{"no endpoint", `Endpoint = "e"`, "", "Endpoint: must be set"},
 		{"base URL", "http://127.0.0.1:1", "127.0.0.1:1", "BaseURL: "},
-		{"listen by name", "127.0.0.1:2", "localhost:2", "Listen: "},
-		{"admin port", "127.0.0.1:3", "127.0.0.1", "Admin: "},
-		{"key without certificate", `Admin = "127.0.0.1:3"`, "Admin = \"127.0.0.1:3\"\n[TLS]\nKeyFile = \"k\"", "TLS: CertFile, KeyFile"},
+		{"listen by name", "127.0.0.1:2", "localhost:2", "PeerAddress: "},
+		{"admin port", "127.0.0.1:3", "127.0.0.1", "AdminAddress: "},
+		{"no admin port", `AdminAddress = "127.0.0.1:3"`, "", "AdminAddress: must be set"},
+		{"one address twice", "127.0.0.1:3", "127.0.0.1:2", `AdminAddress: "127.0.0.1:2" is the address of PeerAddress`},
+		{"off loopback", "127.0.0.1:2", "10.0.0.1:2", `PeerAddress: "10.0.0.1:2" is not on loopback and has no TLS keys`},
+		{"advertised without a port", `Zone = "z"`, "Zone = \"z\"\nPeerAdvertise = \"10.0.0.1:0\"", "PeerAdvertise: "},
+		{"key without certificate", `AdminAddress = "127.0.0.1:3"`, "AdminAddress = \"127.0.0.1:3\"\n[PeerTLS]\nKeyFile = \"k\"",
+			"PeerTLS: CertFile, KeyFile"},
+		{"peers that do not verify each other", `AdminAddress = "127.0.0.1:3"`,
+			"AdminAddress = \"127.0.0.1:3\"\n[PeerTLS]\nCertFile = \"c\"\nKeyFile = \"k\"", "PeerTLS: CAFile: must be set"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -146,8 +146,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
 	}
 	t := &http.Transport{
-		DialContext:         d.DialContext,
-		TLSHandshakeTimeout: dialTimeout,
+		DialContext: d.DialContext,
 		// The agent sends the header with its first frame.
 		ResponseHeaderTimeout: e.settings.AcceptTimeout,
 		MaxIdleConns:          4096,
@@ -160,7 +159,7 @@
 	e.scheme = "http://"
 	if e.settings.PeerTLS.Enabled() {
 		e.scheme = "https://"
-		t.TLSClientConfig, err = server.ClientTLS(e.settings.PeerTLS)
+		t.DialTLSContext, err = server.DialTLS(e.settings.PeerTLS, d.DialContext)
 	}
 	e.client = &http.Client{
 		Transport:     t,
@@ -180,15 +179,15 @@
 		if err != nil || address == "" || h == nil {
 			return nil
 		}
-		l, err = server.Listen(address, h, append(o, server.AllowInsecure(s.AllowInsecure))...)
+		l, err = server.Listen(address, h, append(o, server.AllowInsecure(s.AllowInsecure), server.WithLog(e.log.Logger))...)
 		if err == nil {
 			e.servers = append(e.servers, l)
 		}
 		return l
 	}
 	e.public = open(s.Address, e.routes(), server.WithLimits(s.limits()), server.WithTLS(s.TLS))
-	e.admin = open(s.AdminAddress, admin.Handler(e.meters.set, e.ready))
-	open(s.PeerAddress, e.peer, server.WithTLS(s.PeerTLS))
+	e.admin = open(s.AdminAddress, admin.Handler(e.meters.set, e.ready), server.WithLimits(server.AdminLimits()), server.WithTLS(s.AdminTLS))
+	open(s.PeerAddress, e.peer, server.WithLimits(server.PeerLimits()), server.WithTLS(s.PeerTLS))
 	return err
 }
 
--- a/daemon/entry/exchange.go
+++ b/daemon/entry/exchange.go
@@ -7,8 +7,9 @@
 	"crypto/sha256"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -57,6 +58,8 @@
 	gone    bool
 	tries   []TryRecord
 	result  *attempt.Result
+	// connected is set once the current try has a connection; before that no byte of it can have left.
+	connected *atomic.Bool
 	// closeTry ends the stream of the current try.
 	closeTry context.CancelFunc
 	answer   *http.Response
@@ -277,6 +280,11 @@
 		return attempt.Event{Kind: attempt.NotSent, Try: c.Try.Try, Detail: err.Error()}
 	}
 	r.Header.Set("Content-Type", "application/protobuf")
+	connected := &atomic.Bool{}
+	x.connected = connected
+	r = r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
 	x.answer, err = x.entry.client.Do(r)
 	if err != nil {
 		return x.failed(c.Try.Try, err)
@@ -333,8 +341,7 @@
 		return x.interrupted()
 	}
 	x.entry.meters.brokenStreams.Inc()
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if !x.connected.Load() {
 		return attempt.Event{Kind: attempt.NotSent, Try: try, Detail: err.Error()}
 	}
 	return attempt.Event{Kind: attempt.StreamBroken, Try: try, Detail: err.Error()}
--- a/daemon/entry/settings.go
+++ b/daemon/entry/settings.go
@@ -20,6 +20,8 @@
 	// TLS holds the keys of the callers' listener, PeerTLS those towards agents and other entries.
 	TLS     settings.TLS
 	PeerTLS settings.TLS
+	// AdminTLS holds the keys of the admin port.
+	AdminTLS settings.TLS
 	// AllowInsecure permits listeners off loopback without TLS.
 	AllowInsecure bool
 	// AllowAnonymous serves callers without a token.
@@ -87,44 +89,70 @@
 	if err = s.checkAddresses(); err != nil {
 		return err
 	}
-	for _, v := range []struct {
-		key   string
-		value int64
-	}{
-		{"HeaderBytes", int64(s.HeaderBytes)}, {"BodyBytes", s.BodyBytes}, {"BodyBytesTotal", s.BodyBytesTotal},
-		{"Connections", int64(s.Connections)}, {"InProgress", int64(s.InProgress)}, {"HoldBytes", int64(s.HoldBytes)},
-		{"MaxTries", int64(s.MaxTries)}, {"Records", int64(s.Records)}, {"ReportsPerSecond", int64(s.ReportsPerSecond)},
-		{"ReportInterval", int64(s.ReportInterval)}, {"HeaderTimeout", int64(s.HeaderTimeout)},
-		{"BodyTimeout", int64(s.BodyTimeout)}, {"WriteTimeout", int64(s.WriteTimeout)},
-		{"RequestTimeout", int64(s.RequestTimeout)}, {"SettleTimeout", int64(s.SettleTimeout)},
-		{"AcceptTimeout", int64(s.AcceptTimeout)},
-	} {
-		if v.value <= 0 {
-			return eris.Errorf("%s: must be positive", v.key)
+	for _, r := range s.numbers() {
+		if err = r.Check(); err != nil {
+			return err
 		}
 	}
-	if s.BalancerWait < 0 {
-		return eris.New("BalancerWait: must not be negative")
+	for _, r := range s.times() {
+		if err = r.Check(); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+const (
+	// maxBodyBytes leaves room for the other fields of a RunRequest within the limit of the agents.
+	maxBodyBytes = server.PeerBodyBytes - 1<<20
+	maxCount     = 1 << 20
+	maxBytes     = 1 << 40
+	leastTime    = time.Millisecond
+	longestTime  = 24 * time.Hour
+)
+
+func (s *Settings) numbers() []settings.Range[int64] {
+	return []settings.Range[int64]{
+		{Key: "HeaderBytes", Value: int64(s.HeaderBytes), Least: 1, Max: 1 << 20},
+		{Key: "BodyBytes", Value: s.BodyBytes, Least: 1, Max: maxBodyBytes},
+		{Key: "BodyBytesTotal", Value: s.BodyBytesTotal, Least: 1, Max: maxBytes},
+		{Key: "Connections", Value: int64(s.Connections), Least: 1, Max: maxCount},
+		{Key: "InProgress", Value: int64(s.InProgress), Least: 1, Max: maxCount},
+		{Key: "HoldBytes", Value: int64(s.HoldBytes), Least: 1, Max: 1 << 30},
+		{Key: "MaxTries", Value: int64(s.MaxTries), Least: 1, Max: 100},
+		{Key: "Records", Value: int64(s.Records), Least: 1, Max: maxCount},
+		{Key: "ReportsPerSecond", Value: int64(s.ReportsPerSecond), Least: 1, Max: 100_000},
+	}
+}
+
+func (s *Settings) times() []settings.Range[time.Duration] {
+	return []settings.Range[time.Duration]{
+		{Key: "ReportInterval", Value: s.ReportInterval, Least: leastTime, Max: time.Minute},
+		{Key: "HeaderTimeout", Value: s.HeaderTimeout, Least: leastTime, Max: longestTime},
+		{Key: "BodyTimeout", Value: s.BodyTimeout, Least: leastTime, Max: longestTime},
+		{Key: "WriteTimeout", Value: s.WriteTimeout, Least: leastTime, Max: longestTime},
+		{Key: "RequestTimeout", Value: s.RequestTimeout, Least: leastTime, Max: longestTime},
+		{Key: "AcceptTimeout", Value: s.AcceptTimeout, Least: leastTime, Max: longestTime},
+		{Key: "SettleTimeout", Value: s.SettleTimeout, Least: leastTime, Max: time.Minute},
+		{Key: "BalancerWait", Value: s.BalancerWait, Max: longestTime},
+	}
+}
+
 func (s *Settings) checkAddresses() (err error) {
-	if err = settings.Address("Address", s.Address); err != nil {
+	if err = eris.Wrap(s.TLS.CheckListener(), "TLS"); err != nil {
 		return err
 	}
-	if err = settings.Address("AdminAddress", s.AdminAddress); err != nil {
+	if err = eris.Wrap(s.PeerTLS.CheckMutual(), "PeerTLS"); err != nil {
 		return err
 	}
-	if s.PeerAddress != "" {
-		if err = settings.Address("PeerAddress", s.PeerAddress); err != nil {
-			return err
-		}
+	if err = eris.Wrap(s.AdminTLS.CheckListener(), "AdminTLS"); err != nil {
+		return err
 	}
-	if err = s.TLS.Check(); err != nil {
-		return eris.Wrap(err, "TLS")
+	list := []settings.Listener{{Key: "Address", Address: s.Address, TLS: s.TLS}, {Key: "AdminAddress", Address: s.AdminAddress, TLS: s.AdminTLS}}
+	if s.PeerAddress != "" {
+		list = append(list, settings.Listener{Key: "PeerAddress", Address: s.PeerAddress, TLS: s.PeerTLS})
 	}
-	return eris.Wrap(s.PeerTLS.Check(), "PeerTLS")
+	return settings.CheckListeners(s.AllowInsecure, list...)
 }
 
 func (s *Settings) limits() server.Limits {
@@ -133,7 +161,7 @@
 	l.HeaderBytes = 4 * s.HeaderBytes
 	// Bodies over the limit are told apart from it by the handler.
 	l.BodyBytes = s.BodyBytes + 1
-	l.HeaderTimeout, l.BodyTimeout = s.HeaderTimeout, s.BodyTimeout
+	l.HeaderTimeout, l.BodyTimeout, l.WriteTimeout = s.HeaderTimeout, s.BodyTimeout, s.WriteTimeout
 	l.Connections = s.Connections
 	return l
 }
--- a/daemon/local/local.go
+++ b/daemon/local/local.go
@@ -86,13 +86,12 @@
 
 func (d *Deployment) newAgent(name ident.Endpoint) (a *node.Agent, err error) {
 	s := node.AgentSettings{Settings: agent.Settings{
-		Identity: settings.Identity{Host: hostOf(name), Zone: zone},
-		Endpoint: name,
-		BaseURL:  d.platform.urls[name],
-		Listen:   anyPort,
-		Admin:    anyPort,
-		KeyValue: []string{d.platform.keyValueURL},
-	}}
+		Identity:     settings.Identity{Host: hostOf(name), Zone: zone},
+		Endpoint:     name,
+		BaseURL:      d.platform.urls[name],
+		PeerAddress:  anyPort,
+		AdminAddress: anyPort,
+	}, Service: node.Service{KeyValue: []string{d.platform.keyValueURL}}}
 	process, log := d.process(registry.RoleAgent, s.Identity)
 	return node.NewAgent(s, log, process)
 }
--- a/daemon/node/agent.go
+++ b/daemon/node/agent.go
@@ -18,8 +18,7 @@
 // AgentSettings is the content of the agent's settings file.
 type AgentSettings struct {
 	agent.Settings
-	// Peers lists the IP:port of entries to ask for the configuration if the key-value service is down at the start.
-	Peers []string
+	Service
 }
 
 // Check refuses values that an agent cannot run with.
@@ -27,11 +26,9 @@
 	if err = s.Settings.Check(); err != nil {
 		return err
 	}
-	return s.service().Check()
+	return s.Service.Check()
 }
 
-func (s *AgentSettings) service() Service { return Service{KeyValue: s.KeyValue, Peers: s.Peers} }
-
 // Agent is a whole agent process.
 type Agent struct {
 	*agent.Agent
@@ -46,7 +43,7 @@
 	}
 	n = &Agent{}
 	id := configuration.Identity{Process: process, Role: registry.RoleAgent, Zone: s.Zone}
-	if n.platform, err = Connect(s.service(), id, s.TLS, log); err != nil {
+	if n.platform, err = Connect(s.Service, id, s.PeerTLS, log); err != nil {
 		return nil, err
 	}
 	clock := quartz.NewReal()
--- a/daemon/node/entry.go
+++ b/daemon/node/entry.go
@@ -18,6 +18,7 @@
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/server"
+	"shallotring.dev/transport/settings"
 	"shallotring.dev/transport/timeline"
 )
 
@@ -46,6 +47,11 @@
 	if s.PeerAddress == "" {
 		return eris.New("PeerAddress: must be set")
 	}
+	if s.PeerAdvertise != "" {
+		if err = settings.Advertised("PeerAdvertise", s.PeerAdvertise); err != nil {
+			return err
+		}
+	}
 	return s.Service.Check()
 }
 
@@ -71,7 +77,8 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
-	n.peers, err = server.Listen(s.PeerAddress, mux, server.WithTLS(s.PeerTLS), server.AllowInsecure(s.AllowInsecure))
+	n.peers, err = server.Listen(s.PeerAddress, mux, server.WithLimits(server.PeerLimits()), server.WithTLS(s.PeerTLS),
+		server.AllowInsecure(s.AllowInsecure), server.WithLog(log.Logger))
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,12 +24,17 @@
 // peerIdleConnections bounds the idle connections to one process of the project.
 const peerIdleConnections = 16
 
+// dialTimeout bounds the connection to a peer or to the key-value service.
+const dialTimeout = time.Second
+
 // Service names the key-value service and the peers that help while it is down.
 type Service struct {
 	// KeyValue lists the base URLs of the key-value service.
 	KeyValue []string
 	// Peers lists the IP:port of entries to ask for the configuration if the service is down at the start.
 	Peers []string
+	// KeyValueTLS holds the keys towards the key-value service.
+	KeyValueTLS settings.TLS
 }
 
 // Check refuses settings without a service.
@@ -35,12 +42,41 @@
 	if len(s.KeyValue) == 0 {
 		return eris.New("KeyValue: must name at least one URL")
 	}
+	for _, u := range s.KeyValue {
+		if err = settings.URL("KeyValue", u); err != nil {
+			return err
+		}
+		if s.secure() && !strings.HasPrefix(u, "https://") {
+			return eris.Errorf("KeyValue: %q must be an https URL, because KeyValueTLS is set", u)
+		}
+	}
 	for _, p := range s.Peers {
-		if err = settings.Address("Peers", p); err != nil {
+		if err = settings.Advertised("Peers", p); err != nil {
 			return err
 		}
 	}
-	return nil
+	if err = settings.Distinct("KeyValue", s.KeyValue); err != nil {
+		return err
+	}
+	if err = settings.Distinct("Peers", s.Peers); err != nil {
+		return err
+	}
+	return eris.Wrap(s.KeyValueTLS.Check(), "KeyValueTLS")
+}
+
+func (s Service) secure() bool { return s.KeyValueTLS.Enabled() || s.KeyValueTLS.CAFile != "" }
+
+// store returns the client of the key-value service.
+func (s Service) store() (c *keyvalue.Client, err error) {
+	if !s.secure() {
+		return keyvalue.New(s.KeyValue)
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial, err := server.DialTLS(s.KeyValueTLS, dialer.DialContext)
+	if err != nil {
+		return nil, err
+	}
+	return keyvalue.New(s.KeyValue, keyvalue.WithTransport(&http.Transport{DialTLSContext: dial, MaxIdleConnsPerHost: peerIdleConnections}))
 }
 
 // Platform connects one process to the key-value service and to its peers.
@@ -65,15 +101,16 @@
 		return nil, err
 	}
 	p = &Platform{clock: quartz.NewReal(), scheme: "http://", fixed: s.Peers, peers: make(map[string]wire.Entry)}
-	t := &http.Transport{MaxIdleConnsPerHost: peerIdleConnections, IdleConnTimeout: time.Minute}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	t := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdleConnections, IdleConnTimeout: time.Minute}
 	if keys.Enabled() {
 		p.scheme = "https://"
-		if t.TLSClientConfig, err = server.ClientTLS(keys); err != nil {
+		if t.DialTLSContext, err = server.DialTLS(keys, dialer.DialContext); err != nil {
 			return nil, err
 		}
 	}
 	p.client = &http.Client{Transport: t}
-	if p.Store, err = keyvalue.New(s.KeyValue); err != nil {
+	if p.Store, err = s.store(); err != nil {
 		return nil, err
 	}
 	p.Configuration = configuration.New(id, p.Store, configuration.WithLog(log), configuration.WithPeers(p.entries))
--- a/daemon/operator/run.go
+++ b/daemon/operator/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -164,12 +165,12 @@
 	files := settings.TLS{CAFile: s.CAFile, CertFile: s.CertFile, KeyFile: s.KeyFile}
 	t = &http.Transport{}
 	if s.secure() {
-		t.TLSClientConfig, err = server.ClientTLS(files)
+		t.DialTLSContext, err = server.DialTLS(files, (&net.Dialer{}).DialContext)
 	}
 	return t, err
 }
 
-func (s *session) secure() bool { return s.CAFile != "" || s.CertFile != "" }
+func (s *session) secure() bool { return s.CAFile != "" || s.CertFile != "" || s.KeyFile != "" }
 
 // client returns the key-value service and a function that closes its connections.
 func (s *session) client() (c *keyvalue.Client, done func(), err error) {
--- a/protocol/keyvalue/client.go
+++ b/protocol/keyvalue/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,22 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// connectTrace records whether a connection was looked for and handed to a request.
+type connectTrace struct{ asked, connected atomic.Bool }
+
+func (t *connectTrace) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { t.asked.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
+	})
+}
+
+// notSent reports whether no byte of the request can have left: there was no connection, or its TLS handshake failed.
+func (t *connectTrace) notSent(err error) bool {
+	var op *net.OpError
+	return t.asked.Load() && !t.connected.Load() || errors.As(err, &op) && op.Op == "dial"
+}
+
 // effect says whether a call may change the service's state.
 type effect bool
 
@@ -87,12 +104,13 @@
 	first := int(c.preferred.Load())
 	for i := range c.addresses {
 		number := (first + i) % len(c.addresses)
-		a, err = c.send(ctx, c.addresses[number]+path, body)
+		var t connectTrace
+		a, err = c.send(ctx, c.addresses[number]+path, body, &t)
 		if err == nil {
 			c.preferred.Store(int64(number))
 			return a, nil
 		}
-		if e == writes && !notSent(err) {
+		if e == writes && !t.notSent(err) {
 			return nil, eris.Wrap(ErrOutcomeUnknown, err.Error())
 		}
 		if ctx.Err() != nil {
@@ -102,8 +120,8 @@
 	return nil, eris.Wrap(ErrUnavailable, err.Error())
 }
 
-func (c *Client) send(ctx context.Context, url string, body []byte) (a *http.Response, err error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+func (c *Client) send(ctx context.Context, url string, body []byte, t *connectTrace) (a *http.Response, err error) {
+	q, err := http.NewRequestWithContext(t.attach(ctx), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -113,12 +131,6 @@
 	return c.http.Do(q)
 }
 
-// notSent reports whether the error arose before a byte of the request was sent.
-func notSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // call makes one call with a timeout and decodes the answer.
 func (c *Client) call(ctx context.Context, e effect, path string, q, a any) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
--- a/transport/server/server.go
+++ b/transport/server/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -23,8 +24,11 @@
 	HeaderTimeout time.Duration
 	// BodyTimeout bounds the time to send header and body together.
 	BodyTimeout time.Duration
-	IdleTimeout time.Duration
-	// Connections bounds the open connections; further ones wait in the accept queue of the kernel.
+	// WriteTimeout bounds the time to take the response, unless the handler sets a deadline for each write.
+	WriteTimeout time.Duration
+	IdleTimeout  time.Duration
+	// Connections bounds the open connections. At the limit an idle one is closed for a new one; without an idle one, new
+	// ones wait in the accept queue of the kernel.
 	Connections int
 }
 
@@ -40,6 +44,30 @@
 	}
 }
 
+// PeerBodyBytes bounds the bodies of calls between the project's own processes.
+const PeerBodyBytes = 8 << 20
+
+// PeerLimits returns the limits of the listeners for the project's own processes.
+func PeerLimits() Limits {
+	l := DefaultLimits()
+	l.BodyBytes = PeerBodyBytes
+	l.WriteTimeout = 30 * time.Second
+	return l
+}
+
+// AdminLimits returns the limits of admin ports.
+func AdminLimits() Limits {
+	return Limits{
+		HeaderBytes:   8 << 10,
+		BodyBytes:     4 << 10,
+		HeaderTimeout: 5 * time.Second,
+		BodyTimeout:   5 * time.Second,
+		WriteTimeout:  10 * time.Second,
+		IdleTimeout:   time.Minute,
+		Connections:   64,
+	}
+}
+
 // Server is one HTTP listener.
 type Server struct {
 	listener net.Listener
@@ -53,6 +81,7 @@
 	limits        Limits
 	tls           settings.TLS
 	allowInsecure bool
+	log           *slog.Logger
 }
 
 // WithLimits replaces the default limits.
@@ -64,6 +93,9 @@
 // AllowInsecure permits a listener off loopback without TLS.
 func AllowInsecure(allow bool) Option { return func(c *config) { c.allowInsecure = allow } }
 
+// WithLog sets the log of failed handshakes and other faults of connections.
+func WithLog(l *slog.Logger) Option { return func(c *config) { c.log = l } }
+
 // Listen opens the address; a listener off loopback without TLS is refused unless allowed.
 func Listen(address string, handler http.Handler, options ...Option) (s *Server, err error) {
 	defer func() { err = eris.Wrapf(err, "listen on %s", address) }()
@@ -71,14 +103,21 @@
 	for _, o := range options {
 		o(&c)
 	}
-	if !c.tls.Enabled() && !c.allowInsecure && !isLoopback(address) {
+	if !c.tls.Enabled() && !c.allowInsecure && !settings.IsLoopback(address) {
 		return nil, eris.New("address is not on loopback and no TLS keys are set; set CertFile and KeyFile, or AllowInsecure = true")
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	l = limitConnections(l, c.limits.Connections)
+	h := newHTTPServer(handler, c.limits)
+	if c.log != nil {
+		h.ErrorLog = slog.NewLogLogger(c.log.Handler(), slog.LevelWarn)
+	}
+	if c.limits.Connections > 0 {
+		places := newConnections(c.limits.Connections)
+		l, h.ConnState = &limitedListener{Listener: l, connections: places}, places.state
+	}
 	if c.tls.Enabled() {
 		tc, err := ListenerTLS(c.tls)
 		if err != nil {
@@ -86,7 +125,7 @@
 		}
 		l = tls.NewListener(l, tc)
 	}
-	return &Server{listener: l, http: newHTTPServer(handler, c.limits)}, nil
+	return &Server{listener: l, http: h}, nil
 }
 
 // Serve accepts connections until Shutdown or Close.
@@ -111,19 +150,11 @@
 
 func newHTTPServer(handler http.Handler, l Limits) *http.Server {
 	return &http.Server{
-		Handler:           http.MaxBytesHandler(handler, l.BodyBytes),
+		Handler:           bodyDeadline(http.MaxBytesHandler(handler, l.BodyBytes)),
 		MaxHeaderBytes:    l.HeaderBytes,
 		ReadHeaderTimeout: l.HeaderTimeout,
 		ReadTimeout:       l.BodyTimeout,
+		WriteTimeout:      l.WriteTimeout,
 		IdleTimeout:       l.IdleTimeout,
 	}
 }
-
-func isLoopback(address string) bool {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return false
-	}
-	ip := net.ParseIP(host)
-	return ip != nil && ip.IsLoopback()
-}
--- /dev/null
+++ b/transport/server/servertest/doc.go
@@ -0,0 +1,2 @@
+// Package servertest makes the keys that tests of TLS need.
+package servertest
