Show the deployment over mutual TLS and bound the memory of bodies at the agent

Cause: no test ran the processes over TLS. An agent read bodies of 8 MiB on each of 10,000 connections before admission.

Change: daemon/local takes keys for the key-value service, the callers' listener and all calls between processes. An agent counts the bodies of all tries (BodyBytesTotal, 256 MiB) and answers 503 past it; the entry settles such a try, so that it is not run. The agent's Connections is a setting.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -39,8 +39,8 @@
 
 // Run serves until the first signal has drained the agent; a second signal stops it at once.
 func (r *runCommand) Run() (err error) {
-	var s node.AgentSettings
-	if err = settings.Load(r.Settings, &s); err != nil {
+	s, err := load(r.Settings)
+	if err != nil {
 		return err
 	}
 	process := ident.NewProcess(string(registry.RoleAgent))
@@ -56,7 +56,7 @@
 
 // Run reports the first fault of the file.
 func (c *checkCommand) Run(k *kong.Context) (err error) {
-	if err = settings.Load(c.File, &node.AgentSettings{}); err != nil {
+	if _, err = load(c.File); err != nil {
 		return err
 	}
 	return eris.Wrap(printLine(k, c.File+": ok"), "print")
@@ -67,6 +67,12 @@
 	return eris.Wrap(printLine(k, "agent "+program.Version()), "print")
 }
 
+func load(file string) (s node.AgentSettings, err error) {
+	s = node.DefaultAgentSettings()
+	err = settings.Load(file, &s)
+	return s, err
+}
+
 func printLine(k *kong.Context, text string) (err error) {
 	_, err = k.Stdout.Write([]byte(text + "\n"))
 	return err
--- a/cmd/agent/main_test.go
+++ b/cmd/agent/main_test.go
@@ -9,7 +9,6 @@
 
 	"shallotring.dev/daemon/agent"
 	"shallotring.dev/daemon/node"
-	"shallotring.dev/transport/settings"
 )
 
 // Guards against an example file that the program refuses, and against errors that do not name file, key and reason.
@@ -33,7 +32,7 @@
 			if err := os.WriteFile(file, []byte(strings.Replace(string(example), tt.from, tt.to, 1)), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			err := settings.Load(file, &node.AgentSettings{})
+			_, err := load(file)
 			if tt.want == "" {
 				if err != nil {
 					t.Error(err)
@@ -47,8 +46,18 @@
 	}
 }
 
-// Guards against a setting that the example does not show.
-func TestExampleShowsEachKey(t *testing.T) {
+// Guards against an example file that says another default than the program has, or lacks a key.
+func TestExampleSaysTheDefaults(t *testing.T) {
+	got, err := load("agent.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := node.DefaultAgentSettings()
+	want.Identity, want.Service, want.Endpoint, want.BaseURL = got.Identity, got.Service, got.Endpoint, got.BaseURL
+	want.AdminAddress, want.PeerAddress, want.PeerTLS = got.AdminAddress, got.PeerAddress, got.PeerTLS
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("example: %+v\ndefaults: %+v", got, want)
+	}
 	text, err := os.ReadFile("agent.example.toml")
 	if err != nil {
 		t.Fatal(err)
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -47,6 +47,8 @@
 	streams map[ident.TryID]*stream
 	unready atomic.Pointer[string]
 	shares  atomic.Pointer[shares]
+	// bodies counts the bytes of the bodies of all tries.
+	bodies atomic.Int64
 	// held is the incarnation that commands are sent with.
 	held atomic.Int64
 
@@ -69,11 +71,11 @@
 		clock:    quartz.NewReal(),
 		log:      timeline.Discard(),
 		limits:   func(*gate.Config) {},
-		meters:   newMeters(),
 		inbox:    make(chan message),
 		streams:  make(map[ident.TryID]*stream),
 		drained:  make(chan struct{}),
 	}
+	a.meters = newMeters(&a.bodies)
 	for _, o := range options {
 		o(a)
 	}
@@ -93,7 +95,9 @@
 
 func (a *Agent) listen() (err error) {
 	s := a.settings
-	a.listener, err = server.Listen(s.PeerAddress, a.handler(), server.WithLimits(server.PeerLimits()),
+	limits := server.PeerLimits()
+	limits.Connections = s.Connections
+	a.listener, err = server.Listen(s.PeerAddress, a.handler(), server.WithLimits(limits),
 		server.WithTLS(s.PeerTLS), server.AllowInsecure(s.AllowInsecure), server.WithLog(a.log.Logger))
 	if err != nil {
 		return err
--- a/daemon/agent/agent_test.go
+++ b/daemon/agent/agent_test.go
@@ -20,6 +20,7 @@
 	"shallotring.dev/state/gate"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/resource"
+	"shallotring.dev/transport/server"
 	"shallotring.dev/transport/settings"
 )
 
@@ -40,10 +41,10 @@
 	s := &system{t: t, engine: newFakeEngine(t), config: declare(kind), result: make(chan error, 1)}
 	s.store = &fakeStore{data: make(map[string]keyvalue.Record), at: 6}
 	var err error
-	s.agent, err = New(Settings{
-		Identity: settings.Identity{Host: "h1", Zone: "z1"}, Endpoint: "e1", BaseURL: s.engine.URL,
-		PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
-	}, WithStore(s.store), WithConfiguration(s.config))
+	own := DefaultSettings()
+	own.Identity, own.Endpoint, own.BaseURL = settings.Identity{Host: "h1", Zone: "z1"}, "e1", s.engine.URL
+	own.PeerAddress, own.AdminAddress, own.BodyBytesTotal = "127.0.0.1:0", "127.0.0.1:0", server.PeerBodyBytes
+	s.agent, err = New(own, WithStore(s.store), WithConfiguration(s.config))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/agent/metrics.go
+++ b/daemon/agent/metrics.go
@@ -20,7 +20,7 @@
 	stall      *metrics.Histogram
 }
 
-func newMeters() *meters {
+func newMeters(bodies *atomic.Int64) *meters {
 	m := &meters{set: metrics.NewSet()}
 	m.stall = m.set.NewHistogram("shallotring_agent_stall_seconds")
 	gauge := func(name string, v *atomic.Int64) {
@@ -29,6 +29,7 @@
 	gauge("shallotring_agent_running_tries", &m.running)
 	gauge("shallotring_agent_queued_tries", &m.queued)
 	gauge("shallotring_agent_remembered_tries", &m.remembered)
+	m.set.NewGauge("shallotring_agent_request_body_bytes", func() float64 { return float64(bodies.Load()) })
 	for _, g := range []gate.Guarantee{gate.G1, gate.G2, gate.G4, gate.G5, gate.G6} {
 		m.violations(g)
 	}
--- a/daemon/agent/run.go
+++ b/daemon/agent/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -15,6 +16,7 @@
 	"shallotring.dev/state/gate"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
+	"shallotring.dev/transport/server"
 	"shallotring.dev/transport/timeline"
 )
 
@@ -46,6 +48,18 @@
 }
 
 func (a *Agent) run(w http.ResponseWriter, r *http.Request) {
+	size := r.ContentLength
+	if size < 0 {
+		size = server.PeerBodyBytes
+	}
+	defer a.bodies.Add(-size)
+	if a.bodies.Add(size) > a.settings.BodyBytesTotal {
+		// Nothing is promised about the try: the entry settles it, and the gate then never starts it.
+		a.meters.refusals(outcome.QueueFull).Inc()
+		a.log.WarnContext(r.Context(), "run request refused", slog.String("Error", "the bodies of all tries take too much memory"))
+		http.Error(w, string(outcome.QueueFull), http.StatusServiceUnavailable)
+		return
+	}
 	request, err := readRequest(r)
 	if err != nil {
 		a.log.WarnContext(r.Context(), "run request refused", errorAttr(err))
--- a/daemon/agent/settings.go
+++ b/daemon/agent/settings.go
@@ -4,6 +4,7 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/state/ident"
+	"shallotring.dev/transport/server"
 	"shallotring.dev/transport/settings"
 )
 
@@ -20,6 +21,10 @@
 	PeerAdvertise string
 	// AdminAddress is the IP:port of the admin port.
 	AdminAddress string
+	// BodyBytesTotal bounds the memory of the bodies of all tries together.
+	BodyBytesTotal int64
+	// Connections bounds the open connections of the listener for entries.
+	Connections int
 	// AllowInsecure permits listeners off loopback without TLS keys.
 	AllowInsecure bool
 	// PeerTLS holds the keys towards entries, AdminTLS those of the admin port.
@@ -27,6 +32,11 @@
 	AdminTLS settings.TLS
 }
 
+// DefaultSettings returns the values of the settings that a file may leave out.
+func DefaultSettings() Settings {
+	return Settings{BodyBytesTotal: 256 << 20, Connections: server.DefaultLimits().Connections}
+}
+
 // Check refuses settings that cannot work; the error starts with the key.
 func (s *Settings) Check() (err error) {
 	if err = s.Identity.Check(); err != nil {
@@ -44,6 +54,14 @@
 	if err = eris.Wrap(s.AdminTLS.CheckListener(), "AdminTLS"); err != nil {
 		return err
 	}
+	for _, r := range []settings.Range[int64]{
+		{Key: "BodyBytesTotal", Value: s.BodyBytesTotal, Least: server.PeerBodyBytes, Max: 1 << 40},
+		{Key: "Connections", Value: int64(s.Connections), Least: 1, Max: 1 << 20},
+	} {
+		if err = r.Check(); err != nil {
+			return err
+		}
+	}
 	if s.PeerAdvertise != "" {
 		if err = settings.Advertised("PeerAdvertise", s.PeerAdvertise); err != nil {
 			return err
--- a/daemon/agent/settings_test.go
+++ b/daemon/agent/settings_test.go
@@ -25,6 +25,8 @@
 		{"base URL", "http://127.0.0.1:1", "127.0.0.1:1", "BaseURL: "},
 		{"listen by name", "127.0.0.1:2", "localhost:2", "PeerAddress: "},
 		{"admin port", "127.0.0.1:3", "127.0.0.1", "AdminAddress: "},
+		{"too little memory", `Zone = "z"`, "Zone = \"z\"\nBodyBytesTotal = 1000", "BodyBytesTotal: 1000 is not between"},
+		{"no connections", `Zone = "z"`, "Zone = \"z\"\nConnections = 0", "Connections: 0 is not between"},
 		{"no admin port", `AdminAddress = "127.0.0.1:3"`, "", "AdminAddress: must be set"},
 		{"one address twice", "127.0.0.1:3", "127.0.0.1:2", `AdminAddress: "127.0.0.1:2" is the address of PeerAddress`},
 		{"off loopback", "127.0.0.1:2", "10.0.0.1:2", `PeerAddress: "10.0.0.1:2" is not on loopback and has no TLS keys`},
@@ -36,7 +38,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			err := settings.Parse(strings.Replace(goodSettings, tt.old, tt.with, 1), &Settings{})
+			s := DefaultSettings()
+			err := settings.Parse(strings.Replace(goodSettings, tt.old, tt.with, 1), &s)
 			if tt.want == "" && err != nil {
 				t.Fatal(err)
 			}
--- a/daemon/local/local.go
+++ b/daemon/local/local.go
@@ -12,7 +12,6 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/coordination/registry"
-	"shallotring.dev/daemon/agent"
 	"shallotring.dev/daemon/entry"
 	"shallotring.dev/daemon/node"
 	"shallotring.dev/state/ident"
@@ -31,6 +30,7 @@
 	out          io.Writer
 	level        slog.Level
 	callers      []resource.Caller
+	keys         settings.TLS
 
 	platform *Platform
 	entry    *node.Entry
@@ -60,6 +60,10 @@
 	return func(d *Deployment) { d.callers = callers }
 }
 
+// WithKeys lets the key-value stand-in, the callers' listener and all calls between the processes use TLS. The files serve
+// all of them; the callers' listener asks for no certificate.
+func WithKeys(keys settings.TLS) Option { return func(d *Deployment) { d.keys = keys } }
+
 // New starts the stand-ins, declares the example deployment and opens the listeners.
 func New(ctx context.Context, options ...Option) (d *Deployment, err error) {
 	d = &Deployment{
@@ -69,10 +73,10 @@
 	for _, o := range options {
 		o(d)
 	}
-	if d.platform, err = newPlatform(d.interval); err != nil {
+	if d.platform, err = newPlatform(d.interval, d.keys); err != nil {
 		return nil, err
 	}
-	if err = declare(ctx, d.platform.keyValueURL, d.callers); err != nil {
+	if err = declare(ctx, d.service(), d.callers); err != nil {
 		return nil, err
 	}
 	for name := range d.platform.urls {
@@ -85,21 +89,25 @@
 }
 
 func (d *Deployment) newAgent(name ident.Endpoint) (a *node.Agent, err error) {
-	s := node.AgentSettings{Settings: agent.Settings{
-		Identity:     settings.Identity{Host: hostOf(name), Zone: zone},
-		Endpoint:     name,
-		BaseURL:      d.platform.urls[name],
-		PeerAddress:  anyPort,
-		AdminAddress: anyPort,
-	}, Service: node.Service{KeyValue: []string{d.platform.keyValueURL}}}
+	s := node.DefaultAgentSettings()
+	s.Identity = settings.Identity{Host: hostOf(name), Zone: zone}
+	s.Service, s.PeerTLS = d.service(), d.keys
+	s.Endpoint, s.BaseURL = name, d.platform.urls[name]
+	s.PeerAddress, s.AdminAddress = anyPort, anyPort
 	process, log := d.process(registry.RoleAgent, s.Identity)
 	return node.NewAgent(s, log, process)
 }
 
+func (d *Deployment) service() node.Service {
+	return node.Service{KeyValue: []string{d.platform.keyValueURL}, KeyValueTLS: d.keys}
+}
+
 func (d *Deployment) newEntry() (e *node.Entry, err error) {
-	s := node.EntrySettings{Settings: entry.DefaultSettings(), Service: node.Service{KeyValue: []string{d.platform.keyValueURL}}}
+	s := node.EntrySettings{Settings: entry.DefaultSettings(), Service: d.service()}
 	s.Identity = settings.Identity{Host: entryHost, Zone: zone}
 	s.Address, s.AdminAddress, s.PeerAddress = d.address, d.adminAddress, anyPort
+	s.TLS = settings.TLS{CertFile: d.keys.CertFile, KeyFile: d.keys.KeyFile}
+	s.PeerTLS = d.keys
 	s.AllowAnonymous = len(d.callers) == 0
 	// No balancer stands before the local entry.
 	s.BalancerWait = 0
--- a/daemon/local/platform.go
+++ b/daemon/local/platform.go
@@ -14,6 +14,7 @@
 	"shallotring.dev/standin/weights"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/server"
+	"shallotring.dev/transport/settings"
 )
 
 // anyPort lets the system choose a free port on loopback.
@@ -39,7 +40,7 @@
 }
 
 // newPlatform starts the stand-ins on loopback.
-func newPlatform(interval time.Duration) (p *Platform, err error) {
+func newPlatform(interval time.Duration, keys settings.TLS) (p *Platform, err error) {
 	defer func() { err = eris.Wrap(err, "start the stand-ins") }()
 	p = &Platform{
 		KeyValue: keyvalue.New(keyvalue.WithClock(quartz.NewReal())),
@@ -48,28 +49,31 @@
 		Service:  service.New(),
 		urls:     make(map[ident.Endpoint]string),
 	}
-	if p.keyValueURL, err = p.serve(p.KeyValue.Handler()); err != nil {
+	if p.keyValueURL, err = p.serve(p.KeyValue.Handler(), keys); err != nil {
 		return nil, err
 	}
 	for _, name := range engineNames() {
 		e := engine.New(baseModel, p.Weights, engine.WithSlots(engineSlots, engineBatch),
 			engine.WithTokenInterval(interval), engine.WithFencing(true))
 		p.Engines[name] = e
-		if p.urls[name], err = p.serve(e.Handler()); err != nil {
+		if p.urls[name], err = p.serve(e.Handler(), settings.TLS{}); err != nil {
 			return nil, err
 		}
 	}
-	p.urls[serviceEndpoint], err = p.serve(p.Service.Handler())
+	p.urls[serviceEndpoint], err = p.serve(p.Service.Handler(), settings.TLS{})
 	return p, err
 }
 
-func (p *Platform) serve(h http.Handler) (url string, err error) {
-	s, err := server.Listen(anyPort, h)
+func (p *Platform) serve(h http.Handler, keys settings.TLS) (url string, err error) {
+	s, err := server.Listen(anyPort, h, server.WithTLS(keys))
 	if err != nil {
 		return "", err
 	}
 	p.servers = append(p.servers, s)
 	go func() { _ = s.Serve() }()
+	if keys.Enabled() {
+		return "https://" + s.Addr(), nil
+	}
 	return "http://" + s.Addr(), nil
 }
 
--- a/daemon/local/resources.go
+++ b/daemon/local/resources.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/coordination/configuration"
-	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/daemon/node"
 	"shallotring.dev/standin/engine"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/resource"
@@ -62,9 +62,9 @@
 func hostOf(e ident.Endpoint) ident.Host { return ident.Host("host-" + string(e)) }
 
 // declare writes the resources as an operator does.
-func declare(ctx context.Context, url string, callers []resource.Caller) (err error) {
+func declare(ctx context.Context, service node.Service, callers []resource.Caller) (err error) {
 	defer func() { err = eris.Wrap(err, "declare the example deployment") }()
-	store, err := keyvalue.New([]string{url})
+	store, err := service.Client()
 	if err != nil {
 		return err
 	}
--- a/daemon/node/agent.go
+++ b/daemon/node/agent.go
@@ -21,6 +21,9 @@
 	Service
 }
 
+// DefaultAgentSettings returns the values of the settings that a file may leave out.
+func DefaultAgentSettings() AgentSettings { return AgentSettings{Settings: agent.DefaultSettings()} }
+
 // Check refuses values that an agent cannot run with.
 func (s *AgentSettings) Check() (err error) {
 	if err = s.Settings.Check(); err != nil {
--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -66,8 +66,8 @@
 
 func (s Service) secure() bool { return s.KeyValueTLS.Enabled() || s.KeyValueTLS.CAFile != "" }
 
-// store returns the client of the key-value service.
-func (s Service) store() (c *keyvalue.Client, err error) {
+// Client returns a client of the key-value service.
+func (s Service) Client() (c *keyvalue.Client, err error) {
 	if !s.secure() {
 		return keyvalue.New(s.KeyValue)
 	}
@@ -110,7 +110,7 @@
 		}
 	}
 	p.client = &http.Client{Transport: t}
-	if p.Store, err = s.store(); err != nil {
+	if p.Store, err = s.Client(); err != nil {
 		return nil, err
 	}
 	p.Configuration = configuration.New(id, p.Store, configuration.WithLog(log), configuration.WithPeers(p.entries))
