--- a/bench/load/fleet.go
+++ b/bench/load/fleet.go
@@ -192,6 +192,6 @@
 
 // AgentSettings returns the settings file of an agent.
 func AgentSettings(endpoint ident.Endpoint, baseURL, listen, admin, keyValue string) string {
-	return fmt.Sprintf("Host = \"host-%s\"\nZone = %q\nEndpoint = %q\nBaseURL = %q\nListen = %q\nAdmin = %q\nKeyValue = %s\n",
+	return fmt.Sprintf("Host = \"host-%s\"\nZone = %q\nEndpoint = %q\nBaseURL = %q\nPeerAddress = %q\nAdminAddress = %q\nKeyValue = %s\n",
 		endpoint, zone, endpoint, baseURL, listen, admin, quoted(keyValue))
 }
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -19,13 +19,9 @@
 	"shallotring.dev/state/resource"
 	"shallotring.dev/transport/admin"
 	"shallotring.dev/transport/server"
-	"shallotring.dev/transport/settings"
 	"shallotring.dev/transport/timeline"
 )
 
-// bodyBytes bounds a RunRequest; entries bound the callers' bodies below it.
-const bodyBytes = 8 << 20
-
 // configurationPoll is the time between two looks at the configuration in force; Leaving takes effect within it.
 const configurationPoll = 250 * time.Millisecond
 
@@ -54,6 +50,8 @@
 	streams map[ident.TryID]*stream
 	unready atomic.Pointer[string]
 	shares  atomic.Pointer[shares]
+	// bodies counts the bytes of the bodies of all tries.
+	bodies atomic.Int64
 	// held is the incarnation that commands are sent with.
 	held atomic.Int64
 
@@ -76,11 +74,11 @@
 		clock:    quartz.NewReal(),
 		log:      timeline.Discard(),
 		limits:   func(*gate.Config) {},
-		meters:   newMeters(),
 		inbox:    make(chan message),
 		streams:  make(map[ident.TryID]*stream),
 		drained:  make(chan struct{}),
 	}
+	a.meters = newMeters(&a.bodies)
 	for _, o := range options {
 		o(a)
 	}
@@ -101,17 +99,16 @@
 }
 
 func (a *Agent) listen() (err error) {
-	limits := server.DefaultLimits()
-	limits.BodyBytes = bodyBytes
-	a.listener, err = server.Listen(a.settings.Listen, a.handler(),
-		server.WithLimits(limits), server.WithTLS(a.settings.TLS), server.AllowInsecure(a.settings.AllowInsecure))
+	s := a.settings
+	limits := server.PeerLimits()
+	limits.Connections = s.Connections
+	a.listener, err = server.Listen(s.PeerAddress, a.handler(), server.WithLimits(limits),
+		server.WithTLS(s.PeerTLS), server.AllowInsecure(s.AllowInsecure), server.WithLog(a.log.Logger))
 	if err != nil {
 		return err
 	}
-	// Probes of the platform have no client certificate.
-	keys := settings.TLS{CertFile: a.settings.TLS.CertFile, KeyFile: a.settings.TLS.KeyFile}
-	a.adminPort, err = server.Listen(a.settings.Admin, admin.Handler(a.meters.set, a.readiness),
-		server.WithTLS(keys), server.AllowInsecure(a.settings.AllowInsecure))
+	a.adminPort, err = server.Listen(s.AdminAddress, admin.Handler(a.meters.set, a.readiness), server.WithLimits(server.AdminLimits()),
+		server.WithTLS(s.AdminTLS), server.AllowInsecure(s.AllowInsecure), server.WithLog(a.log.Logger))
 	if err != nil {
 		return errors.Join(err, a.listener.Close())
 	}
@@ -205,7 +202,7 @@
 }
 
 func (a *Agent) claimRecord() registry.ClaimRecord {
-	address := a.settings.Address
+	address := a.settings.PeerAdvertise
 	if address == "" {
 		address = a.Address()
 	}
--- a/daemon/agent/settings.go
+++ b/daemon/agent/settings.go
@@ -1,34 +1,42 @@
 package agent
 
 import (
-	"net/url"
-
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/state/ident"
+	"shallotring.dev/transport/server"
 	"shallotring.dev/transport/settings"
 )
 
-// Settings is the content of the agent's settings file.
+// Settings are the local settings of an agent process.
 type Settings struct {
 	settings.Identity
 	// Endpoint is the name of the Endpoint resource.
 	Endpoint ident.Endpoint
 	// BaseURL is the base URL of the engine or plain service.
 	BaseURL string
-	// Listen is the IP:port of the listener for entries.
-	Listen string
-	// Address is the IP:port under which entries reach the listener; it is Listen if empty.
-	Address string
-	// Admin is the IP:port of the admin port.
-	Admin string
-	// KeyValue lists the base URLs of the key-value service.
-	KeyValue []string
+	// PeerAddress is the IP:port of the listener for entries.
+	PeerAddress string
+	// PeerAdvertise is the IP:port under which entries reach the listener; it is PeerAddress if empty.
+	PeerAdvertise string
+	// AdminAddress is the IP:port of the admin port.
+	AdminAddress string
+	// BodyBytesTotal bounds the memory of the bodies of all tries together.
+	BodyBytesTotal int64
+	// Connections bounds the open connections of the listener for entries.
+	Connections int
 	// HostList is the URL of the platform's list of live and leaving hosts; empty if the platform has none.
 	HostList string
 	// AllowInsecure permits listeners off loopback without TLS keys.
 	AllowInsecure bool
-	TLS           settings.TLS
+	// PeerTLS holds the keys towards entries, AdminTLS those of the admin port.
+	PeerTLS  settings.TLS
+	AdminTLS settings.TLS
+}
+
+// DefaultSettings returns the values of the settings that a file may leave out.
+func DefaultSettings() Settings {
+	return Settings{BodyBytesTotal: 256 << 20, Connections: server.DefaultLimits().Connections}
 }
 
 // Check refuses settings that cannot work; the error starts with the key.
@@ -39,37 +47,34 @@
 	if s.Endpoint == "" {
 		return eris.New("Endpoint: must be set")
 	}
-	if err = checkURL("BaseURL", s.BaseURL); err != nil {
+	if err = settings.URL("BaseURL", s.BaseURL); err != nil {
+		return err
+	}
+	if err = eris.Wrap(s.PeerTLS.CheckMutual(), "PeerTLS"); err != nil {
+		return err
+	}
+	if err = eris.Wrap(s.AdminTLS.CheckListener(), "AdminTLS"); err != nil {
 		return err
 	}
-	for _, u := range s.KeyValue {
-		if err = checkURL("KeyValue", u); err != nil {
+	for _, r := range []settings.Range[int64]{
+		{Key: "BodyBytesTotal", Value: s.BodyBytesTotal, Least: server.PeerBodyBytes, Max: 1 << 40},
+		{Key: "Connections", Value: int64(s.Connections), Least: 1, Max: 1 << 20},
+	} {
+		if err = r.Check(); err != nil {
 			return err
 		}
 	}
 	if s.HostList != "" {
-		if err = checkURL("HostList", s.HostList); err != nil {
+		if err = settings.URL("HostList", s.HostList); err != nil {
 			return err
 		}
 	}
-	if err = settings.Address("Listen", s.Listen); err != nil {
-		return err
-	}
-	if s.Address != "" {
-		if err = settings.Address("Address", s.Address); err != nil {
+	if s.PeerAdvertise != "" {
+		if err = settings.Advertised("PeerAdvertise", s.PeerAdvertise); err != nil {
 			return err
 		}
 	}
-	if err = settings.Address("Admin", s.Admin); err != nil {
-		return err
-	}
-	return eris.Wrap(s.TLS.Check(), "TLS")
-}
-
-func checkURL(key, text string) (err error) {
-	u, err := url.Parse(text)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		return eris.Errorf("%s: %q must be an http or https URL", key, text)
-	}
-	return nil
+	return settings.CheckListeners(s.AllowInsecure,
+		settings.Listener{Key: "PeerAddress", Address: s.PeerAddress, TLS: s.PeerTLS},
+		settings.Listener{Key: "AdminAddress", Address: s.AdminAddress, TLS: s.AdminTLS})
 }
--- a/daemon/processes/deployment_test.go
+++ b/daemon/processes/deployment_test.go
@@ -226,8 +226,8 @@
 Zone = "zone-a"
 Endpoint = %q
 BaseURL = %q
-Listen = %q
-Admin = %q
+PeerAddress = %q
+AdminAddress = %q
 KeyValue = ["http://%s"]
 HostList = "http://%s/hosts"
 `, e.Host, e.Name, e.url, address(d.t), e.admin, d.keyValue, d.hosts))
