timeline: allocate the attributes of an event once

The profile of BenchmarkRequest (daemon/local) has the timeline as the largest own cost of a request, 10.5% of all samples, and a fifth of it in growing the list of attributes.

The list is allocated at its full length. BenchmarkEvent: before 9,507 ns, 1,647 B and 7 allocations (one run); after 5,991 to 7,958 ns, 1,098 B and 3 allocations (three runs). The times are from a busy machine; the allocations do not depend on it.

--- a/transport/timeline/timeline.go
+++ b/transport/timeline/timeline.go
@@ -89,6 +89,9 @@
 // Discard returns a log that writes nothing.
 func Discard() *Log { return &Log{Logger: slog.New(slog.DiscardHandler)} }
 
+// attrCount is at least the number of attributes of an event, so that the list is allocated once.
+const attrCount = 18
+
 // Event writes one event.
 func (l *Log) Event(e Event) {
 	level := slog.LevelInfo
@@ -99,6 +102,7 @@
 }
 
 func (e Event) attrs() (list []slog.Attr) {
+	list = make([]slog.Attr, 0, attrCount)
 	list = append(list, slog.Bool("Event", true))
 	text := func(key, value string) {
 		if value != "" {
