--- a/soak/fleet/agent.go
+++ b/soak/fleet/agent.go
@@ -32,19 +32,21 @@
 // agent drives a gate as daemon/agent does.
 type agent struct {
 	process
-	site      *site
-	address   string
-	claim     claim
-	gate      *gate.Gate
-	jobs      map[ident.TryID]*job
-	wakes     int
-	drained   bool
-	stopping  bool
-	stopped   func()
-	seen      *resource.Set
-	share     *permit.Budget
-	answered  time.Time
-	pauseNext time.Duration
+	site     *site
+	address  string
+	claim    claim
+	gate     *gate.Gate
+	jobs     map[ident.TryID]*job
+	wakes    int
+	drained  bool
+	stopping bool
+	stopped  func()
+	seen     *resource.Set
+	share    *permit.Budget
+	answered time.Time
+	// pauseNext pauses the agent at its next order, pauseUnload at its next unload.
+	pauseNext   time.Duration
+	pauseUnload time.Duration
 }
 
 // startAgent starts an agent beside an endpoint at a new address, or at one in use before.
--- a/soak/fleet/claim.go
+++ b/soak/fleet/claim.go
@@ -37,6 +37,9 @@
 func (c *claim) now() time.Time { return c.agent.clock().Now() }
 
 func (c *claim) current() gate.ClaimStatus {
+	if c.agent.fleet.options.Without == ClaimCheck {
+		return gate.ClaimHeld
+	}
 	if c.status == gate.ClaimHeld && c.now().Sub(c.renewed) >= stopAfter {
 		return gate.ClaimUnsure
 	}
@@ -45,9 +48,6 @@
 
 // allows is the check immediately before each send.
 func (c *claim) allows() bool {
-	if c.agent.fleet.options.Without == ClaimCheck {
-		return true
-	}
 	switch c.current() {
 	case gate.ClaimHeld:
 		return !c.released
--- a/soak/fleet/entry.go
+++ b/soak/fleet/entry.go
@@ -78,7 +78,8 @@
 // refresh reads the lists of claims and of processes; a stale list stays in use.
 func (e *entry) refresh() {
 	e.follow()
-	if e.fleet.staleHosts && e.clock().Chance(950) {
+	// A former agent that goes on gets work from entries whose list is stale.
+	if e.fleet.staleHosts && e.clock().Chance(950) || e.fleet.options.Without == ClaimCheck && e.clock().Chance(998) && len(e.claims) > 0 {
 		return
 	}
 	var claims, peers []store.Record
--- a/soak/fleet/exchange.go
+++ b/soak/fleet/exchange.go
@@ -175,6 +175,7 @@
 func (x *exchange) dispatch(c attempt.Command) {
 	f := x.entry.fleet
 	r := x.request
+	r.Dispatched++
 	x.note("%s dispatches try %d to %s incarnation %d", x.entry.id, c.Try.Try, c.Endpoint, c.Try.Incarnation)
 	revision := r.Revision
 	if r.Service != "" {
--- a/soak/fleet/fault.go
+++ b/soak/fleet/fault.go
@@ -154,13 +154,18 @@
 func (f *Fleet) pauseAtSend() {
 	s := f.anySite()
 	if a := f.liveAgent(s); a != nil && !a.paused() {
-		a.pauseNext = f.clock.Between(8*time.Second, 25*time.Second)
-		f.succeed(s, a.pauseNext)
+		d := f.clock.Between(8*time.Second, 25*time.Second)
+		if f.clock.Chance(500) {
+			a.pauseNext = d
+			return
+		}
+		// The schedule waits for an unload, which is rarer than other orders and does more harm when it is late.
+		a.pauseUnload = d
 	}
 }
 
 func (f *Fleet) succeed(s *site, d time.Duration) {
-	if d > leaseTime && len(f.liveAgents(s)) < 3 && f.clock.Chance(800) {
+	if d > leaseTime-keepAlive && len(f.liveAgents(s)) < 3 && f.clock.Chance(800) {
 		f.clock.After(f.clock.Between(0, 5*time.Second), func() { f.startAgent(s, "") })
 	}
 }
--- a/soak/fleet/operator.go
+++ b/soak/fleet/operator.go
@@ -15,6 +15,8 @@
 	inForceCall   = 2 * time.Second
 	awaitInterval = 500 * time.Millisecond
 	awaitLimit    = 60 * time.Second
+	// leaveNotice is the time after which an agent must have acted on a leaving endpoint that reads accepted.
+	leaveNotice = time.Second
 )
 
 // operator changes resources as coordination/configuration's editor does and awaits that the change reads accepted.
@@ -114,10 +116,33 @@
 			}
 			f.note(n.String(), "revision %d is accepted", at)
 			f.judge.Accepted(n.Shard(), at, f.liveShards(n.Shard()))
+			if n.Kind == resource.KindEndpoint {
+				f.clock.After(leaveNotice, func() { f.markLeaving(n) })
+			}
 		})
 	})
 }
 
+// markLeaving tells the judge which agents are to leave by the accepted configuration, if it still says so.
+func (f *Fleet) markLeaving(n resource.Name) {
+	r, _ := f.store.Get(configKey(n))
+	sh, err := resource.DecodeShard(n.Shard(), r.Value)
+	if err != nil {
+		panic(err)
+	}
+	x, _ := sh.Get(n)
+	if e, ok := x.(*resource.Endpoint); !ok || !e.Leaving {
+		return
+	}
+	for _, s := range f.sites {
+		for _, a := range f.liveAgents(s) {
+			if string(s.name) == n.Name && a.gate != nil {
+				f.judge.Leaving(a.id)
+			}
+		}
+	}
+}
+
 func (o *operator) ask(list []store.Record, at ident.Revision, done func(ok bool)) {
 	f := o.fleet
 	open, all := len(list), true
@@ -140,11 +165,12 @@
 	return p.generation
 }
 
-// liveShards returns the revision of a shard at each process that is alive and listed.
+// liveShards returns the revision of a shard at each process that is alive, listed and has read the configuration since
+// it was listed; one that was not listed before an operator's look may be about to read it.
 func (f *Fleet) liveShards(shard int) map[ident.Process]ident.Revision {
 	m := make(map[ident.Process]ident.Revision)
 	for _, p := range f.processes {
-		if _, listed := f.store.Get(p.presence()); listed && !p.dead {
+		if _, listed := f.store.Get(p.presence()); listed && !p.dead && p.configured {
 			_, m[p.id] = p.set.Shard(shard)
 		}
 	}
--- a/soak/fleet/option.go
+++ b/soak/fleet/option.go
@@ -51,9 +51,9 @@
 	Leaving            Mechanism = "leaving"             // G6: the gate is not told to leave
 	GracefulStop       Mechanism = "graceful-stop"       // G7: a planned stop does not wait
 	ConfigurationOrder Mechanism = "configuration-order" // G8: shards are applied in order of arrival
-	Generation         Mechanism = "generation"          // G8: the newest shard is reported as the generation
+	Generation         Mechanism = "generation"          // G8: the newest shard is reported as the generation, and gaps of the watch are read late
 	Settling           Mechanism = "settling"            // final outcome: answers to Settle are dropped
-	ClaimCheck         Mechanism = "claim-check"         // section 5.2: no check of the claim before a send
+	ClaimCheck         Mechanism = "claim-check"         // section 5.2: an agent goes on after its claim is lost
 )
 
 // Options select what a schedule does.
--- a/soak/fleet/order.go
+++ b/soak/fleet/order.go
@@ -24,6 +24,7 @@
 		d := a.pauseNext
 		a.pauseNext = 0
 		f.clock.After(0, func() { a.pause(d) })
+		f.succeed(a.site, d)
 	}
 	a.later(f.clock.Between(time.Microsecond, time.Millisecond), func() {
 		o.Sent = f.clock.Now()
@@ -110,6 +111,9 @@
 
 func (a *agent) unload(x gate.Unload) {
 	a.fleet.log.Add([3]string{string(a.site.name), x.Adapter.String()}, "%s unloads", a.id)
+	if a.pauseUnload > 0 {
+		a.pauseNext, a.pauseUnload = a.pauseUnload, 0
+	}
 	a.command(unloadTimeout, func(o backend.Order, answer func(backend.Answer, string)) {
 		answer(a.site.backend.Unload(o, x.Adapter), "")
 	}, func(_ reply, e engine.Effect) {
--- a/soak/fleet/process.go
+++ b/soak/fleet/process.go
@@ -29,6 +29,7 @@
 	lease      int64
 	set        *resource.Set
 	generation ident.Revision
+	// configured is set while the configuration has been read since the process was announced.
 	configured bool
 	shards     map[int]resource.Update
 }
@@ -94,12 +95,19 @@
 				return
 			}
 			p.every(keepAlive, p.keepPresence)
-			p.every(fullRead, func() { p.readAll(func(bool) {}) })
+			p.every(p.readInterval(), func() { p.readAll(func(bool) {}) })
 			ready()
 		})
 	})
 }
 
+func (p *process) readInterval() time.Duration {
+	if p.fleet.options.Without == Generation {
+		return 30 * fullRead
+	}
+	return fullRead
+}
+
 func (p *process) presence() string { return presencePrefix + string(p.id) }
 
 func (p *process) announce(then func()) {
@@ -121,6 +129,7 @@
 	ok := false
 	p.call(storeCall, func() { ok = p.fleet.store.KeepAlive(p.lease, leaseTime) }, func(s store.Status) {
 		if s == store.Answered && !ok {
+			p.configured = false
 			p.announce(func() { p.readAll(func(bool) {}) })
 		}
 	})
--- a/soak/judge/caller.go
+++ b/soak/judge/caller.go
@@ -21,6 +21,7 @@
 	if r.At.After(limit(r)) {
 		j.violate(Final, append(subjects, string(r.Entry)), "the final response came %s after the deadline", r.At.Sub(r.Deadline))
 	}
+	j.immediate(r, subjects)
 	switch r.Outcome {
 	case outcome.Completed:
 		j.completed(r, subjects)
@@ -31,6 +32,21 @@
 	j.incomplete(r, subjects)
 }
 
+// immediate checks that a refusal is not held back.
+func (j *Judge) immediate(r *Request, subjects []string) {
+	bound := RefusalBound
+	if r.Key != "" {
+		bound = KeyedRefusalBound
+	}
+	from := r.Asked
+	if r.Paused.After(from) {
+		from = r.Paused
+	}
+	if took := r.At.Sub(from); r.Outcome == outcome.NotRun && r.Dispatched == 0 && took > bound {
+		j.violate(Final, append(subjects, string(r.Entry)), "refused after %s although nothing was dispatched", took)
+	}
+}
+
 func (j *Judge) count(r *Request) {
 	switch r.Outcome {
 	case outcome.Completed:
--- a/soak/judge/judge.go
+++ b/soak/judge/judge.go
@@ -37,6 +37,13 @@
 // one ledger call of 2 s and the delays of messages.
 const FinishBound = 6 * time.Second
 
+// RefusalBound is the time in which a request that was never sent to an agent is refused; with a key it may first wait
+// for two calls of the ledger.
+const (
+	RefusalBound      = 100 * time.Millisecond
+	KeyedRefusalBound = 8 * time.Second
+)
+
 // Violation is one broken guarantee.
 type Violation struct {
 	Guarantee Guarantee
@@ -60,6 +67,8 @@
 	Asked    time.Time
 	Deadline time.Time
 	Received []byte
+	// Dispatched is the number of tries that were sent to an agent.
+	Dispatched int
 	// Finished is set with the final response; Broken if the connection to the entry broke instead.
 	Finished bool
 	Broken   bool
@@ -213,7 +222,7 @@
 		return
 	}
 	if r.Ran != q.Adapter {
-		j.violate(G1, subjects, "ran on %s, the caller named %s", r.Ran, q.Adapter)
+		j.judgeOrder(G1, r.Endpoint, r.Order, subjects, "ran on %s, the caller named %s", r.Ran, q.Adapter)
 		return
 	}
 	a := j.declared[q.Adapter.Adapter][q.Revision]
@@ -222,7 +231,7 @@
 		return
 	}
 	if v, ok := a.Version(q.Adapter.Version); !ok || v.Digest != r.Digest {
-		j.violate(G1, subjects, "ran weights %.8s, declared are %.8s (revision %d)", r.Digest, v.Digest, q.Revision)
+		j.judgeOrder(G1, r.Endpoint, r.Order, subjects, "ran weights %.8s, declared are %.8s (revision %d)", r.Digest, v.Digest, q.Revision)
 	}
 }
 
--- /dev/null
+++ b/soak/mechanism_test.go
@@ -0,0 +1,55 @@
+package soak_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"shallotring.dev/soak/fleet"
+	"shallotring.dev/soak/judge"
+)
+
+// Guards against a judge that cannot fail: each mechanism is left out of the wiring, or broken by a fake, and a violation
+// of its guarantee must be the first one found.
+func TestJudgeSeesMissingMechanism(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		without fleet.Mechanism
+		want    judge.Guarantee
+		// leaveOut keeps former agents alive for long enough to do harm.
+		leaveOut []fleet.Kind
+		// first is the first seed that is tried.
+		first uint64
+	}{
+		{fleet.AdapterNames, judge.G1, nil, 0},
+		{fleet.SlotsInUse, judge.G2, nil, 0},
+		{fleet.FrameChecks, judge.G3, nil, 0},
+		{fleet.Tombstones, judge.G4, nil, 0},
+		{fleet.Ledger, judge.G5, nil, 0},
+		{fleet.Leaving, judge.G6, nil, 0},
+		{fleet.GracefulStop, judge.G7, nil, 0},
+		{fleet.ConfigurationOrder, judge.G8, nil, 2},
+		{fleet.Generation, judge.G8, nil, 1},
+		{fleet.Settling, judge.Final, nil, 0},
+		{fleet.ClaimCheck, judge.G2, []fleet.Kind{
+			fleet.KillAgent, fleet.KillEntry, fleet.Rolling, fleet.Leave, fleet.RestartEngine, fleet.StopEngine, fleet.StoreDown,
+		}, 9},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.without), func(t *testing.T) {
+			t.Parallel()
+			var found []judge.Guarantee
+			for seed := tt.first; seed < tt.first+20; seed++ {
+				r := fleet.New(fleet.Options{Seed: seed, Without: tt.without, LeaveOut: tt.leaveOut}).Run(time.Minute)
+				for _, v := range r.Violations {
+					found = append(found, v.Guarantee)
+				}
+				if slices.Contains(found, tt.want) {
+					t.Logf("seed %d: %s: %s", seed, tt.want, r.Violations[0].Detail)
+					return
+				}
+			}
+			t.Errorf("no violation of %s in 20 schedules, found %v", tt.want, found)
+		})
+	}
+}
