gate: raise the fence before the first list of the engine is read

After a claim the successor read the engine's running requests and sent its first command with the new number later. Until that command a former agent, woken after a pause, could still start requests that the list does not show. The successor did not pin their adapters and evicted one in use (G2), although the engine checks fencing numbers. The same gap follows a restart of an engine that does not keep the number.

The first survey of a claim, and each after a restart, now asks the agent to send a command without effect (the cancel of a name that no try has) before it reads the lists; the survey fails if that command does.

A gate test fails if the survey does not ask for the command.

--- a/daemon/agent/orders.go
+++ b/daemon/agent/orders.go
@@ -18,6 +18,9 @@
 	listTimeout   = 2 * time.Second
 )
 
+// fenceName is the request id of a cancel that only shows the engine a fencing number; ids of tries contain a slash.
+const fenceName = "fence"
+
 func (a *Agent) incarnation() ident.Incarnation { return ident.Incarnation(a.held.Load()) }
 
 func requestName(id ident.TryID) string { return engine.RequestName(id) }
@@ -80,6 +83,12 @@
 	ctx, cancel := context.WithTimeout(a.work, listTimeout)
 	defer cancel()
 	result := gate.Surveyed{Number: x.Number}
+	if err := a.raiseFence(ctx, x); err != nil {
+		a.log.WarnContext(ctx, "engine does not take the fencing number", errorAttr(err))
+		result.Failed = true
+		a.post(result)
+		return
+	}
 	requests, first, err := a.client.Running(ctx)
 	if err == nil {
 		var models []engine.Model
@@ -98,6 +107,16 @@
 	a.post(result)
 }
 
+// raiseFence sends a command without effect: no request has its name.
+func (a *Agent) raiseFence(ctx context.Context, x gate.Survey) (err error) {
+	if !x.Fence {
+		return nil
+	}
+	err = a.client.Cancel(ctx, a.incarnation(), fenceName)
+	a.fenced(err)
+	return err
+}
+
 func (a *Agent) cancelAtEngine(id string) {
 	ctx, cancel := context.WithTimeout(a.work, listTimeout)
 	defer cancel()
--- a/soak/backend/endpoint.go
+++ b/soak/backend/endpoint.go
@@ -98,6 +98,7 @@
 // Start starts the endpoint's process with nothing loaded.
 func (e *Endpoint) Start() {
 	e.starts++
+	e.fence = 0 // an engine has no disk to keep it on
 	e.StartID = ident.StartID(fmt.Sprintf("%s-start-%d", e.Name, e.starts))
 	e.loaded = make(map[ident.AdapterVersion]string)
 	list := e.running
--- a/soak/fleet/fleet.go
+++ b/soak/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"shallotring.dev/soak/backend"
@@ -106,7 +107,10 @@
 
 // changed tells the judge and the watchers of each write of the configuration.
 func (f *Fleet) changed(r store.Record) {
-	if len(r.Key) < len(configPrefix) || r.Key[:len(configPrefix)] != configPrefix {
+	if name, ok := strings.CutPrefix(r.Key, claimPrefix); ok {
+		f.judge.Claimed(ident.Endpoint(name), ident.Incarnation(r.Revision))
+	}
+	if !strings.HasPrefix(r.Key, configPrefix) {
 		return
 	}
 	var n int
--- a/soak/fleet/order.go
+++ b/soak/fleet/order.go
@@ -157,6 +157,23 @@
 // survey reads the requests before the adapters, as daemon/agent does.
 func (a *agent) survey(x gate.Survey) {
 	result := gate.Surveyed{Number: x.Number}
+	if !x.Fence {
+		a.lists(result)
+		return
+	}
+	a.command(listTimeout, func(o backend.Order, answer func(backend.Answer, string)) {
+		answer(a.site.backend.Cancel(o, "fence"), "")
+	}, func(_ reply, e engine.Effect) {
+		if e != engine.Done {
+			result.Failed = true
+			a.step(result)
+			return
+		}
+		a.lists(result)
+	})
+}
+
+func (a *agent) lists(result gate.Surveyed) {
 	a.get(func() { result.Running = a.site.backend.Running() }, func(ok bool, first ident.StartID) {
 		if !ok {
 			result.Failed = true
--- a/state/gate/command.go
+++ b/state/gate/command.go
@@ -78,7 +78,12 @@
 type ReturnPermit struct{}
 
 // Survey reads the start id, the loaded adapters and the running requests; Surveyed with the same number follows.
-type Survey struct{ Number uint64 }
+type Survey struct {
+	Number uint64
+	// Fence asks for a command without effect before the lists are read, so that the engine has seen the fencing number:
+	// a former agent could otherwise start requests that the lists do not show. The survey fails if the command does.
+	Fence bool
+}
 
 // TryState is the answer to Settle.
 type TryState int
--- a/state/gate/linger_test.go
+++ b/state/gate/linger_test.go
@@ -105,3 +105,29 @@
 		})
 	}
 }
+
+// Guards against a successor whose list of running requests is out of date because a former agent could still start one
+// after it (G2): the engine must have seen the new number before the list is read, and again after its restart.
+func TestFirstSurveyRaisesTheFence(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		g := newGate(t, func(c *Config) { c.ChecksFencing = fencing })
+		surveys := 0
+		for _, e := range []Event{Claim{Status: ClaimHeld, Incarnation: 6}, Observed{StartID: "s2"}} {
+			for _, c := range g.Step(begin, e) {
+				if x, ok := c.(Survey); ok && x.Fence != fencing {
+					t.Errorf("%T, fencing %t: the survey raises the fence: %t", e, fencing, x.Fence)
+				} else if ok {
+					surveys++
+					g.Step(begin, Surveyed{Number: x.Number, StartID: "s1"})
+				}
+			}
+		}
+		if surveys != 2 {
+			t.Fatalf("%d surveys, want one after the claim and one after the restart", surveys)
+		}
+		survey := g.Step(begin.Add(time.Second), Tick{})[0].(Survey)
+		if survey.Fence && g.synced {
+			t.Error("a later survey raises the fence again")
+		}
+	}
+}
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -35,7 +35,7 @@
 	}
 	g.number++
 	g.survey = surveyState{number: g.number, started: g.now, flying: true, changes: g.changes}
-	g.emit(Survey{Number: g.number})
+	g.emit(Survey{Number: g.number, Fence: !g.synced && g.ChecksFencing})
 }
 
 func (g *Gate) surveyed(s Surveyed) {
