gate: unload an adapter that a delayed load brings back in quarantine

When a load and the unload after it both had an unclear effect, both could still arrive. The quarantine kept the gate from loading the adapter again, but if the delayed load took effect, the next list of the engine made the adapter resident and tries started on it. The delayed unload then evicted it in use (G2).

An adapter that appears in the list during its quarantine is now unloaded like any other unclear load.

--- a/soak/fleet/operator.go
+++ b/soak/fleet/operator.go
@@ -123,7 +123,8 @@
 	})
 }
 
-// markLeaving tells the judge which agents are to leave by the accepted configuration, if it still says so.
+// markLeaving tells the judge which agents are to leave by the accepted configuration, if it still says so. An agent that
+// is paused may learn only after waking, when the endpoint has been taken back.
 func (f *Fleet) markLeaving(n resource.Name) {
 	r, _ := f.store.Get(configKey(n))
 	sh, err := resource.DecodeShard(n.Shard(), r.Value)
@@ -136,7 +137,7 @@
 	}
 	for _, s := range f.sites {
 		for _, a := range f.liveAgents(s) {
-			if string(s.name) == n.Name && a.gate != nil {
+			if string(s.name) == n.Name && a.gate != nil && !a.paused() {
 				f.judge.Leaving(a.id)
 			}
 		}
--- a/state/gate/linger_test.go
+++ b/state/gate/linger_test.go
@@ -131,3 +131,21 @@
 		}
 	}
 }
+
+// Guards against a start on an adapter that a delayed load has brought back while a delayed unload of it may still
+// arrive (G2).
+func TestAdapterThatComesBackInQuarantine(t *testing.T) {
+	g := newGate(t, func(c *Config) { c.Slots = 2 })
+	g.Step(begin, Permits{Granted: 1, Until: begin.Add(time.Minute)})
+	load := g.Step(begin, try1("r1", a2))[1].(Load)
+	unload := g.Step(begin, LoadEnded{Number: load.Number, Failed: true})[1].(Unload)
+	g.Step(begin, UnloadEnded{Number: unload.Number, Failed: true})
+	now := begin.Add(300 * time.Millisecond)
+	out := g.Step(now, Tick{})
+	expect(t, "second unload", out, "Unload")
+	g.Step(now, UnloadEnded{Number: out[0].(Unload).Number})
+	now = begin.Add(time.Second)
+	survey := g.Step(now, Tick{})[0].(Survey)
+	listed := []Model{{Adapter: a1, Digest: "d"}, {Adapter: a2, Digest: "d"}}
+	expect(t, "the delayed load", g.Step(now, Surveyed{Number: survey.Number, StartID: "s1", Models: listed}), "Unload")
+}
--- a/state/gate/load.go
+++ b/state/gate/load.go
@@ -20,6 +20,8 @@
 	// unloading is set while an unload is to be sent, not before unloadAt.
 	unloading bool
 	unloadAt  time.Time
+	// quarantine is the time until which an unload whose effect was unclear may still evict the adapter.
+	quarantine time.Time
 }
 
 func (a *adapter) failing(now time.Time) bool { return a.broken && now.Before(a.notBefore) }
@@ -281,7 +283,8 @@
 	if e.Failed {
 		a.unloading = true
 		a.unloadAt = g.now.Add(g.LoadBackoff)
-		a.notBefore = later(a.notBefore, g.now.Add(g.Quarantine))
+		a.quarantine = g.now.Add(g.Quarantine)
+		a.notBefore = later(a.notBefore, a.quarantine)
 		return
 	}
 	g.slots.Drop(o.adapter)
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -162,10 +162,15 @@
 	listed := make(map[ident.AdapterVersion]bool)
 	for _, m := range s.Models {
 		listed[m.Adapter] = true
+		a := g.record(m.Adapter)
+		a.digest = m.Digest
 		if g.slots.State(m.Adapter) == slots.Absent {
 			g.slots.Loaded(g.now, m.Adapter)
+			// A delayed load has taken effect; a delayed unload of the same adapter may follow it.
+			if g.now.Before(a.quarantine) {
+				g.evict(m.Adapter)
+			}
 		}
-		g.record(m.Adapter).digest = m.Digest
 	}
 	var lost []ident.AdapterVersion
 	g.slots.Each(func(av ident.AdapterVersion, s slots.State, _ int) {
