gate: compare the two lists of a survey only if they are of one time

The agent reads the running requests before the adapters. An agent that was paused between the two had requests from before the pause and adapters from after it, and reported an eviction in use by its successor that never happened (G2).

A survey that took longer than 2 s, the agent's own limit for it, is no longer compared; the next one is.

--- a/state/gate/linger_test.go
+++ b/state/gate/linger_test.go
@@ -80,13 +80,15 @@
 	tests := []struct {
 		name    string
 		ended   bool
+		took    time.Duration
 		running []Request
 		want    []string
 	}{
-		{"the end is on its way", false, nil, nil},
-		{"the try lingers", true, nil, nil},
-		{"the engine runs it", false, []Request{{ID: "r1/1", Adapter: a1}}, []string{"violation G2"}},
-		{"the engine runs it after its end", true, []Request{{ID: "r1/1", Adapter: a1}}, []string{"violation G2"}},
+		{"the end is on its way", false, 0, nil, nil},
+		{"the try lingers", true, 0, nil, nil},
+		{"the engine runs it", false, time.Second, []Request{{ID: "r1/1", Adapter: a1}}, []string{"violation G2"}},
+		{"the engine runs it after its end", true, 0, []Request{{ID: "r1/1", Adapter: a1}}, []string{"violation G2"}},
+		{"the agent was paused between the lists", false, 20 * time.Second, []Request{{ID: "r1/1", Adapter: a1}}, nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -98,7 +100,7 @@
 			}
 			now := begin.Add(time.Second)
 			survey := g.Step(now, Tick{})[0].(Survey)
-			expect(t, "survey", g.Step(now, Surveyed{Number: survey.Number, StartID: "s1", Running: tt.running}), tt.want...)
+			expect(t, "survey", g.Step(now.Add(tt.took), Surveyed{Number: survey.Number, StartID: "s1", Running: tt.running}), tt.want...)
 			if tt.ended && tt.running == nil && g.slots.Free() != 1 {
 				t.Error("the slot of an adapter that is gone is still taken")
 			}
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -16,6 +16,10 @@
 // maxSilent is the number of surveys without an answer after which tries are sent to other endpoints.
 const maxSilent = 2
 
+// maxSurvey bounds the time between the two lists of a survey that are compared: an agent that was paused between them
+// has a list of requests from before the pause and a list of adapters from after it.
+const maxSurvey = 2 * time.Second
+
 type surveyState struct {
 	number  uint64
 	started time.Time
@@ -64,7 +68,8 @@
 	g.releaseAdopted(s.Running)
 	g.markReached(s.Running)
 	g.releaseLingering(g.survey.started, s.Running)
-	if g.survey.changes == g.changes && len(g.orders) == 0 {
+	fresh := g.now.Sub(g.survey.started) <= maxSurvey
+	if fresh && g.survey.changes == g.changes && len(g.orders) == 0 {
 		g.compare(s)
 	}
 }
