--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -16,6 +16,10 @@
 // maxSilent is the number of surveys without an answer after which tries are sent to other endpoints.
 const maxSilent = 2
 
+// maxSurvey bounds the time between the two lists of a survey that are compared: an agent that was paused between them
+// has a list of requests from before the pause and a list of adapters from after it.
+const maxSurvey = 2 * time.Second
+
 type surveyState struct {
 	number  uint64
 	started time.Time
@@ -35,7 +39,7 @@
 	}
 	g.number++
 	g.survey = surveyState{number: g.number, started: g.now, flying: true, changes: g.changes}
-	g.emit(Survey{Number: g.number})
+	g.emit(Survey{Number: g.number, Fence: !g.synced && g.ChecksFencing})
 }
 
 func (g *Gate) surveyed(s Surveyed) {
@@ -64,7 +68,8 @@
 	g.releaseAdopted(s.Running)
 	g.markReached(s.Running)
 	g.releaseLingering(g.survey.started, s.Running)
-	if g.survey.changes == g.changes && len(g.orders) == 0 {
+	fresh := g.now.Sub(g.survey.started) <= maxSurvey
+	if fresh && g.survey.changes == g.changes && len(g.orders) == 0 {
 		g.compare(s)
 	}
 }
@@ -162,10 +167,15 @@
 	listed := make(map[ident.AdapterVersion]bool)
 	for _, m := range s.Models {
 		listed[m.Adapter] = true
+		a := g.record(m.Adapter)
+		a.digest = m.Digest
 		if g.slots.State(m.Adapter) == slots.Absent {
 			g.slots.Loaded(g.now, m.Adapter)
+			// A delayed load has taken effect; a delayed unload of the same adapter may follow it.
+			if g.now.Before(a.quarantine) {
+				g.evict(m.Adapter)
+			}
 		}
-		g.record(m.Adapter).digest = m.Digest
 	}
 	var lost []ident.AdapterVersion
 	g.slots.Each(func(av ident.AdapterVersion, s slots.State, _ int) {
