Export the metrics of the ledger, the configuration and the isolation of an entry

An operator could not see that an entry is isolated.

Change: the entry's /metrics includes the ledger's set, shallotring_entry_isolated, shallotring_entry_live_agents and shallotring_entry_configuration_generation; each admin port includes the default set.

Before: /metrics of an entry had no shallotring_ledger_* and no shallotring_invariant_violations_total. After: TestDeployServeStop finds them at both entries.

--- a/daemon/node/entry.go
+++ b/daemon/node/entry.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
 	"github.com/rotisserie/eris"
 
@@ -79,8 +80,9 @@
 		Process: process, Role: registry.RoleEntry, Address: cmp.Or(s.PeerAdvertise, n.peers.Addr()), Host: s.Host, Zone: s.Zone,
 	}
 	n.presence = registry.NewPresence(n.platform.Store, quartz.NewReal(), self)
+	ledgerMetrics := metrics.NewSet()
 	n.ledger = bucket.New(self, n.platform.Store, n.platform.View.Processes,
-		bucket.WithTimeline(log), bucket.WithRetention(n.retention), bucket.WithAgentAddress(n.agentAddress),
+		bucket.WithTimeline(log), bucket.WithMetrics(ledgerMetrics), bucket.WithRetention(n.retention), bucket.WithAgentAddress(n.agentAddress),
 		bucket.WithClients(
 			func(address string) bucket.Settler { return n.platform.Agent(address) },
 			func(address string) bucket.Forwarder { return n.platform.Entry(address) }))
@@ -95,8 +97,24 @@
 		entry.WithAgents(n.platform.View), entry.WithLedger(n.ledger), entry.WithIsolation(n.isolated))
 	if err != nil {
 		_ = n.peers.Close()
+		return nil, err
 	}
-	return n, err
+	n.export(ledgerMetrics)
+	return n, nil
+}
+
+// export adds what the parts beside the callers' API measure to the metrics of the entry.
+func (n *Entry) export(ledger *metrics.Set) {
+	s := n.Metrics()
+	s.RegisterMetricsWriter(ledger.WritePrometheus)
+	s.NewGauge("shallotring_entry_configuration_generation", func() float64 { return float64(n.platform.Configuration.Generation()) })
+	s.NewGauge("shallotring_entry_live_agents", func() float64 { return float64(n.ClaimCount()) })
+	s.NewGauge("shallotring_entry_isolated", func() float64 {
+		if n.isolated() != "" {
+			return 1
+		}
+		return 0
+	})
 }
 
 // PeerAddress returns the address of the listener for the project's own processes.
--- a/daemon/processes/serve_test.go
+++ b/daemon/processes/serve_test.go
@@ -32,6 +32,12 @@
 		t.Errorf("the order ran %d times: %v", len(list), list)
 	}
 	d.operate(0, "status", "Adapter/adapter-2")
+	for _, g := range d.entries {
+		d.checkMetrics(g.admin, "shallotring_entry_requests_total", "shallotring_ledger_writes_total", "shallotring_invariant_violations_total",
+			"shallotring_entry_isolated", "shallotring_entry_live_agents", "shallotring_entry_configuration_generation")
+	}
+	d.checkMetrics(d.endpoints[0].admin, "shallotring_agent_tries_total", "shallotring_agent_violations_total",
+		"shallotring_agent_claim_age_seconds", "shallotring_invariant_violations_total")
 	d.operate(7, "get", "Adapter/none")
 	d.checkEngines()
 	for _, g := range d.entries {
@@ -42,3 +48,14 @@
 	}
 	d.store.stop()
 }
+
+// checkMetrics guards against a metric of docs/operations.md that no process exports.
+func (d *deployment) checkMetrics(admin string, names ...string) {
+	d.t.Helper()
+	body, _ := fetch("http://" + admin + "/metrics")
+	for _, n := range names {
+		if !strings.Contains(body, "\n"+n) && !strings.HasPrefix(body, n) {
+			d.t.Errorf("%s does not export %s", admin, n)
+		}
+	}
+}
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -16,7 +16,8 @@
 	r := chi.NewRouter()
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
+		// The default set has the counters of packages that belong to no daemon.
+		metrics.WritePrometheus(w, true)
 	})
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		io.WriteString(w, "ok\n")
