Restart entries under streams that outlast the balancer wait, and lose a zone and the weight store

Change: a stream that lasts longer is in progress at each stop of an entry. New cases: a zone (entry, agent and engine at once) and the weight store are lost.

--- a/daemon/processes/deployment_test.go
+++ b/daemon/processes/deployment_test.go
@@ -68,12 +68,14 @@
 	plan     plan
 	keyValue string
 	// way is the first entry's way to the key-value service if the plan names one.
-	way       *proxy
-	hosts     string
-	weights   string
-	store     *process
-	endpoints []*endpoint
-	entries   []*gate
+	way     *proxy
+	hosts   string
+	weights string
+	store   *process
+	// weightStore is the process of the weight store.
+	weightStore *process
+	endpoints   []*endpoint
+	entries     []*gate
 }
 
 var client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -106,7 +108,7 @@
 	if d.plan.keyValue != "" {
 		d.way = newProxy(d.t, d.plan.keyValue, d.keyValue)
 	}
-	start(d.t, "weights", "standin", "weights", "--listen", d.weights, "--rate", "100", "--load-time", "20ms")
+	d.startWeights()
 	for i, checks := range d.plan.engines {
 		e := d.endpoint(fmt.Sprintf("engine-%d", i+1))
 		e.Kind, e.BaseModel, e.ChecksFencing, e.Slots = resource.Engine, "base", checks, engineSlots
@@ -135,6 +137,10 @@
 	d.store = start(d.t, "keyvalue", "standin", "keyvalue", "--listen", d.keyValue, "--data", filepath.Join(d.dir, "keyvalue.json"))
 }
 
+func (d *deployment) startWeights() {
+	d.weightStore = start(d.t, "weights", "standin", "weights", "--listen", d.weights, "--rate", "100", "--load-time", "20ms")
+}
+
 func (d *deployment) endpoint(name string) (e *endpoint) {
 	e = &endpoint{url: "http://" + address(d.t)}
 	e.Endpoint = resource.Endpoint{Name: ident.Endpoint(name), Host: ident.Host("host-" + name), Zone: "zone-a", BatchSize: d.plan.batch}
--- a/daemon/processes/kill_test.go
+++ b/daemon/processes/kill_test.go
@@ -32,6 +32,18 @@
 			g.process = d.startEntry(g)
 			until(d.t, "the next entry serves", func() bool { return ready(g.admin) })
 		}},
+		{"zone", func(d *deployment) {
+			g, e := d.entries[0], d.endpoints[0]
+			g.process.kill()
+			e.agent.kill()
+			e.standin.kill()
+			until(d.t, "the other zone serves", func() bool {
+				return complete(d.entries[1].url, call{model: "adapter-1@v1", prompt: "zone lost", tokens: 2}).whole()
+			})
+			e.standin = start(d.t, "engine-next", "standin", e.command...)
+			e.agent, g.process = d.startAgent(e, "agent-next"), d.startEntry(g)
+			until(d.t, "the zone is back", func() bool { return ready(e.admin) && ready(g.admin) })
+		}},
 		{"engine", func(d *deployment) {
 			e := d.endpoints[0]
 			e.standin.kill()
--- a/daemon/processes/outage_test.go
+++ b/daemon/processes/outage_test.go
@@ -208,6 +208,27 @@
 	until(t, "the entry serves again", func() bool { return complete(g.url, call{model: "adapter-1@v1", prompt: "back", tokens: 2}).whole() })
 }
 
+// Guards against a lost weight store that stops requests for loaded adapters, or that leaves requests for others waiting
+// in place of refusing them.
+func TestWeightStoreLost(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, plan{entries: 1, engines: []bool{true}})
+	loaded, absent := call{model: "adapter-1@v1", prompt: "loaded", tokens: 4}, call{model: "adapter-2@v1", prompt: "absent", tokens: 4}
+	url := d.entries[0].url
+	d.weightStore.kill()
+	if r := complete(url, loaded); !r.whole() {
+		t.Errorf("adapter that is loaded: %s", r)
+	}
+	if r := complete(url, absent); !r.notRun() || r.status != 503 || r.header.Get("Retry-After") == "" {
+		t.Errorf("adapter that cannot be loaded: %s", r)
+	}
+	d.startWeights()
+	until(t, "the adapter is loaded", func() bool { return complete(url, absent).whole() })
+	if n := len(d.runs()); n != 3 {
+		t.Errorf("%d runs: a refused request ran", n)
+	}
+}
+
 // Guards G4 and G5 against a service that is slow and loses the answers to writes that took effect.
 func TestLostAndLateAnswers(t *testing.T) {
 	t.Parallel()
--- a/daemon/processes/rolling_test.go
+++ b/daemon/processes/rolling_test.go
@@ -61,6 +61,16 @@
 	return o, end
 }
 
+// long begins a stream that lasts longer than the balancer wait of a stopping entry.
+func (d *deployment) long(url string) (result chan reply) {
+	result, begun := make(chan reply, 1), make(chan struct{})
+	go func() {
+		result <- complete(url, call{model: "adapter-1@v1", prompt: "long report", tokens: 1200, stream: true, first: func() { close(begun) }})
+	}()
+	<-begun
+	return result
+}
+
 // Guards G7: a planned stop that cuts, doubles or loses a stream or an order while every entry and every agent is restarted in turn.
 func TestRollingRestart(t *testing.T) {
 	t.Parallel()
@@ -69,8 +79,14 @@
 	l := streams(t, 8, 60, d.balancer())
 	o, endOrders := d.continuousOrders(4)
 	l.more(16)
+	longs := 0
 	for _, g := range d.entries {
+		long := d.long(g.url)
+		longs++
 		g.process.stop()
+		if r := <-long; !r.whole() {
+			t.Errorf("%s cut a stream that was in progress: %s", g.name, r)
+		}
 		l.more(8)
 		g.process = d.startEntry(g)
 		until(t, g.name+" is ready again", func() bool { return ready(g.admin) })
@@ -98,7 +114,7 @@
 			t.Errorf("cut or refused: %s", r)
 		}
 	}
-	if n := len(d.runs()) - before; n != len(list) {
+	if n := len(d.runs()) - before - longs; n != len(list) {
 		t.Errorf("%d streams ran %d times at the engines", len(list), n)
 	}
 	t.Logf("%d streams", len(list))
