Name the metrics consistently and show all of a process on its admin port

Cause: the ledger's metrics were in a set that nobody served, as was the violation counter of the configuration; calls to the key-value service, generation, isolation, load times and the fill of the batch were not counted; the violations of one guarantee had three names.

Change: each process has one set. shallotring_invariant_violations_total{guarantee} replaces shallotring_entry_invariant_violations_total, shallotring_agent_violations_total and shallotring_ledger_violations_total; results of loads and evictions are completed or failed. docs/metrics.md gives name, unit, meaning and what to watch.

Tests: a deployment is read after known traffic, and its names are compared with the page; a draining agent is healthy and not ready; the test of bodies at the agent no longer takes the end of an earlier try for its own body (seen once under load).

--- a/coordination/bucket/counters.go
+++ b/coordination/bucket/counters.go
@@ -18,7 +18,7 @@
 		reads:        s.NewCounter("shallotring_ledger_reads_total"),
 		takeovers:    s.NewCounter("shallotring_ledger_takeovers_total"),
 		releases:     s.NewCounter("shallotring_ledger_releases_total"),
-		violations:   s.NewCounter("shallotring_ledger_violations_total"),
+		violations:   s.GetOrCreateCounter(`shallotring_invariant_violations_total{guarantee="G5"}`),
 		forwards:     s.NewCounter("shallotring_ledger_forwards_total"),
 		refusals:     map[string]*metrics.Counter{},
 	}
--- a/coordination/configuration/source.go
+++ b/coordination/configuration/source.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
 
 	"shallotring.dev/coordination/registry"
@@ -56,7 +57,8 @@
 	// lastFallback bounds the full reads of a process that no peer serves.
 	lastFallback time.Time
 	// staging marks a source that only collects the answers of several peers.
-	staging bool
+	staging    bool
+	violations *metrics.Counter
 }
 
 // failure is a stored shard that cannot be applied.
@@ -95,6 +97,8 @@
 		fetching: make(chan struct{}, 1),
 		failures: make(map[int]failure),
 		changed:  make(chan struct{}),
+		// Not registered, so that sources of one process do not share it.
+		violations: &metrics.Counter{},
 	}
 	for _, o := range options {
 		o(s)
@@ -218,7 +222,7 @@
 		if now >= old {
 			continue
 		}
-		violations.Inc()
+		s.violations.Inc()
 		detail := fmt.Sprintf("shard %02x went from revision %d to %d", number, old, now)
 		s.log.Event(timeline.Event{Kind: timeline.InvariantViolated, Reason: "G8", Detail: detail})
 		panic("configuration: " + detail)
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
 	"github.com/rotisserie/eris"
 
@@ -40,6 +41,7 @@
 	transport     http.RoundTripper
 	limits        func(*gate.Config)
 
+	metrics *metrics.Set
 	meters  *meters
 	client  *engine.Client
 	claim   *claim.Claim
@@ -74,11 +76,12 @@
 		inbox:    make(chan message),
 		streams:  make(map[ident.TryID]*stream),
 		drained:  make(chan struct{}),
+		metrics:  metrics.NewSet(),
 	}
-	a.meters = newMeters(&a.bodies)
 	for _, o := range options {
 		o(a)
 	}
+	a.meters = newMeters(a.metrics, &a.bodies)
 	if err = s.Check(); err != nil {
 		return nil, err
 	}
--- a/daemon/agent/agent_test.go
+++ b/daemon/agent/agent_test.go
@@ -266,7 +266,7 @@
 	}
 	text, _ := io.ReadAll(resp.Body)
 	resp.Body.Close()
-	for _, want := range []string{`shallotring_agent_violations_total{guarantee="G5"} 1`, `shallotring_agent_tries_total{outcome="completed"} 2`} {
+	for _, want := range []string{`shallotring_invariant_violations_total{guarantee="G5"} 1`, `shallotring_agent_tries_total{outcome="completed"} 2`} {
 		if !strings.Contains(string(text), want) {
 			t.Errorf("metrics lack %s", want)
 		}
--- a/daemon/agent/control.go
+++ b/daemon/agent/control.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		a.step(g, m)
-		a.meters.report(g.Report())
+		a.meters.report(a.clock.Now(), g.Report())
 		timer.Reset(a.untilWake(g))
 	}
 }
--- a/daemon/agent/limit_test.go
+++ b/daemon/agent/limit_test.go
@@ -25,6 +25,12 @@
 	if !served("r0") {
 		t.Fatal("no try is served")
 	}
+	held := func(want int64) {
+		for s.agent.bodies.Load() != want {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	held(0)
 	c, err := net.Dial("tcp", s.agent.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -32,16 +38,12 @@
 	defer c.Close()
 	// One byte is left of the memory that the settings allow.
 	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\nx", RunPath, server.PeerBodyBytes-1)
-	for s.agent.bodies.Load() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	held(server.PeerBodyBytes - 1)
 	if _, _, err = s.run(s.request("r1", "a1")); err == nil || err.Error() != string(outcome.QueueFull) {
 		t.Errorf("a try past the memory of all bodies: %v", err)
 	}
 	c.Close()
-	for s.agent.bodies.Load() != 0 {
-		time.Sleep(time.Millisecond)
-	}
+	held(0)
 	if !served("r2") {
 		t.Error("no try is served after the body is gone")
 	}
--- a/daemon/agent/metrics.go
+++ b/daemon/agent/metrics.go
@@ -18,18 +18,49 @@
 	queued     atomic.Int64
 	remembered atomic.Int64
 	stall      *metrics.Histogram
+	loadTime   *metrics.Histogram
+	tryTime    *metrics.FloatCounter
+	batch      atomic.Int64
+	resident   atomic.Int64
+	// reported is the time of the last report; it belongs to the control goroutine.
+	reported time.Time
 }
 
-func newMeters(bodies *atomic.Int64) *meters {
-	m := &meters{set: metrics.NewSet()}
+// Results of commands to the engine.
+const (
+	resultCompleted = "completed"
+	resultFailed    = "failed"
+)
+
+func resultOf(completed bool) string {
+	if completed {
+		return resultCompleted
+	}
+	return resultFailed
+}
+
+func newMeters(set *metrics.Set, bodies *atomic.Int64) *meters {
+	m := &meters{set: set}
 	m.stall = m.set.NewHistogram("shallotring_agent_stall_seconds")
+	m.loadTime = m.set.NewHistogram("shallotring_agent_load_duration_seconds")
+	m.tryTime = m.set.NewFloatCounter("shallotring_agent_try_seconds_total")
 	gauge := func(name string, v *atomic.Int64) {
 		m.set.NewGauge(name, func() float64 { return float64(v.Load()) })
 	}
 	gauge("shallotring_agent_running_tries", &m.running)
 	gauge("shallotring_agent_queued_tries", &m.queued)
 	gauge("shallotring_agent_remembered_tries", &m.remembered)
+	gauge("shallotring_agent_batch_size_tries", &m.batch)
+	gauge("shallotring_agent_resident_adapters", &m.resident)
+	m.set.NewGauge("shallotring_agent_batch_fill_ratio", m.fill)
 	m.set.NewGauge("shallotring_agent_request_body_bytes", func() float64 { return float64(bodies.Load()) })
+	for _, o := range []outcome.Outcome{outcome.Completed, outcome.NotRun, outcome.Unknown} {
+		m.tries(o)
+	}
+	for _, result := range []string{resultCompleted, resultFailed} {
+		m.loads(result)
+		m.evictions(result)
+	}
 	for _, g := range []gate.Guarantee{gate.G1, gate.G2, gate.G4, gate.G5, gate.G6} {
 		m.violations(g)
 	}
@@ -57,12 +88,32 @@
 }
 
 func (m *meters) violations(g gate.Guarantee) *metrics.Counter {
-	return m.counter("violations_total", "guarantee", string(g))
+	return m.set.GetOrCreateCounter(fmt.Sprintf("shallotring_invariant_violations_total{guarantee=%q}", string(g)))
 }
 
 func (m *meters) stalled(d time.Duration) { m.stall.Update(d.Seconds()) }
 
-func (m *meters) report(r gate.Report) {
+// fill is the part of the batch that runs a try.
+func (m *meters) fill() float64 {
+	if size := m.batch.Load(); size > 0 {
+		return float64(m.running.Load()) / float64(size)
+	}
+	return 0
+}
+
+func (m *meters) report(now time.Time, r gate.Report) {
+	if !m.reported.IsZero() {
+		m.tryTime.Add(float64(m.running.Load()) * now.Sub(m.reported).Seconds())
+	}
+	m.reported = now
+	resident := 0
+	for _, a := range r.Adapters {
+		if !a.Loading && !a.Failing {
+			resident++
+		}
+	}
+	m.resident.Store(int64(resident))
+	m.batch.Store(int64(r.BatchSize))
 	m.running.Store(int64(r.Running))
 	m.queued.Store(int64(r.Queued))
 	m.remembered.Store(int64(r.Remembered))
--- a/daemon/agent/options.go
+++ b/daemon/agent/options.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
 
 	"shallotring.dev/coordination/claim"
@@ -42,6 +43,9 @@
 // WithProcess sets the process id, which is random otherwise.
 func WithProcess(p ident.Process) Option { return func(a *Agent) { a.process = p } }
 
+// WithMetrics sets the set that the metrics are registered in and that the admin port shows.
+func WithMetrics(s *metrics.Set) Option { return func(a *Agent) { a.metrics = s } }
+
 // WithTransport replaces the HTTP transport to the endpoint.
 func WithTransport(t http.RoundTripper) Option { return func(a *Agent) { a.transport = t } }
 
--- a/daemon/agent/orders.go
+++ b/daemon/agent/orders.go
@@ -49,7 +49,8 @@
 	} else if digest != x.Digest {
 		event.Kind, event.Detail = timeline.LoadFailed, "the engine lists another digest than the declared one"
 	}
-	a.meters.loads(string(event.Kind)).Inc()
+	a.meters.loads(resultOf(event.Kind == timeline.LoadFinished)).Inc()
+	a.meters.loadTime.Update(event.Duration.Seconds())
 	a.log.Event(event)
 	a.fenced(err)
 	a.post(result)
@@ -69,7 +70,7 @@
 		event.Detail = "not confirmed: " + err.Error()
 		result.Failed, result.Detail = true, err.Error()
 	}
-	a.meters.evictions(map[bool]string{true: "confirmed", false: "failed"}[err == nil]).Inc()
+	a.meters.evictions(resultOf(err == nil)).Inc()
 	a.log.Event(event)
 	a.fenced(err)
 	a.post(result)
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -58,6 +58,7 @@
 	clock         quartz.Clock
 	log           *timeline.Log
 	isolated      func() string
+	metrics       *metrics.Set
 
 	view     atomic.Pointer[view]
 	control  *control
@@ -105,6 +106,9 @@
 // WithIsolation sets a function that says why the process must refuse new work, empty if it need not.
 func WithIsolation(reason func() string) Option { return func(e *Entry) { e.isolated = reason } }
 
+// WithMetrics sets the set that the metrics are registered in and that the admin port shows.
+func WithMetrics(s *metrics.Set) Option { return func(e *Entry) { e.metrics = s } }
+
 // New opens the listeners of an entry; Run serves them.
 func New(s Settings, options ...Option) (e *Entry, err error) {
 	defer func() { err = eris.Wrap(err, "start entry") }()
@@ -117,6 +121,7 @@
 		clock:    quartz.NewReal(),
 		isolated: func() string { return "" },
 		aborted:  make(chan struct{}),
+		metrics:  metrics.NewSet(),
 	}
 	for _, o := range options {
 		o(e)
@@ -130,7 +135,7 @@
 	if err = e.connect(); err != nil {
 		return nil, err
 	}
-	e.meters = newMeters(e)
+	e.meters = newMeters(e, e.metrics)
 	e.budget = newSharedBudget(e.configuration.Current().Policy().RetryRatio)
 	e.admitted = newAdmitted(s.InProgress)
 	e.records = newRecords(s.Records)
--- a/daemon/entry/meters.go
+++ b/daemon/entry/meters.go
@@ -20,10 +20,10 @@
 	reportsFailed *metrics.Counter
 	violations    *metrics.Counter
 	duration      *metrics.Histogram
+	stall         *metrics.Histogram
 }
 
-func newMeters(e *Entry) *meters {
-	s := metrics.NewSet()
+func newMeters(e *Entry, s *metrics.Set) *meters {
 	s.NewGauge("shallotring_entry_requests_in_progress", func() float64 { return float64(e.admitted.count()) })
 	s.NewGauge("shallotring_entry_request_body_bytes", func() float64 { return float64(e.bodies.Load()) })
 	return &meters{
@@ -36,7 +36,8 @@
 		brokenStreams: s.NewCounter("shallotring_entry_broken_streams_total"),
 		damagedFrames: s.NewCounter("shallotring_entry_damaged_frames_total"),
 		reportsFailed: s.NewCounter("shallotring_entry_reports_failed_total"),
-		violations:    s.NewCounter("shallotring_entry_invariant_violations_total"),
+		violations:    s.GetOrCreateCounter(`shallotring_invariant_violations_total{guarantee="G4"}`),
+		stall:         s.NewHistogram("shallotring_entry_stall_seconds"),
 		duration:      s.NewHistogram("shallotring_entry_request_duration_seconds"),
 	}
 }
@@ -50,6 +51,9 @@
 	switch r.Outcome {
 	case outcome.Completed:
 		m.completed.Inc()
+		if r.ReplayOf == "" {
+			m.stall.Update(float64(r.StallMilli) / 1000)
+		}
 	case outcome.NotRun:
 		m.notRun.Inc()
 		m.refusals(r.Reason).Inc()
--- /dev/null
+++ b/daemon/local/metrics_test.go
@@ -0,0 +1,189 @@
+package local
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/ident"
+)
+
+// get reads a page of an admin port.
+func get(t *testing.T, address, path string) (status int, text string) {
+	t.Helper()
+	a, err := http.Get("http://" + address + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.StatusCode, string(b)
+}
+
+// sum adds one metric of all agents.
+func (a *account) sum(name string) (value float64) {
+	for _, x := range a.agents {
+		value += a.metric(x.AdminAddress(), name)
+	}
+	return value
+}
+
+// reaches reads a metric until it has the value: an agent shows its state after the step that sent the last frame.
+func (a *account) reaches(name string, want float64, read func() float64) {
+	a.Helper()
+	got := read()
+	for end := time.Now().Add(testTimeout / 10); got != want && time.Now().Before(end); got = read() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got != want {
+		a.Errorf("%s is %v, want %v", name, got, want)
+	}
+}
+
+// Guards against metrics that do not follow what happens, and against names that docs/metrics.md does not explain.
+func TestMetricsFollowTheTraffic(t *testing.T) {
+	a := newAccount(t)
+	post := func(path, body, key string) {
+		w := a.request(depotToken, http.MethodPost, path, body, "Idempotency-Key", key)
+		if _, err := io.Copy(io.Discard, w.Body); err != nil {
+			t.Fatal(err)
+		}
+		w.Body.Close()
+	}
+	const requests = 5
+	for _, key := range []string{"1", "2", "3", "4", "5"} {
+		post("/v1/completions", `{"model":"adapter-01","prompt":"x","max_tokens":3}`, "c"+key)
+		post("/services/custody/orders", `{}`, "o"+key)
+	}
+	post("/services/custody/orders", `{"Other":1}`, "o1")
+	post("/v1/completions", `{"model":"none","prompt":"x"}`, "c6")
+	a.request("nobody", http.MethodGet, "/v1/models", "").Body.Close()
+
+	for name, want := range map[string]float64{
+		`shallotring_entry_requests_total{outcome="completed"}`:      2 * requests,
+		`shallotring_entry_requests_total{outcome="not-run"}`:        2,
+		`shallotring_entry_requests_total{outcome="unknown"}`:        0,
+		`shallotring_entry_refusals_total{reason="key-mismatch"}`:    1,
+		`shallotring_entry_refusals_total{reason="model_not_found"}`: 1,
+		`shallotring_entry_refusals_total{reason="invalid_token"}`:   1,
+		`shallotring_ledger_refusals_total{reason="mismatch"}`:       1,
+		`shallotring_entry_requests_in_progress`:                     0,
+		`shallotring_entry_request_body_bytes`:                       0,
+		`shallotring_entry_stall_seconds_count`:                      2 * requests,
+		`shallotring_entry_request_duration_seconds_count`:           2*requests + 2,
+		`shallotring_invariant_violations_total{guarantee="G4"}`:     0,
+		`shallotring_invariant_violations_total{guarantee="G5"}`:     0,
+		`shallotring_invariant_violations_total{guarantee="G8"}`:     0,
+		`shallotring_configuration_isolated`:                         0,
+		`shallotring_configuration_generation`:                       float64(a.entry.Configuration().Generation()),
+		`shallotring_keyvalue_call_failures_total{call="range"}`:     0,
+		`shallotring_entry_damaged_frames_total`:                     0,
+		`shallotring_entry_tries_total`:                              2*requests + a.metric(a.AdminAddress(), "shallotring_entry_retries_total"),
+		`shallotring_keyvalue_calls_total{call="grant"}`:             2, // presence and load permits
+		`shallotring_entry_broken_streams_total`:                     0,
+	} {
+		a.reaches(name, want, func() float64 { return a.metric(a.AdminAddress(), name) })
+	}
+	for _, name := range []string{
+		"shallotring_ledger_takeovers_total", "shallotring_ledger_writes_total", "shallotring_ledger_written_bytes_total", `shallotring_keyvalue_calls_total{call="txn"}`,
+		`shallotring_keyvalue_calls_total{call="watch"}`, "shallotring_configuration_generation",
+	} {
+		if a.metric(a.AdminAddress(), name) <= 0 {
+			t.Errorf("%s is not counted", name)
+		}
+	}
+	for name, want := range map[string]float64{
+		`shallotring_agent_tries_total{outcome="completed"}`:     2 * requests,
+		`shallotring_agent_loads_total{result="completed"}`:      float64(a.Platform().Weights.Loads()),
+		`shallotring_agent_loads_total{result="failed"}`:         0,
+		`shallotring_agent_evictions_total{result="completed"}`:  0,
+		`shallotring_agent_stall_seconds_count`:                  2 * requests,
+		`shallotring_agent_running_tries`:                        0,
+		`shallotring_agent_batch_fill_ratio`:                     0,
+		`shallotring_agent_batch_size_tries`:                     (engineCount + 1) * engineBatch,
+		`shallotring_agent_load_duration_seconds_count`:          float64(a.Platform().Weights.Loads()),
+		`shallotring_invariant_violations_total{guarantee="G2"}`: 0,
+	} {
+		a.reaches(name, want, func() float64 { return a.sum(name) })
+	}
+	if a.sum("shallotring_agent_try_seconds_total") <= 0 {
+		t.Error("the running time of the tries is not counted")
+	}
+	a.documented()
+}
+
+// documented compares the names of the admin ports with those of the page.
+func (a *account) documented() {
+	a.Helper()
+	page, err := os.ReadFile("../../docs/metrics.md")
+	if err != nil {
+		a.Fatal(err)
+	}
+	name := regexp.MustCompile(`shallotring_[a-z_]+`)
+	explained, shown := map[string]bool{}, map[string]bool{}
+	for _, x := range name.FindAllString(string(page), -1) {
+		explained[x] = true
+	}
+	addresses := []string{a.AdminAddress()}
+	for _, x := range a.agents {
+		addresses = append(addresses, x.AdminAddress())
+	}
+	for _, address := range addresses {
+		_, text := get(a.T, address, "/metrics")
+		for line := range strings.Lines(text) {
+			x := name.FindString(line)
+			for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+				x = strings.TrimSuffix(x, suffix)
+			}
+			shown[x] = true
+			if strings.HasPrefix(line, "shallotring_") && !explained[x] {
+				a.Errorf("docs/metrics.md does not explain %s", x)
+			}
+		}
+	}
+	for x := range explained {
+		// Counters of refusals and failures exist from the first one on.
+		if !shown[x] && x != "shallotring_agent_refusals_total" && x != "shallotring_keyvalue_call_failures_total" {
+			a.Errorf("docs/metrics.md explains %s, which no process shows", x)
+		}
+	}
+}
+
+// Guards against a process that is restarted because it takes no new work, and against one that still gets new work.
+func TestReadinessIsNotHealth(t *testing.T) {
+	a := newAccount(t)
+	stream := a.request(depotToken, http.MethodPost, "/v1/completions", `{"model":"adapter-01","prompt":"x","stream":true,"max_tokens":60000}`)
+	if _, err := io.ReadFull(stream.Body, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	var draining ident.Endpoint
+	for name, e := range a.Platform().Engines {
+		if len(e.Journal()) > 0 {
+			draining = name
+		}
+	}
+	x := a.agents[draining]
+	if _, err := wire.NewAgentProtobufClient("http://"+x.Address(), http.DefaultClient).Drain(t.Context(), &wire.DrainRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	if status, text := get(t, x.AdminAddress(), "/readyz"); status != http.StatusServiceUnavailable || !strings.Contains(text, "leaving") {
+		t.Errorf("readiness of a draining agent: %d %s", status, text)
+	}
+	if status, _ := get(t, x.AdminAddress(), "/healthz"); status != http.StatusOK {
+		t.Errorf("health of a draining agent: %d", status)
+	}
+	stream.Body.Close() // the caller leaves, and its try ends
+	for _, path := range []string{"/readyz", "/healthz"} {
+		if status, text := get(t, a.AdminAddress(), path); status != http.StatusOK {
+			t.Errorf("%s of the entry: %d %s", path, status, text)
+		}
+	}
+}
--- a/daemon/node/agent.go
+++ b/daemon/node/agent.go
@@ -55,7 +55,7 @@
 		agent.NewFixedShare(n.platform.Configuration, clock), clock)
 	options = append([]agent.Option{
 		agent.WithLog(log), agent.WithProcess(process), agent.WithStore(n.platform.Store),
-		agent.WithConfiguration(n.platform.Configuration), agent.WithPermits(permits),
+		agent.WithConfiguration(n.platform.Configuration), agent.WithPermits(permits), agent.WithMetrics(n.platform.Metrics),
 	}, options...)
 	n.Agent, err = agent.New(s.Settings, options...)
 	return n, err
--- a/daemon/node/entry.go
+++ b/daemon/node/entry.go
@@ -87,7 +87,8 @@
 	}
 	n.presence = registry.NewPresence(n.platform.Store, quartz.NewReal(), self)
 	n.ledger = bucket.New(self, n.platform.Store, n.platform.View.Processes,
-		bucket.WithTimeline(log), bucket.WithRetention(n.retention), bucket.WithAgentAddress(n.agentAddress),
+		bucket.WithTimeline(log), bucket.WithMetrics(n.platform.Metrics),
+		bucket.WithRetention(n.retention), bucket.WithAgentAddress(n.agentAddress),
 		bucket.WithClients(
 			func(address string) bucket.Settler { return n.platform.Agent(address) },
 			func(address string) bucket.Forwarder { return n.platform.Entry(address) }))
@@ -99,7 +100,7 @@
 	own.PeerAddress = ""
 	n.Entry, err = entry.New(own,
 		entry.WithLog(log), entry.WithProcess(process), entry.WithConfiguration(n.platform.Configuration),
-		entry.WithAgents(n.platform.View), entry.WithLedger(n.ledger), entry.WithIsolation(n.isolated))
+		entry.WithAgents(n.platform.View), entry.WithLedger(n.ledger), entry.WithIsolation(n.isolated), entry.WithMetrics(n.platform.Metrics))
 	if err != nil {
 		_ = n.peers.Close()
 	}
--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
 	"github.com/rotisserie/eris"
 
@@ -67,16 +69,17 @@
 func (s Service) secure() bool { return s.KeyValueTLS.Enabled() || s.KeyValueTLS.CAFile != "" }
 
 // Client returns a client of the key-value service.
-func (s Service) Client() (c *keyvalue.Client, err error) {
+func (s Service) Client(options ...keyvalue.Option) (c *keyvalue.Client, err error) {
 	if !s.secure() {
-		return keyvalue.New(s.KeyValue)
+		return keyvalue.New(s.KeyValue, options...)
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial, err := server.DialTLS(s.KeyValueTLS, dialer.DialContext)
 	if err != nil {
 		return nil, err
 	}
-	return keyvalue.New(s.KeyValue, keyvalue.WithTransport(&http.Transport{DialTLSContext: dial, MaxIdleConnsPerHost: peerIdleConnections}))
+	t := &http.Transport{DialTLSContext: dial, MaxIdleConnsPerHost: peerIdleConnections}
+	return keyvalue.New(s.KeyValue, append(options, keyvalue.WithTransport(t))...)
 }
 
 // Platform connects one process to the key-value service and to its peers.
@@ -84,6 +87,8 @@
 	Store         *keyvalue.Client
 	Configuration *configuration.Source
 	View          *registry.View
+	// Metrics holds the metrics of the process.
+	Metrics *metrics.Set
 
 	clock  quartz.Clock
 	scheme string
@@ -100,7 +105,7 @@
 	if err = s.Check(); err != nil {
 		return nil, err
 	}
-	p = &Platform{clock: quartz.NewReal(), scheme: "http://", fixed: s.Peers, peers: make(map[string]wire.Entry)}
+	p = &Platform{Metrics: metrics.NewSet(), clock: quartz.NewReal(), scheme: "http://", fixed: s.Peers, peers: make(map[string]wire.Entry)}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdleConnections, IdleConnTimeout: time.Minute}
 	if keys.Enabled() {
@@ -110,14 +115,25 @@
 		}
 	}
 	p.client = &http.Client{Transport: t}
-	if p.Store, err = s.Client(); err != nil {
+	if p.Store, err = s.Client(keyvalue.WithObserver(countCalls(p.Metrics))); err != nil {
 		return nil, err
 	}
-	p.Configuration = configuration.New(id, p.Store, configuration.WithLog(log), configuration.WithPeers(p.entries))
+	p.Configuration = configuration.New(id, p.Store,
+		configuration.WithLog(log), configuration.WithPeers(p.entries), configuration.WithMetrics(p.Metrics))
 	p.View = registry.NewView(p.Store, p.clock, log)
 	return p, nil
 }
 
+// countCalls counts the calls to the key-value service by kind.
+func countCalls(set *metrics.Set) func(call string, err error) {
+	return func(call string, err error) {
+		set.GetOrCreateCounter(fmt.Sprintf("shallotring_keyvalue_calls_total{call=%q}", call)).Inc()
+		if err != nil {
+			set.GetOrCreateCounter(fmt.Sprintf("shallotring_keyvalue_call_failures_total{call=%q}", call)).Inc()
+		}
+	}
+}
+
 // Run keeps configuration and registry up to date until ctx ends.
 func (p *Platform) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/protocol/keyvalue/client.go
+++ b/protocol/keyvalue/client.go
@@ -32,6 +32,7 @@
 	http      *http.Client
 	// preferred is the index of the address that answered last.
 	preferred atomic.Int64
+	observe   func(call string, err error)
 }
 
 var _ Store = (*Client)(nil)
@@ -45,6 +46,12 @@
 // WithTransport sets the HTTP transport.
 func WithTransport(t http.RoundTripper) Option { return func(c *Client) { c.http.Transport = t } }
 
+// WithObserver sets a function that is told of each call that is sent: its kind, such as "txn", and the error that sending it
+// returned. A watch counts as one call.
+func WithObserver(fn func(call string, err error)) Option {
+	return func(c *Client) { c.observe = fn }
+}
+
 // New returns a client of the service at the base URLs, such as "http://127.0.0.1:2379".
 func New(addresses []string, options ...Option) (c *Client, err error) {
 	if len(addresses) == 0 {
@@ -53,6 +60,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	c = &Client{
 		timeout: defaultTimeout,
+		observe: func(string, error) {},
 		http: &http.Client{
 			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16},
 			// A redirect would send a write twice.
@@ -71,6 +79,9 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// callName is the last part of the path of a call.
+func callName(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
+
 // connectTrace records whether a connection was looked for and handed to a request.
 type connectTrace struct{ asked, connected atomic.Bool }
 
@@ -106,6 +117,7 @@
 		number := (first + i) % len(c.addresses)
 		var t connectTrace
 		a, err = c.send(ctx, c.addresses[number]+path, body, &t)
+		c.observe(callName(path), err)
 		if err == nil {
 			c.preferred.Store(int64(number))
 			return a, nil
