Check that fixed shares and a new holder stay within the load rate together

Change: a test lets three agents use their fixed shares, then a holder begins to grant, three times for each of 20 seeds; all grants together stay within the rate.

--- a/coordination/loadpermit/fake_test.go
+++ b/coordination/loadpermit/fake_test.go
@@ -12,6 +12,7 @@
 	"shallotring.dev/protocol/keyvalue"
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/permit"
 	"shallotring.dev/state/resource"
 )
 
@@ -182,6 +183,32 @@
 	return a, err
 }
 
+// fixedShare is one agent's part of the budget; its grants are counted with those of the holders.
+type fixedShare struct {
+	network *network
+	budget  *permit.Budget
+}
+
+func newFixedShare(n *network, agents int) *fixedShare {
+	return &fixedShare{n, permit.New(rate/float64(agents), 1, time.Now())}
+}
+
+func (s *fixedShare) Take(_ context.Context, e ident.Endpoint, _ int) (granted int, expiry time.Duration, err error) {
+	s.network.mu.Lock()
+	defer s.network.mu.Unlock()
+	if !s.budget.Take(time.Now(), e) {
+		return 0, permit.Expiry, nil
+	}
+	s.network.grants = append(s.network.grants, grant{time.Now(), string(e)})
+	return 1, permit.Expiry, nil
+}
+
+func (s *fixedShare) Done(e ident.Endpoint) {
+	s.network.mu.Lock()
+	defer s.network.mu.Unlock()
+	s.budget.Done(e)
+}
+
 // noShare grants nothing, so that all permits are those of holders.
 type noShare struct{}
 
--- a/coordination/loadpermit/loadpermit_test.go
+++ b/coordination/loadpermit/loadpermit_test.go
@@ -21,6 +21,8 @@
 	inFlight = 3
 	// loadTime is shorter than the expiry of permits, so that loads of a former holder have ended when the next one grants.
 	loadTime = 1500 * time.Millisecond
+	// shortLoad lets the rate, not the loads in flight, bound the fixed shares.
+	shortLoad = 250 * time.Millisecond
 )
 
 // loads counts the loads of all agents that run at the same time.
@@ -40,7 +42,7 @@
 }
 
 // loadOn asks for permits all the time, as an agent with waiting requests does, and uses each at once.
-func loadOn(ctx context.Context, c *Client, e ident.Endpoint, l *loads) {
+func loadOn(ctx context.Context, c *Client, e ident.Endpoint, l *loads, d time.Duration) {
 	for ctx.Err() == nil {
 		n, _, err := c.Take(ctx, e, 2)
 		if err != nil {
@@ -48,7 +50,7 @@
 		}
 		for range n {
 			l.add(1)
-			time.AfterFunc(loadTime, func() {
+			time.AfterFunc(d, func() {
 				l.add(-1)
 				c.Done(e)
 			})
@@ -83,7 +85,7 @@
 	for i := range 3 {
 		e := ident.Endpoint(fmt.Sprintf("engine-%d", i))
 		c := NewClient(s, n.granter, noShare{}, quartz.NewReal())
-		work.Go(func() { loadOn(ctx, c, e, l) })
+		work.Go(func() { loadOn(ctx, c, e, l, loadTime) })
 	}
 	for _, address := range []string{"a", "b"} {
 		h := n.add(s, p, address)
@@ -118,6 +120,45 @@
 	}
 }
 
+// Guards against agents that still use their fixed shares while a new holder grants, which would double the rate.
+func TestFixedSharesGiveWayToAHolder(t *testing.T) {
+	const agents = 3
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 2))
+			s, n, l := newStore(), newNetwork(), &loads{}
+			ctx, cancel := context.WithCancel(context.Background())
+			var work sync.WaitGroup
+			for i := range agents {
+				e := ident.Endpoint(fmt.Sprintf("engine-%d", i))
+				c := NewClient(s, n.granter, newFixedShare(n, agents), quartz.NewReal())
+				work.Go(func() { loadOn(ctx, c, e, l, shortLoad) })
+				time.Sleep(time.Duration(r.IntN(1000)) * time.Millisecond)
+			}
+			h := n.add(s, newPolicy(rate, 100), "a")
+			for range 3 {
+				time.Sleep(2*registry.LeaseTime + time.Duration(r.IntN(3000))*time.Millisecond)
+				run, stop := context.WithTimeout(ctx, registry.LeaseTime)
+				_ = h.Run(run)
+				stop()
+			}
+			cancel()
+			work.Wait()
+			time.Sleep(time.Minute)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.checkRate(t)
+			by := map[string]int{}
+			for _, g := range n.grants {
+				by[g.holder]++
+			}
+			if len(by) != agents+1 {
+				t.Errorf("grants by holder and shares: %v", by)
+			}
+		})
+	}
+}
+
 // check compares all grants with the rate and with the wait at each change of the holder.
 func (n *network) check(t *testing.T) {
 	t.Helper()
@@ -129,6 +170,17 @@
 		if i > 0 && n.grants[i-1].holder != last.holder && last.at.Sub(n.grants[i-1].at) < permit.Expiry {
 			t.Errorf("%s grants %v after %s", last.holder, last.at.Sub(n.grants[i-1].at), n.grants[i-1].holder)
 		}
+	}
+	n.checkRate(t)
+	if len(holders) < 2 || len(n.grants) < 100 {
+		t.Errorf("%d grants of %d holders show nothing", len(n.grants), len(holders))
+	}
+}
+
+// checkRate compares each part of the run with the rate.
+func (n *network) checkRate(t *testing.T) {
+	t.Helper()
+	for i, last := range n.grants {
 		for j, first := range n.grants[:i] {
 			// A second's worth of unused permits may be granted at once.
 			if limit := rate + rate*last.at.Sub(first.at).Seconds(); float64(i-j+1) > limit+1e-6 {
@@ -136,9 +188,6 @@
 			}
 		}
 	}
-	if len(holders) < 2 || len(n.grants) < 100 {
-		t.Errorf("%d grants of %d holders show nothing", len(n.grants), len(holders))
-	}
 }
 
 // Guards against the fixed share in use while there is a holder, and against loads that stop for good without one.
