Keep the query of a service call out of the log

Cause: an error of the connection to a plain service carried the URL of the call into the lines try ended and request finished, and with it a token that the caller had put into the query.

Change: errors of the endpoint client name no URL. The accountability test also covers a caller that disconnects in the middle of a stream, and the search for secrets covers service calls with a query and the standard log.

Before/after: TestLogsHoldNoSecrets failed with the token in the detail of a broken service call; it passes now.

--- a/daemon/local/accountability_test.go
+++ b/daemon/local/accountability_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	logging "log"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -60,6 +61,10 @@
 
 func newAccount(t *testing.T) *account {
 	log := &collected{}
+	// Libraries write to the standard log.
+	standard := logging.Writer()
+	logging.SetOutput(log)
+	t.Cleanup(func() { logging.SetOutput(standard) })
 	return &account{T: t, log: log, Deployment: start(t, WithLog(log, slog.LevelDebug), WithTokenInterval(time.Millisecond),
 		WithCallers(caller("depot", depotToken), caller("lab", labToken)))}
 }
@@ -259,14 +264,46 @@
 	}
 	a.check(expectation{"cut stream", "adapter-03@v1", "", 200, "unknown", "broken-stream", 1, 0, 0}, cut)
 
+	a.leave(`{"model":"adapter-04@v1","prompt":"x","stream":true,"max_tokens":60000}`, expectation{
+		"caller gone", "adapter-04@v1", "", 200, "unknown", "caller-gone", 1, 0, 0})
+
 	after := a.outcomes()
-	for o, want := range map[string]int{"completed": 6, "not-run": 8, "unknown": 3} {
+	for o, want := range map[string]int{"completed": 6, "not-run": 8, "unknown": 4} {
 		if got := after[o] - before[o]; got != want {
 			t.Errorf("metric: %d requests %s, want %d", got, o, want)
 		}
 	}
 }
 
+// leave disconnects in the middle of a stream; the engine must then cancel it.
+func (a *account) leave(body string, w expectation) {
+	a.Helper()
+	answer := a.request(depotToken, http.MethodPost, "/v1/completions", body)
+	if _, err := io.ReadFull(answer.Body, make([]byte, 1)); err != nil {
+		a.Fatal(err)
+	}
+	answer.Body.Close()
+	id := answer.Header.Get("Shallotring-Request")
+	for end := time.Now().Add(testTimeout / 10); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if status, _ := a.record(depotToken, id); status == http.StatusOK && a.cancelled(id) {
+			a.checkLines(w, id)
+			return
+		}
+	}
+	a.Errorf("%s: no record, or the engine still runs it", w.name)
+}
+
+func (a *account) cancelled(id string) bool {
+	for _, e := range a.Platform().Engines {
+		for _, r := range e.Journal() {
+			if strings.HasPrefix(r.RequestID, id+"/") {
+				return r.Cancelled
+			}
+		}
+	}
+	return false
+}
+
 // repeated checks that the repeat of a completed key names the request that ran and has no try of its own.
 func (a *account) repeated(first string, answer *http.Response) {
 	a.Helper()
@@ -321,6 +358,11 @@
 // Guards against a token or a digest of a prompt in a log line, on any path that a request can take.
 func TestLogsHoldNoSecrets(t *testing.T) {
 	a := newAccount(t)
+	a.Platform().Service.Hook(nil, func(r *http.Request) {
+		if r.URL.Path == "/fail" {
+			panic(http.ErrAbortHandler)
+		}
+	})
 	prompt := "the assay of core 17 is confidential"
 	body := fmt.Sprintf(`{"model":"adapter-01","prompt":%q,"max_tokens":4}`, prompt)
 	chat := fmt.Sprintf(`{"model":"adapter-02","stream":true,"max_tokens":4,"messages":[{"role":"user","content":%q}]}`, prompt)
@@ -335,6 +377,8 @@
 		{depotToken, "/v1/completions", `{"model":"adapter-01","prompt":"` + prompt, ""},
 		{depotToken, "/v1/completions", strings.Replace(body, "adapter-01", "none", 1), ""},
 		{depotToken, "/nowhere/" + depotToken, body, ""},
+		{depotToken, "/services/custody/lists?token=" + depotToken, prompt, ""},
+		{depotToken, "/services/custody/fail?token=" + depotToken, prompt, ""},
 	} {
 		var header []string
 		if q.key != "" {
--- a/protocol/engine/client.go
+++ b/protocol/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -261,7 +262,7 @@
 	}
 	resp, err = c.http.Do(trace.attach(r))
 	if err != nil {
-		return nil, &CallError{Effect: trace.effect(err), Err: err}
+		return nil, &CallError{Effect: trace.effect(err), Err: withoutURL(err)}
 	}
 	c.observed(ident.StartID(resp.Header.Get(HeaderStartID)))
 	if resp.StatusCode == http.StatusPreconditionFailed && resp.Header.Get(HeaderStartID) != "" {
@@ -274,3 +275,13 @@
 func (c *Client) url(path string) string {
 	return strings.TrimSuffix(c.base.String(), "/") + "/" + strings.TrimPrefix(path, "/")
 }
+
+// withoutURL drops the URL from an error of net/http, because the query of a service call belongs to its caller and errors
+// go into the log.
+func withoutURL(err error) error {
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err
+	}
+	return err
+}
