--- a/transport/server/server.go
+++ b/transport/server/server.go
@@ -99,7 +99,7 @@
 // Listen opens the address; a listener off loopback without TLS is refused unless allowed.
 func Listen(address string, handler http.Handler, options ...Option) (s *Server, err error) {
 	defer func() { err = eris.Wrapf(err, "listen on %s", address) }()
-	c := config{limits: DefaultLimits()}
+	c := config{limits: DefaultLimits(), log: slog.Default()}
 	for _, o := range options {
 		o(&c)
 	}
@@ -111,15 +111,13 @@
 		return nil, err
 	}
 	h := newHTTPServer(handler, c.limits)
-	if c.log != nil {
-		h.ErrorLog = slog.NewLogLogger(c.log.Handler(), slog.LevelWarn)
-	}
+	h.ErrorLog = slog.NewLogLogger(c.log.Handler(), slog.LevelWarn)
 	if c.limits.Connections > 0 {
 		places := newConnections(c.limits.Connections)
 		l, h.ConnState = &limitedListener{Listener: l, connections: places}, places.state
 	}
 	if c.tls.Enabled() {
-		tc, err := ListenerTLS(c.tls)
+		tc, err := ListenerTLS(c.tls, c.log)
 		if err != nil {
 			return nil, errors.Join(err, l.Close())
 		}
--- a/transport/server/server_test.go
+++ b/transport/server/server_test.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -281,6 +283,7 @@
 	first, second := servertest.NewAuthority(t), servertest.NewAuthority(t)
 	keys, clientKeys := first.Keys("old"), first.Keys("client")
 	next := make(chan string)
+	var log lockedBuffer
 	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/stream" {
 			return
@@ -289,7 +292,7 @@
 			_, _ = io.WriteString(w, text)
 			_ = http.NewResponseController(w).Flush()
 		}
-	}, WithTLS(keys))
+	}, WithTLS(keys), WithLog(slog.New(slog.NewJSONHandler(&log, nil))))
 	c := client(t, clientKeys)
 	go func() { next <- "a" }()
 	stream, err := c.Get("https://" + s.Addr() + "/stream")
@@ -308,9 +311,13 @@
 
 	replacement := second.Keys("new")
 	copyFile(t, replacement.CertFile, keys.CertFile)
+	c.CloseIdleConnections()
 	if name, err := call(c, s); err != nil || name != "old" {
 		t.Errorf("while only one file is replaced: %s, %v", name, err)
 	}
+	if n := strings.Count(log.String(), "changed TLS files cannot be used"); n != 1 {
+		t.Errorf("%d lines say that the pair does not match", n)
+	}
 	copyFile(t, replacement.KeyFile, keys.KeyFile)
 	copyFile(t, second.File, keys.CAFile) // the client reads the same file
 	if _, err := call(client(t, settings.TLS{CAFile: second.File}), s); err == nil {
@@ -334,6 +341,24 @@
 	}
 }
 
+// lockedBuffer takes the log of several connections.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (n int, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 var copies int
 
 func copyFile(t *testing.T, from, to string) {
--- a/transport/server/tls.go
+++ b/transport/server/tls.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -22,10 +23,13 @@
 type reloaded[T any] struct {
 	files []string
 	load  func() (T, error)
+	// warn is told once of each change of the files that cannot be used.
+	warn func(err error)
 
 	mu       sync.Mutex
 	value    T
 	modified []time.Time
+	refused  []time.Time
 }
 
 // get returns the value; the last good one stays in use while the files are being replaced.
@@ -42,6 +46,10 @@
 	if err != nil && r.modified == nil {
 		return value, err
 	}
+	if err != nil && r.warn != nil && (r.refused == nil || !slices.EqualFunc(modified, r.refused, time.Time.Equal)) {
+		r.refused = append([]time.Time{}, modified...)
+		r.warn(err)
+	}
 	return r.value, nil
 }
 
@@ -84,11 +92,15 @@
 }
 
 // ListenerTLS returns the TLS configuration of a listener.
-func ListenerTLS(files settings.TLS) (c *tls.Config, err error) {
+func ListenerTLS(files settings.TLS, log *slog.Logger) (c *tls.Config, err error) {
 	pair, err := newKeyPair(files)
 	if err != nil {
 		return nil, err
 	}
+	warn := func(err error) {
+		log.Warn("changed TLS files cannot be used, the former keys stay in use", slog.String("Error", err.Error()))
+	}
+	pair.warn = warn
 	c = &tls.Config{
 		MinVersion:     tls.VersionTLS13,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return pair.get() },
@@ -100,6 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
+	pool.warn = warn
 	c.ClientAuth = tls.RequireAndVerifyClientCert
 	// A resumed session would not show the client's certificate to the present CA.
 	c.SessionTicketsDisabled = true
