--- a/daemon/node/entry.go
+++ b/daemon/node/entry.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
 	"github.com/rotisserie/eris"
 
@@ -87,9 +86,9 @@
 		Process: process, Role: registry.RoleEntry, Address: cmp.Or(s.PeerAdvertise, n.peers.Addr()), Host: s.Host, Zone: s.Zone,
 	}
 	n.presence = registry.NewPresence(n.platform.Store, quartz.NewReal(), self)
-	ledgerMetrics := metrics.NewSet()
 	n.ledger = bucket.New(self, n.platform.Store, n.platform.View.Processes,
-		bucket.WithTimeline(log), bucket.WithMetrics(ledgerMetrics), bucket.WithRetention(n.retention), bucket.WithAgentAddress(n.agentAddress),
+		bucket.WithTimeline(log), bucket.WithMetrics(n.platform.Metrics),
+		bucket.WithRetention(n.retention), bucket.WithAgentAddress(n.agentAddress),
 		bucket.WithClients(
 			func(address string) bucket.Settler { return n.platform.Agent(address) },
 			func(address string) bucket.Forwarder { return n.platform.Entry(address) }))
@@ -101,29 +100,15 @@
 	own.PeerAddress = ""
 	n.Entry, err = entry.New(own,
 		entry.WithLog(log), entry.WithProcess(process), entry.WithConfiguration(n.platform.Configuration),
-		entry.WithAgents(n.platform.View), entry.WithLedger(n.ledger), entry.WithIsolation(n.isolated))
+		entry.WithAgents(n.platform.View), entry.WithLedger(n.ledger), entry.WithIsolation(n.isolated), entry.WithMetrics(n.platform.Metrics))
 	if err != nil {
 		_ = n.peers.Close()
 		return nil, err
 	}
-	n.export(ledgerMetrics)
+	n.platform.Metrics.NewGauge("shallotring_entry_live_agents", func() float64 { return float64(n.ClaimCount()) })
 	return n, nil
 }
 
-// export adds what the parts beside the callers' API measure to the metrics of the entry.
-func (n *Entry) export(ledger *metrics.Set) {
-	s := n.Metrics()
-	s.RegisterMetricsWriter(ledger.WritePrometheus)
-	s.NewGauge("shallotring_entry_configuration_generation", func() float64 { return float64(n.platform.Configuration.Generation()) })
-	s.NewGauge("shallotring_entry_live_agents", func() float64 { return float64(n.ClaimCount()) })
-	s.NewGauge("shallotring_entry_isolated", func() float64 {
-		if n.isolated() != "" {
-			return 1
-		}
-		return 0
-	})
-}
-
 // PeerAddress returns the address of the listener for the project's own processes.
 func (n *Entry) PeerAddress() string { return n.peers.Addr() }
 
