operator: read one shard for a named resource

'get Kind/name' and 'status Kind/name' read all 256 shards to show one resource.

They read the shard of the resource. A kind or no name still reads all. TestReadOne guards it.

--- a/cmd/bench/measure.go
+++ b/cmd/bench/measure.go
@@ -14,8 +14,9 @@
 type measurements struct {
 	Overhead overheadCommand `cmd:"" help:"Measure the proxy overhead with separate processes on loopback."`
 	Capacity struct {
-		Entry entryCommand `cmd:"" help:"Memory and processor time of an idle entry process against adapters and endpoints."`
-		Fleet fleetCommand `cmd:"" help:"Calls, bytes and times of the configuration path against processes."`
+		Entry    entryCommand    `cmd:"" help:"Memory and processor time of an idle entry process against adapters and endpoints."`
+		Fleet    fleetCommand    `cmd:"" help:"Calls, bytes and times of the configuration path against processes."`
+		Commands commandsCommand `cmd:"" help:"Calls and bytes of the operator's commands."`
 	} `cmd:"" help:"Measure the slopes of docs/CAPACITY.md."`
 }
 
@@ -40,6 +41,13 @@
 // Run measures and prints.
 func (c *fleetCommand) Run() (err error) { return c.Fleet.Run(context.Background(), os.Stdout) }
 
+type commandsCommand struct {
+	capacity.Commands `embed:""`
+}
+
+// Run measures and prints.
+func (c *commandsCommand) Run() (err error) { return c.Commands.Run(context.Background(), os.Stdout) }
+
 // measure runs the named measurement, if the first argument names one.
 func measure(args []string) (ran bool) {
 	if len(args) == 0 || (args[0] != "overhead" && args[0] != "capacity") {
--- a/coordination/configuration/editor.go
+++ b/coordination/configuration/editor.go
@@ -72,6 +72,16 @@
 	return set, at, err
 }
 
+// ReadOne reads the shard of one resource; the set holds nothing else.
+func (e *Editor) ReadOne(ctx context.Context, n resource.Name) (set *resource.Set, err error) {
+	defer func() { err = eris.Wrapf(err, "read %s", n) }()
+	r, found, err := e.store.Get(ctx, registry.ConfigKey(n.Shard()))
+	if err != nil || !found {
+		return resource.NewSet(), err
+	}
+	return decode(resource.NewSet(), []keyvalue.Record{r})
+}
+
 // ApplyChanges returns the set with the changes of a watch; an unreadable shard is an error.
 func ApplyChanges(set *resource.Set, changes []keyvalue.Change) (next *resource.Set, err error) {
 	var records []keyvalue.Record
--- a/coordination/configuration/editor_test.go
+++ b/coordination/configuration/editor_test.go
@@ -241,3 +241,24 @@
 		t.Error("found")
 	}
 }
+
+func TestReadOne(t *testing.T) {
+	// Guards against a read of one resource that transfers the whole configuration.
+	w := newWorld(t)
+	w.set(t, "a", 1)
+	other := "b"
+	for callerName(other).Shard() == callerName("a").Shard() {
+		other += "b"
+	}
+	at := w.set(t, other, 2)
+	set, err := w.editor.ReadOne(t.Context(), callerName(other))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := len(set.Callers()); n != 1 || set.ResourceRevision(callerName(other)) != at {
+		t.Errorf("%d callers at %d, want one at %d", n, set.ResourceRevision(callerName(other)), at)
+	}
+	if set, err = w.editor.ReadOne(t.Context(), callerName("absent-name")); err != nil || len(set.Callers()) != 0 {
+		t.Errorf("an absent resource reads as %v: %v", set.Callers(), err)
+	}
+}
--- a/daemon/operator/resource.go
+++ b/daemon/operator/resource.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/coordination/configuration"
+	"shallotring.dev/protocol/keyvalue"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/resource"
 )
@@ -225,7 +226,7 @@
 	defer done()
 	ctx, cancel := s.bound(ctx)
 	defer cancel()
-	set, _, err := s.editor(c).ReadAll(ctx)
+	set, err := s.read(ctx, c, want)
 	if err != nil {
 		return err
 	}
@@ -243,6 +244,15 @@
 	return s.print("KIND NAME REVISION", rows, values)
 }
 
+// read reads one shard for a named resource, because the whole configuration is 256 shards.
+func (s *session) read(ctx context.Context, c *keyvalue.Client, want resource.Name) (set *resource.Set, err error) {
+	if want.Name != "" {
+		return s.editor(c).ReadOne(ctx, want)
+	}
+	set, _, err = s.editor(c).ReadAll(ctx)
+	return set, err
+}
+
 func (g *getCommand) selection() (n resource.Name, err error) {
 	if g.Resource == "" {
 		return n, nil
--- a/daemon/operator/status.go
+++ b/daemon/operator/status.go
@@ -203,7 +203,7 @@
 	defer done()
 	ctx, cancel := s.bound(ctx)
 	defer cancel()
-	set, _, err := s.editor(client).ReadAll(ctx)
+	set, err := s.read(ctx, client, want)
 	if err != nil {
 		return err
 	}
