loadpermit: read the holder's record every 3 s in place of every second

Each entry that does not hold the permits read the record once a second: 400 reads a second at the target size, a fifth of the service's rate.

It reads every 3 s, the interval of keep-alives. A new holder is found up to 2 s later; meanwhile agents use the fixed share. TestWaitingEntryReadsSeldom guards it.

--- a/coordination/loadpermit/holder.go
+++ b/coordination/loadpermit/holder.go
@@ -20,6 +20,9 @@
 
 const (
 	tick = time.Second
+	// lookInterval is the time between two reads of the record by an entry that does not hold the permits. Every entry
+	// reads, so that a shorter interval takes a large part of the service's reads.
+	lookInterval = registry.KeepAliveInterval
 	// grantTime is the time after the start of the last successful keep-alive for which a holder grants. It is shorter
 	// than the lease, so that two holders never grant at the same time.
 	grantTime      = 6 * time.Second
@@ -47,9 +50,10 @@
 	configuration Configuration
 	clock         quartz.Clock
 
-	// lease and renewed belong to Run.
+	// lease, renewed and looked belong to Run.
 	lease   keyvalue.LeaseID
 	renewed time.Time
+	looked  time.Time
 
 	mu         sync.Mutex
 	grantFrom  time.Time
@@ -92,10 +96,14 @@
 
 func (h *Holder) step(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrap(err, "hold the load permits") }()
+	now := h.clock.Now()
 	if h.lease == 0 {
+		if !h.looked.IsZero() && now.Sub(h.looked) < lookInterval {
+			return nil
+		}
+		h.looked = now
 		return h.acquire(ctx)
 	}
-	now := h.clock.Now()
 	if now.Sub(h.renewed) < registry.KeepAliveInterval {
 		return nil
 	}
