configuration: leave the watch of the service once other entries watch it

A process asked for the watchers of its zone before the list of processes had been read, found none, and watched the service itself for as long as it answered. Each agent also watched the claims, which it does not use. So a process cost three waiting watches, and each change went from the service to every process.

The configuration starts after the list of processes has been read, at most 1 s later; a watch ends once its process is no longer among the watchers; an agent follows the list of processes only. TestWatchIsHandedOver and TestViewRunProcesses guard it.

--- a/coordination/configuration/run.go
+++ b/coordination/configuration/run.go
@@ -22,6 +22,9 @@
 	fallbackInterval = 5 * time.Second
 )
 
+// errFollow ends the watch of a process that is no longer one of the watchers.
+var errFollow = eris.New("other entries of the zone watch the service")
+
 // Run keeps the configuration up to date until ctx ends.
 func (s *Source) Run(ctx context.Context) (err error) {
 	probes := s.clock.TickerFunc(ctx, probeInterval, func() error {
@@ -62,6 +65,9 @@
 		}
 	}
 	err = s.watch(ctx)
+	if eris.Is(err, errFollow) {
+		return nil
+	}
 	if eris.Is(err, keyvalue.ErrCompacted) {
 		// The changes since the generation are gone from the history; only a full read shows them.
 		s.setDirect(false)
@@ -120,6 +126,10 @@
 	return s.store.Watch(ctx, registry.ConfigPrefix, s.position(), func(changes []keyvalue.Change, at ident.Revision) error {
 		idle.Reset(watchIdle)
 		s.applyChanges(changes, at)
+		// A process that knew no entry when it started would otherwise watch for as long as the service answers.
+		if !s.watches() {
+			return errFollow
+		}
 		return nil
 	})
 }
--- a/coordination/configuration/source_test.go
+++ b/coordination/configuration/source_test.go
@@ -396,3 +396,23 @@
 		}
 	}
 }
+
+func TestWatchIsHandedOver(t *testing.T) {
+	// Guards against a process that started before it knew an entry and then watches the service for ever.
+	w := newWorld(t)
+	w.set(t, "a", 1)
+	var peers []Peer
+	agent := Identity{Process: "b", Role: registry.RoleAgent, Zone: "z"}
+	s := New(agent, w.client, WithPeers(func() []Peer { return peers }))
+	if err := s.readAll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	peers = []Peer{{"a", "z", nil}}
+	at := w.set(t, "a", 2)
+	if err := s.watch(t.Context()); !eris.Is(err, errFollow) {
+		t.Errorf("watch ended with %v", err)
+	}
+	if g := s.Generation(); g < at {
+		t.Errorf("generation is %d, want the change at %d", g, at)
+	}
+}
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -179,3 +179,24 @@
 	cancel()
 	<-ended
 }
+
+func TestViewRunProcesses(t *testing.T) {
+	// Guards against an agent that loads the service with a watch of claims that it does not need.
+	f := start(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	v := NewView(f.client, quartz.NewReal(), timeline.Discard())
+	ended := make(chan error)
+	go func() { ended <- v.RunProcesses(ctx) }()
+	<-v.ProcessesRead()
+	if err := f.presence("a").step(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for len(v.Processes()) == 0 {
+		<-v.Changed()
+	}
+	if calls := f.service.Calls(); calls[standin.CallWatch] != 1 {
+		t.Errorf("%d watches, want 1", calls[standin.CallWatch])
+	}
+	cancel()
+	<-ended
+}
--- a/coordination/registry/view.go
+++ b/coordination/registry/view.go
@@ -73,6 +73,15 @@
 	return ctx.Err()
 }
 
+// RunProcesses keeps only the list of processes up to date until ctx ends, for a process that needs no claims.
+func (v *View) RunProcesses(ctx context.Context) (err error) {
+	v.processes.run(ctx)
+	return ctx.Err()
+}
+
+// ProcessesRead is closed once the list of processes has been read for the first time.
+func (v *View) ProcessesRead() <-chan struct{} { return v.processes.read }
+
 // Read reads the whole view once, for programs that do not run it.
 func (v *View) Read(ctx context.Context) (err error) {
 	if err = v.claims.readAll(ctx); err != nil {
@@ -119,6 +128,8 @@
 	clock  quartz.Clock
 	log    *timeline.Log
 	notify func()
+	// read is closed after the first full read.
+	read chan struct{}
 
 	mu       sync.Mutex
 	rows     map[string]row[T]
@@ -129,7 +140,7 @@
 }
 
 func newTable[T any](prefix string, store ViewStore, clock quartz.Clock, log *timeline.Log, notify func()) *table[T] {
-	return &table[T]{prefix: prefix, store: store, clock: clock, log: log, notify: notify, rows: make(map[string]row[T])}
+	return &table[T]{prefix: prefix, store: store, clock: clock, log: log, notify: notify, read: make(chan struct{}), rows: make(map[string]row[T])}
 }
 
 func (t *table[T]) run(ctx context.Context) {
@@ -175,6 +186,11 @@
 		}
 	}
 	t.position = max(t.position, at)
+	select {
+	case <-t.read:
+	default:
+		close(t.read)
+	}
 	t.notify()
 	return nil
 }
--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -19,6 +19,10 @@
 	"shallotring.dev/transport/timeline"
 )
 
+// viewWait bounds the wait for the list of entries at the start. A process that knows no entry reads the whole
+// configuration from the service, which a fleet that starts at once must not do.
+const viewWait = time.Second
+
 // peerIdleConnections bounds the idle connections to one process of the project.
 const peerIdleConnections = 16
 
@@ -50,6 +54,7 @@
 	View          *registry.View
 
 	clock  quartz.Clock
+	role   registry.Role
 	scheme string
 	client *http.Client
 	fixed  []string
@@ -64,7 +69,7 @@
 	if err = s.Check(); err != nil {
 		return nil, err
 	}
-	p = &Platform{clock: quartz.NewReal(), scheme: "http://", fixed: s.Peers, peers: make(map[string]wire.Entry)}
+	p = &Platform{clock: quartz.NewReal(), role: id.Role, scheme: "http://", fixed: s.Peers, peers: make(map[string]wire.Entry)}
 	t := &http.Transport{MaxIdleConnsPerHost: peerIdleConnections, IdleConnTimeout: time.Minute}
 	if keys.Enabled() {
 		p.scheme = "https://"
@@ -84,13 +89,35 @@
 // Run keeps configuration and registry up to date until ctx ends.
 func (p *Platform) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = p.Configuration.Run(ctx) })
-	wg.Go(func() { _ = p.View.Run(ctx) })
+	wg.Go(func() {
+		p.awaitProcesses(ctx)
+		_ = p.Configuration.Run(ctx)
+	})
+	wg.Go(func() { p.runView(ctx) })
 	wg.Wait()
 	p.client.CloseIdleConnections()
 	p.Store.Close()
 }
 
+// runView follows claims only in an entry: an agent sends nothing to other agents, and each watch is a load on the service.
+func (p *Platform) runView(ctx context.Context) {
+	if p.role == registry.RoleEntry {
+		_ = p.View.Run(ctx)
+		return
+	}
+	_ = p.View.RunProcesses(ctx)
+}
+
+func (p *Platform) awaitProcesses(ctx context.Context) {
+	t := p.clock.NewTimer(viewWait, "platform")
+	defer t.Stop()
+	select {
+	case <-p.View.ProcessesRead():
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Entry returns the client of the entry with the address.
 func (p *Platform) Entry(address string) wire.Entry {
 	p.mu.Lock()
