--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -35,6 +35,9 @@
 	// forceLimit bounds the wait for a change.
 	forceLimit = 30 * time.Second
 	forcePoll  = 5 * time.Millisecond
+	// startBatch bounds the processes that start at once: each one that finds no loaded peer reads the whole
+	// configuration from the service, and 200 at once on a busy machine ran into the timeout of these reads for 30 s.
+	startBatch = 10
 )
 
 // Fleet measures the configuration path, presence, claims and permits of many processes. Each member has the real
@@ -95,13 +98,16 @@
 			return err
 		}
 	}
-	for _, m := range w.members {
-		for _, run := range m.run {
-			wg.Go(func() { run(ctx) })
+	// Entries come first in the list, so that the agents find peers that have the configuration.
+	for batch := range slices.Chunk(w.members, startBatch) {
+		for _, m := range batch {
+			for _, run := range m.run {
+				wg.Go(func() { run(ctx) })
+			}
+		}
+		if err = await(batch, ident.Revision(w.service.Revision())); err != nil {
+			return err
 		}
-	}
-	if err = w.await(ident.Revision(w.service.Revision())); err != nil {
-		return err
 	}
 	time.Sleep(settle)
 	return f.measure(ctx, out, w, processes)
@@ -189,9 +195,9 @@
 }
 
 // await returns once every member has the revision in force.
-func (w *world) await(revision ident.Revision) (err error) {
+func await(members []*member, revision ident.Revision) (err error) {
 	limit := time.Now().Add(forceLimit)
-	for _, m := range w.members {
+	for _, m := range members {
 		for m.platform.Configuration.Generation() < revision {
 			if time.Now().After(limit) {
 				return eris.Errorf("revision %d is not in force everywhere after %s", revision, forceLimit)
@@ -251,7 +257,7 @@
 		if err = w.service.change(ctx, i); err != nil {
 			return err
 		}
-		if err = w.await(ident.Revision(w.service.Revision())); err != nil {
+		if err = await(w.members, ident.Revision(w.service.Revision())); err != nil {
 			return err
 		}
 		times = append(times, time.Since(began))
--- a/state/gate/gate_test.go
+++ b/state/gate/gate_test.go
@@ -16,7 +16,7 @@
 )
 
 // newGate returns an engine's gate at incarnation 5 that has read an engine with a1 loaded.
-func newGate(t *testing.T, change func(*Config)) *Gate {
+func newGate(t testing.TB, change func(*Config)) *Gate {
 	t.Helper()
 	c := DefaultConfig()
 	c.Endpoint, c.Incarnation, c.Slots, c.BatchSize, c.ChecksFencing = "e1", 5, 1, 2, true
