configuration: count the age of a contact without the wait of the poll

A follower dates a contact with the service from the send of its call. The answer to a call that waited 1 s also contained the wait in the age, so that the contact was 2 s old when the next answer came, and the follower probed nine peers every half second between two polls.

The age is counted at the arrival of the call. The recorded contact is still no later than the real one: a call arrives after it was sent. TestContactAgeLeavesOutTheWait guards it.

--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,6 +60,8 @@
 type world struct {
 	service *service
 	peers   traffic
+	// polls counts the calls of Changes.
+	polls   atomic.Int64
 	members []*member
 	ends    []func()
 }
@@ -145,7 +148,7 @@
 	w.ends = append(w.ends, end)
 	self.Address = address
 	holder := loadpermit.New(m.platform.Store, self, m.platform.Configuration)
-	mux.Handle(wire.EntryPathPrefix, wire.NewEntryServer(&peer{Source: m.platform.Configuration, Holder: holder}))
+	mux.Handle(wire.EntryPathPrefix, wire.NewEntryServer(&peer{Source: m.platform.Configuration, Holder: holder, polls: &w.polls}))
 	presence := registry.NewPresence(m.platform.Store, quartz.NewReal(), self)
 	m.run = append(m.run,
 		func(ctx context.Context) { _ = presence.Run(ctx) },
@@ -158,10 +161,12 @@
 	wire.Entry
 	*configuration.Source
 	*loadpermit.Holder
+	polls *atomic.Int64
 }
 
 // Changes serves the configuration.
 func (p *peer) Changes(ctx context.Context, q *wire.ChangesRequest) (a *wire.ChangesResponse, err error) {
+	p.polls.Add(1)
 	return p.Source.Changes(ctx, q)
 }
 
@@ -214,6 +219,7 @@
 	calls    map[keyvalue.Call]int
 	keyValue int64
 	peers    int64
+	polls    int64
 	cpu      time.Duration
 }
 
@@ -221,7 +227,7 @@
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
 	return reading{
-		at: time.Now(), calls: w.service.Calls(), keyValue: w.service.traffic.total(), peers: w.peers.total(),
+		at: time.Now(), calls: w.service.Calls(), keyValue: w.service.traffic.total(), peers: w.peers.total(), polls: w.polls.Load(),
 		cpu: time.Duration(u.Utime.Nano() + u.Stime.Nano()),
 	}
 }
@@ -236,10 +242,10 @@
 	idle := w.read()
 	seconds, members := idle.at.Sub(start.at).Seconds(), float64(processes)
 	_, err = fmt.Fprintf(out, "fleet: processes=%d adapters=%d watches_waiting=%d range_per_s=%.1f keepalive_per_s=%.1f txn_per_s=%.2f "+
-		"watch_opened_per_s=%.2f keyvalue_bytes_per_s_per_process=%.0f peer_bytes_per_s_per_process=%.0f core_percent_per_process=%.3f "+
+		"watch_opened_per_s=%.2f polls_per_s=%.1f keyvalue_bytes_per_s_per_process=%.0f peer_bytes_per_s_per_process=%.0f core_percent_per_process=%.3f "+
 		"load_average=%s\n",
 		processes, f.Adapters, w.service.waiting.Load(), start.perSecond(idle, keyvalue.CallRange), start.perSecond(idle, keyvalue.CallKeepAlive),
-		start.perSecond(idle, keyvalue.CallTxn), start.perSecond(idle, keyvalue.CallWatch),
+		start.perSecond(idle, keyvalue.CallTxn), start.perSecond(idle, keyvalue.CallWatch), float64(idle.polls-start.polls)/seconds,
 		float64(idle.keyValue-start.keyValue)/seconds/members, float64(idle.peers-start.peers)/seconds/members,
 		100*(idle.cpu-start.cpu).Seconds()/seconds/members, load.MachineLoad())
 	if err != nil || f.Changes == 0 {
--- a/coordination/configuration/peer.go
+++ b/coordination/configuration/peer.go
@@ -107,6 +107,7 @@
 		return a, nil
 	}
 	wait := min(time.Duration(q.WaitMilli)*time.Millisecond, pollWait)
+	arrived := s.clock.Now()
 	t := s.clock.NewTimer(wait)
 	defer t.Stop()
 	select {
@@ -115,6 +116,11 @@
 	case <-ctx.Done():
 	}
 	a, _ = s.newer(q)
+	if a.Confirmed {
+		// The caller counts the age from its send. Without the wait each contact would look older by it, and a follower
+		// would probe other peers between two polls.
+		a.ContactAgeMilli -= s.clock.Since(arrived).Milliseconds()
+	}
 	return a, nil
 }
 
--- a/coordination/configuration/source_test.go
+++ b/coordination/configuration/source_test.go
@@ -416,3 +416,22 @@
 		t.Errorf("generation is %d, want the change at %d", g, at)
 	}
 }
+
+func TestContactAgeLeavesOutTheWait(t *testing.T) {
+	// Guards against followers that take each contact for older than it is and probe all peers between two polls.
+	clock := quartz.NewMock(t).WithLogger(quartz.NoOpLogger)
+	s := New(entry("a", "z"), nil, WithClock(clock))
+	trap := clock.Trap().NewTimer()
+	defer trap.Close()
+	s.touch(clock.Now())
+	answers := make(chan *wire.ChangesResponse)
+	go func() {
+		a, _ := s.Changes(t.Context(), &wire.ChangesRequest{WaitMilli: pollWait.Milliseconds()})
+		answers <- a
+	}()
+	trap.MustWait(t.Context()).MustRelease(t.Context())
+	clock.Advance(pollWait).MustWait(t.Context())
+	if a := <-answers; !a.Confirmed || a.ContactAgeMilli != 1 {
+		t.Errorf("confirmed %v, age %d ms, want 1", a.Confirmed, a.ContactAgeMilli)
+	}
+}
