--- a/bench/capacity/entry.go
+++ b/bench/capacity/entry.go
@@ -23,6 +23,7 @@
 	Endpoints []int         `help:"Numbers of endpoints." default:"20,200,600"`
 	Duration  time.Duration `help:"Time of each measurement." default:"10s"`
 	Changes   int           `help:"Configuration changes during the measurement."`
+	Reports   int           `help:"ReportsPerSecond of the entry's settings; its default without it."`
 }
 
 // Run prints one line for each number of adapters with the fewest endpoints and for each number of endpoints with the
@@ -68,7 +69,7 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	fleet := &load.Fleet{Bin: e.Bin, Dir: dir}
 	defer fleet.Stop()
-	p, err := startEntry(ctx, fleet, s.url)
+	p, err := e.start(ctx, fleet, s.url)
 	if err != nil {
 		return err
 	}
@@ -108,14 +109,18 @@
 	return nil
 }
 
-func startEntry(ctx context.Context, fleet *load.Fleet, keyValue string) (p *load.Process, err error) {
+func (e *Entry) start(ctx context.Context, fleet *load.Fleet, keyValue string) (p *load.Process, err error) {
 	var addresses [3]string
 	for i := range addresses {
 		if addresses[i], err = load.FreeAddress(); err != nil {
 			return nil, err
 		}
 	}
-	p, err = fleet.StartWithSettings("entry", "entry", load.EntrySettings(addresses[0], addresses[1], addresses[2], keyValue))
+	text := load.EntrySettings(addresses[0], addresses[1], addresses[2], keyValue)
+	if e.Reports > 0 {
+		text += fmt.Sprintf("ReportsPerSecond = %d\n", e.Reports)
+	}
+	p, err = fleet.StartWithSettings("entry", "entry", text)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/bench/load/agent.go
@@ -0,0 +1,98 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/protocol/wire"
+)
+
+// Agent measures one agent process that is idle and then asked for load reports by many entries.
+type Agent struct {
+	Bin      string        `help:"Directory of the programs." default:"bin"`
+	Entries  int           `help:"Entries, each with its own connection." default:"400"`
+	Interval time.Duration `help:"Time between two reports to one entry." default:"6s"`
+	Duration time.Duration `help:"Time of each measurement." default:"12s"`
+}
+
+// Run prints one line for the idle agent and one for the asked agent.
+func (a *Agent) Run(ctx context.Context, out io.Writer) (err error) {
+	defer func() { err = eris.Wrap(err, "measure an agent") }()
+	dir, err := os.MkdirTemp("", "load")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	d := &deployment{fleet: Fleet{Bin: a.Bin, Dir: dir}}
+	defer d.fleet.Stop()
+	if err = d.start(ctx, 1); err != nil {
+		return err
+	}
+	view, err := readView(ctx, d.keyValue)
+	if err != nil {
+		return err
+	}
+	claim, _ := view.Claim(EngineName(0))
+	if err = a.measure(ctx, out, d, "idle", func(context.Context) {}); err != nil {
+		return err
+	}
+	return a.measure(ctx, out, d, "asked", func(ctx context.Context) { a.ask(ctx, "http://"+claim.Address) })
+}
+
+// ask lets each entry fetch reports at its interval until ctx ends.
+func (a *Agent) ask(ctx context.Context, url string) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := range a.Entries {
+		wg.Go(func() {
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			client := wire.NewAgentProtobufClient(url, &http.Client{Transport: transport})
+			next := time.After(a.Interval * time.Duration(i) / time.Duration(a.Entries))
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-next:
+				}
+				next = time.After(a.Interval)
+				_, _ = client.Report(ctx, &wire.ReportRequest{})
+			}
+		})
+	}
+}
+
+func (a *Agent) measure(ctx context.Context, out io.Writer, d *deployment, name string, fn func(context.Context)) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		fn(ctx)
+		close(ended)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	// The first round opens the connections.
+	time.Sleep(a.Interval)
+	before, err := ReadUsage(d.agents[0].PID())
+	if err != nil {
+		return err
+	}
+	time.Sleep(a.Duration)
+	after, err := ReadUsage(d.agents[0].PID())
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "agent: %s entries=%d reports_per_s=%.1f core_percent=%.2f rss_mb=%.1f load_average=%s\n", name, a.Entries,
+		float64(a.Entries)/a.Interval.Seconds(), 100*(after.CPU-before.CPU).Seconds()/a.Duration.Seconds(),
+		float64(after.Resident)/(1<<20), MachineLoad())
+	return err
+}
--- a/bench/load/overhead.go
+++ b/bench/load/overhead.go
@@ -34,13 +34,15 @@
 
 // deployment is the started fleet of one run.
 type deployment struct {
-	fleet   Fleet
-	entry   *Process
-	agents  []*Process
-	url     string
-	engines []string
-	direct  []call
-	through []call
+	fleet  Fleet
+	entry  *Process
+	agents []*Process
+	url    string
+	// keyValue is the URL of the key-value stand-in.
+	keyValue string
+	engines  []string
+	direct   []call
+	through  []call
 }
 
 // Run prints one line per number of clients and run.
@@ -121,6 +123,7 @@
 		}
 	}
 	keyValue, weights := "http://"+addresses[0], "http://"+addresses[1]
+	d.keyValue = keyValue
 	if _, err = d.fleet.Start("keyvalue", "standin", "keyvalue", "--listen="+addresses[0]); err != nil {
 		return err
 	}
--- a/cmd/bench/measure.go
+++ b/cmd/bench/measure.go
@@ -16,6 +16,7 @@
 	Capacity struct {
 		Entry    entryCommand    `cmd:"" help:"Memory and processor time of an idle entry process against adapters and endpoints."`
 		Fleet    fleetCommand    `cmd:"" help:"Calls, bytes and times of the configuration path against processes."`
+		Agent    agentCommand    `cmd:"" help:"Memory and processor time of an agent process against load reports."`
 		Commands commandsCommand `cmd:"" help:"Calls and bytes of the operator's commands."`
 	} `cmd:"" help:"Measure the slopes of docs/CAPACITY.md."`
 }
@@ -48,6 +49,13 @@
 // Run measures and prints.
 func (c *commandsCommand) Run() (err error) { return c.Commands.Run(context.Background(), os.Stdout) }
 
+type agentCommand struct {
+	load.Agent `embed:""`
+}
+
+// Run measures and prints.
+func (c *agentCommand) Run() (err error) { return c.Agent.Run(context.Background(), os.Stdout) }
+
 // measure runs the named measurement, if the first argument names one.
 func measure(args []string) (ran bool) {
 	if len(args) == 0 || (args[0] != "overhead" && args[0] != "capacity") {
