configuration: begin the sample of peers at a place that depends on the process

A starting process asks nine entries for the whole configuration. The sample depended on the list of entries alone, so that all processes of a zone that start again asked the same nine.

The sample begins at a place given by the process. TestSampleSpreads with 167 starting processes and 333 entries: 9 entries asked, each 167 times, before; 333 asked, one at most 8 times, after.

--- a/coordination/configuration/isolation.go
+++ b/coordination/configuration/isolation.go
@@ -101,14 +101,16 @@
 	return len(list), loaded
 }
 
-// sample returns peers spread evenly over the list, so that all zones are asked.
+// sample returns peers spread evenly over the list, so that all zones are asked. Where it begins depends on the process:
+// processes that start together must not all ask the same few entries for the whole configuration.
 func (s *Source) sample() (list []Peer) {
 	all := s.others()
 	if len(all) <= maxProbePeers {
 		return all
 	}
+	first := int(s.weight(all[0]) % uint32(len(all)))
 	for i := range maxProbePeers {
-		list = append(list, all[i*len(all)/maxProbePeers])
+		list = append(list, all[(first+i*len(all)/maxProbePeers)%len(all)])
 	}
 	return list
 }
--- a/coordination/configuration/source_test.go
+++ b/coordination/configuration/source_test.go
@@ -435,3 +435,31 @@
 		t.Errorf("confirmed %v, age %d ms, want 1", a.Confirmed, a.ContactAgeMilli)
 	}
 }
+
+func TestSampleSpreads(t *testing.T) {
+	// Guards against a zone that starts again and asks the same few entries for the whole configuration.
+	const entries, starting = 333, 167
+	var all []Peer
+	for i := range entries {
+		all = append(all, Peer{Process: ident.Process(fmt.Sprintf("entry-%03d", i)), Zone: "z"})
+	}
+	asked := make(map[ident.Process]int)
+	most := 0
+	for i := range starting {
+		id := Identity{Process: ident.Process(fmt.Sprintf("agent-%d", i)), Role: registry.RoleAgent, Zone: "y"}
+		list := New(id, nil, WithPeers(func() []Peer { return all })).sample()
+		own := make(map[ident.Process]bool)
+		for _, p := range list {
+			own[p.Process] = true
+			asked[p.Process]++
+			most = max(most, asked[p.Process])
+		}
+		if len(own) != maxProbePeers {
+			t.Fatalf("%s asks %d different entries", id.Process, len(own))
+		}
+	}
+	t.Logf("%d entries are asked, one at most %d times", len(asked), most)
+	if most > 20 {
+		t.Errorf("one entry is asked by %d of %d processes", most, starting)
+	}
+}
