--- a/coordination/configuration/isolation.go
+++ b/coordination/configuration/isolation.go
@@ -78,7 +78,7 @@
 // probe asks several of the last known peers, entries first, whether they have lost the service too; entries are also
 // asked for changes. It returns the number of entries asked and of those that answered with a configuration.
 func (s *Source) probe(ctx context.Context) (asked, loaded int) {
-	entries := spread(s.others(), maxProbePeers)
+	entries := s.sample()
 	agents := spread(s.witnesses(), maxProbePeers-len(entries))
 	sent := s.clock.Now()
 	var (
@@ -120,3 +120,17 @@
 	}
 	return len(entries), loaded
 }
+
+// sample returns peers spread evenly over the list, so that all zones are asked. Where it begins depends on the process:
+// processes that start together must not all ask the same few entries for the whole configuration.
+func (s *Source) sample() (list []Peer) {
+	all := s.others()
+	if len(all) <= maxProbePeers {
+		return all
+	}
+	first := int(s.weight(all[0]) % uint32(len(all)))
+	for i := range maxProbePeers {
+		list = append(list, all[(first+i*len(all)/maxProbePeers)%len(all)])
+	}
+	return list
+}
--- a/coordination/configuration/source_test.go
+++ b/coordination/configuration/source_test.go
@@ -396,3 +396,70 @@
 		}
 	}
 }
+
+func TestWatchIsHandedOver(t *testing.T) {
+	// Guards against a process that started before it knew an entry and then watches the service for ever.
+	w := newWorld(t)
+	w.set(t, "a", 1)
+	var peers []Peer
+	agent := Identity{Process: "b", Role: registry.RoleAgent, Zone: "z"}
+	s := New(agent, w.client, WithPeers(func() []Peer { return peers }))
+	if err := s.readAll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	peers = []Peer{{"a", "z", nil}}
+	at := w.set(t, "a", 2)
+	if err := s.watch(t.Context()); !eris.Is(err, errFollow) {
+		t.Errorf("watch ended with %v", err)
+	}
+	if g := s.Generation(); g < at {
+		t.Errorf("generation is %d, want the change at %d", g, at)
+	}
+}
+
+func TestContactAgeLeavesOutTheWait(t *testing.T) {
+	// Guards against followers that take each contact for older than it is and probe all peers between two polls.
+	clock := quartz.NewMock(t).WithLogger(quartz.NoOpLogger)
+	s := New(entry("a", "z"), nil, WithClock(clock))
+	trap := clock.Trap().NewTimer()
+	defer trap.Close()
+	s.touch(clock.Now())
+	answers := make(chan *wire.ChangesResponse)
+	go func() {
+		a, _ := s.Changes(t.Context(), &wire.ChangesRequest{WaitMilli: pollWait.Milliseconds()})
+		answers <- a
+	}()
+	trap.MustWait(t.Context()).MustRelease(t.Context())
+	clock.Advance(pollWait).MustWait(t.Context())
+	if a := <-answers; !a.Confirmed || a.ContactAgeMilli != 1 {
+		t.Errorf("confirmed %v, age %d ms, want 1", a.Confirmed, a.ContactAgeMilli)
+	}
+}
+
+func TestSampleSpreads(t *testing.T) {
+	// Guards against a zone that starts again and asks the same few entries for the whole configuration.
+	const entries, starting = 333, 167
+	var all []Peer
+	for i := range entries {
+		all = append(all, Peer{Process: ident.Process(fmt.Sprintf("entry-%03d", i)), Zone: "z"})
+	}
+	asked := make(map[ident.Process]int)
+	most := 0
+	for i := range starting {
+		id := Identity{Process: ident.Process(fmt.Sprintf("agent-%d", i)), Role: registry.RoleAgent, Zone: "y"}
+		list := New(id, nil, WithPeers(func() []Peer { return all })).sample()
+		own := make(map[ident.Process]bool)
+		for _, p := range list {
+			own[p.Process] = true
+			asked[p.Process]++
+			most = max(most, asked[p.Process])
+		}
+		if len(own) != maxProbePeers {
+			t.Fatalf("%s asks %d different entries", id.Process, len(own))
+		}
+	}
+	t.Logf("%d entries are asked, one at most %d times", len(asked), most)
+	if most > 20 {
+		t.Errorf("one entry is asked by %d of %d processes", most, starting)
+	}
+}
