entry: skip the refresh of the routing view when nothing has changed

The control loop listed and sorted all claims five times a second and compared each with its view; with 600 endpoints that was the largest cost of an idle entry (26% of the samples of its profile).

The registry keeps its ordered list until a record changes, and a refresh with the same claims and configuration returns at once.

--- a/coordination/registry/view.go
+++ b/coordination/registry/view.go
@@ -131,8 +131,10 @@
 	// read is closed after the first full read.
 	read chan struct{}
 
-	mu       sync.Mutex
-	rows     map[string]row[T]
+	mu   sync.Mutex
+	rows map[string]row[T]
+	// ordered is the last list; nil after a change or while the list depends on the time.
+	ordered  []row[T]
 	position ident.Revision
 	// answered is the time of the last answer; graceUntil is the time until which deletions are deferred.
 	answered   time.Time
@@ -243,6 +245,7 @@
 		return
 	}
 	t.rows[r.Key] = x
+	t.ordered = nil
 }
 
 func (t *table[T]) remove(key string) {
@@ -250,6 +253,7 @@
 	if !ok {
 		return
 	}
+	t.ordered = nil
 	if !t.clock.Now().Before(t.graceUntil) {
 		delete(t.rows, key)
 		return
@@ -269,10 +273,16 @@
 
 func (t *table[T]) live(x row[T]) bool { return x.gone.IsZero() || t.clock.Now().Before(x.gone) }
 
+// list returns the live rows in order of key. Callers do not change it.
 func (t *table[T]) list() (list []row[T]) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.ordered != nil {
+		return t.ordered
+	}
+	lasting := true
 	for key, x := range t.rows {
+		lasting = lasting && x.gone.IsZero()
 		if t.live(x) {
 			list = append(list, x)
 			continue
@@ -280,5 +290,8 @@
 		delete(t.rows, key)
 	}
 	slices.SortFunc(list, func(a, b row[T]) int { return cmp.Compare(a.key, b.key) })
+	if lasting {
+		t.ordered = list
+	}
 	return list
 }
--- a/daemon/entry/control.go
+++ b/daemon/entry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"shallotring.dev/protocol/wire"
@@ -54,9 +55,12 @@
 
 // control owns the routing view; all of its state belongs to the goroutine of run.
 type control struct {
-	entry     *Entry
-	table     *placement.Table
-	known     map[ident.Endpoint]*known
+	entry *Entry
+	table *placement.Table
+	known map[ident.Endpoint]*known
+	// set and claims are those of the last refresh.
+	set       *resource.Set
+	claims    []Claim
 	questions chan question
 	ended     chan ended
 	observed  chan observed
@@ -112,9 +116,13 @@
 
 // refresh follows the claims and the declared endpoints.
 func (c *control) refresh() {
-	set := c.entry.configuration.Current()
+	set, claims := c.entry.configuration.Current(), c.entry.agents.Claims()
+	if set == c.set && slices.Equal(claims, c.claims) {
+		return
+	}
+	c.set, c.claims = set, slices.Clone(claims)
 	seen := make(map[ident.Endpoint]bool, len(c.known))
-	for _, claim := range c.entry.agents.Claims() {
+	for _, claim := range claims {
 		r, ok := set.Endpoint(claim.Endpoint)
 		if !ok {
 			continue
