bench: stop the started processes on an interrupt and a closed pipe

'bench capacity entry | head -1' ended at its second line by a broken pipe and left its entry running; so would an interrupt.

The pipe's signal is ignored, so that the write fails and the command ends in order, and an interrupt ends its waits.

--- a/bench/capacity/entry.go
+++ b/bench/capacity/entry.go
@@ -73,7 +73,9 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(settle)
+	if err = sleep(ctx, settle); err != nil {
+		return err
+	}
 	before, err := load.ReadUsage(p.PID())
 	if err != nil {
 		return err
@@ -103,10 +105,21 @@
 		if err = s.change(ctx, i%adapters); err != nil {
 			return err
 		}
-		time.Sleep(e.Duration / time.Duration(e.Changes+1))
+		if err = sleep(ctx, e.Duration/time.Duration(e.Changes+1)); err != nil {
+			return err
+		}
+	}
+	return sleep(ctx, time.Until(end))
+}
+
+// sleep ends early with the error of ctx.
+func sleep(ctx context.Context, d time.Duration) (err error) {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
 	}
-	time.Sleep(time.Until(end))
-	return nil
 }
 
 func (e *Entry) start(ctx context.Context, fleet *load.Fleet, keyValue string) (p *load.Process, err error) {
--- a/bench/load/agent.go
+++ b/bench/load/agent.go
@@ -81,12 +81,16 @@
 		<-ended
 	}()
 	// The first round opens the connections.
-	time.Sleep(a.Interval)
+	if err = sleep(ctx, a.Interval); err != nil {
+		return err
+	}
 	before, err := ReadUsage(d.agents[0].PID())
 	if err != nil {
 		return err
 	}
-	time.Sleep(a.Duration)
+	if err = sleep(ctx, a.Duration); err != nil {
+		return err
+	}
 	after, err := ReadUsage(d.agents[0].PID())
 	if err != nil {
 		return err
@@ -96,3 +100,13 @@
 		float64(after.Resident)/(1<<20), MachineLoad())
 	return err
 }
+
+// sleep ends early with the error of ctx.
+func sleep(ctx context.Context, d time.Duration) (err error) {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
--- a/cmd/bench/measure.go
+++ b/cmd/bench/measure.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -26,42 +28,47 @@
 }
 
 // Run measures and prints.
-func (c *overheadCommand) Run() (err error) { return c.Overhead.Run(context.Background(), os.Stdout) }
+func (c *overheadCommand) Run(ctx context.Context) (err error) { return c.Overhead.Run(ctx, os.Stdout) }
 
 type entryCommand struct {
 	capacity.Entry `embed:""`
 }
 
 // Run measures and prints.
-func (c *entryCommand) Run() (err error) { return c.Entry.Run(context.Background(), os.Stdout) }
+func (c *entryCommand) Run(ctx context.Context) (err error) { return c.Entry.Run(ctx, os.Stdout) }
 
 type fleetCommand struct {
 	capacity.Fleet `embed:""`
 }
 
 // Run measures and prints.
-func (c *fleetCommand) Run() (err error) { return c.Fleet.Run(context.Background(), os.Stdout) }
+func (c *fleetCommand) Run(ctx context.Context) (err error) { return c.Fleet.Run(ctx, os.Stdout) }
 
 type commandsCommand struct {
 	capacity.Commands `embed:""`
 }
 
 // Run measures and prints.
-func (c *commandsCommand) Run() (err error) { return c.Commands.Run(context.Background(), os.Stdout) }
+func (c *commandsCommand) Run(ctx context.Context) (err error) { return c.Commands.Run(ctx, os.Stdout) }
 
 type agentCommand struct {
 	load.Agent `embed:""`
 }
 
 // Run measures and prints.
-func (c *agentCommand) Run() (err error) { return c.Agent.Run(context.Background(), os.Stdout) }
+func (c *agentCommand) Run(ctx context.Context) (err error) { return c.Agent.Run(ctx, os.Stdout) }
 
 // measure runs the named measurement, if the first argument names one.
 func measure(args []string) (ran bool) {
 	if len(args) == 0 || (args[0] != "overhead" && args[0] != "capacity") {
 		return false
 	}
-	p := kong.Must(&measurements{}, kong.Name("bench"), kong.Description("Measures separate processes on loopback."))
+	// A closed pipe or an interrupt must not end the program before it has stopped the processes that it started.
+	signal.Ignore(syscall.SIGPIPE)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	p := kong.Must(&measurements{}, kong.Name("bench"), kong.Description("Measures separate processes on loopback."),
+		kong.BindTo(ctx, (*context.Context)(nil)))
 	c, err := p.Parse(args)
 	p.FatalIfErrorf(err)
 	p.FatalIfErrorf(c.Run())
