soak: cut single processes off from the key-value service

A lease ended only by a pause, or early at the service, so its holder never worked on while a successor took the claim at an endpoint that ignores fencing. A process can now lose the key-value service for up to 25 s while it and the service go on.

Before: this case did not occur.

--- a/soak/fleet/fault.go
+++ b/soak/fleet/fault.go
@@ -60,6 +60,8 @@
 		return func() { f.during(&f.store.Slow, 8*time.Second) }
 	case StoreLoses:
 		return func() { f.during(&f.store.LosesAnswers, 6*time.Second) }
+	case StoreCutOff:
+		return f.cutOffAny
 	case WatchGaps:
 		return func() { f.during(&f.watchGaps, 6*time.Second) }
 	case ExpireLease:
@@ -108,6 +110,9 @@
 }
 
 func (f *Fleet) killEntry() {
+	if len(f.entries) == 0 {
+		return
+	}
 	e := f.entries[f.clock.Random().IntN(len(f.entries))]
 	if e.dead || e.leaving {
 		return
@@ -138,7 +143,7 @@
 		d = f.clock.Between(8*time.Second, 25*time.Second)
 	}
 	if f.clock.Chance(300) {
-		if e := f.entries[f.clock.Random().IntN(len(f.entries))]; !e.dead && !e.paused() {
+		if e := f.anyEntry(); e != nil && !e.paused() {
 			e.pause(d)
 		}
 		return
@@ -176,6 +181,24 @@
 	}
 }
 
+// cutOffAny cuts a process off from the key-value service, often until its leases have expired while it works on.
+func (f *Fleet) cutOffAny() {
+	d := f.clock.Between(time.Second, 25*time.Second)
+	until := f.clock.Now().Add(d)
+	if f.clock.Chance(300) {
+		if e := f.anyEntry(); e != nil {
+			e.cutOff = until
+		}
+		return
+	}
+	s := f.anySite()
+	if a := f.liveAgent(s); a != nil {
+		f.note(string(s.name), "%s is cut off from the store for %s", a.id, d)
+		a.cutOff = until
+		f.succeed(s, d)
+	}
+}
+
 // expireLease ends a lease at the service as if its keep-alives had not arrived for its whole time; agents of endpoints
 // that ignore fencing numbers are exempt, because their lease cannot end before they have stopped.
 func (f *Fleet) expireLease() {
--- a/soak/fleet/option.go
+++ b/soak/fleet/option.go
@@ -17,6 +17,7 @@
 	StoreDown      Kind = "store-down"
 	StoreSlow      Kind = "store-slow"
 	StoreLoses     Kind = "store-loses-answers"
+	StoreCutOff    Kind = "store-cut-off"
 	WatchGaps      Kind = "watch-gaps"
 	ExpireLease    Kind = "expire-lease"
 	FailLoads      Kind = "fail-loads"
@@ -33,7 +34,7 @@
 
 // Kinds lists all kinds of faults.
 var Kinds = []Kind{
-	KillAgent, KillEntry, RestartEngine, StopEngine, CutConnections, Pause, PauseAtSend, StoreDown, StoreSlow, StoreLoses,
+	KillAgent, KillEntry, RestartEngine, StopEngine, CutConnections, Pause, PauseAtSend, StoreDown, StoreSlow, StoreLoses, StoreCutOff,
 	WatchGaps, ExpireLease, FailLoads, SlowWeights, BadFrames, StaleReports, StaleHosts, Operators, Rolling, Leave,
 	Repeats, CallersLeave,
 }
--- a/soak/fleet/process.go
+++ b/soak/fleet/process.go
@@ -21,11 +21,13 @@
 
 // process is what agents and entries have in common: life, pauses, presence and configuration.
 type process struct {
-	fleet      *Fleet
-	id         ident.Process
-	entry      bool
-	dead       bool
-	pauseEnd   time.Time
+	fleet    *Fleet
+	id       ident.Process
+	entry    bool
+	dead     bool
+	pauseEnd time.Time
+	// cutOff is the time until which the process cannot reach the key-value service, which is up.
+	cutOff     time.Time
 	lease      int64
 	set        *resource.Set
 	generation ident.Revision
@@ -82,6 +84,10 @@
 
 // call calls the key-value service; the answer waits for the end of a pause.
 func (p *process) call(timeout time.Duration, apply func(), done func(store.Status)) {
+	if p.clock().Now().Before(p.cutOff) {
+		p.later(timeout, func() { done(store.Lost) })
+		return
+	}
 	p.fleet.store.Call(timeout, apply, func(s store.Status) { p.awake(func() { done(s) }) })
 }
 
