--- a/daemon/processes/rolling_test.go
+++ b/daemon/processes/rolling_test.go
@@ -37,7 +37,7 @@
 	return list
 }
 
-// continuousOrders sends one order after another, each repeated until it has completed, until end is called.
+// continuousOrders sends one order after another, each repeated while it is not run, until end is called.
 func (d *deployment) continuousOrders(callers int) (o *orders, end func()) {
 	o = &orders{seen: make(map[string][]answer)}
 	pick := d.balancer()
@@ -47,7 +47,7 @@
 		wg.Go(func() {
 			for n := 0; !stop.Load(); n++ {
 				key := fmt.Sprintf("crew-%d-order-%d", i, n)
-				for a := o.send(pick(), key); a.status != 200 && a.outcome == "not-run"; a = o.send(pick(), key) {
+				for a := o.send(pick(), key); !stop.Load() && a.status != 200 && a.outcome == "not-run"; a = o.send(pick(), key) {
 					time.Sleep(50 * time.Millisecond)
 				}
 			}
