Ask peers for the state of the service a second earlier

Cause: TestKeyValueOutage/frozen failed once at a load average of 65. A process asked its peers from 2 s after its last contact on and counted as isolated after 3 s. With a silent service the agents need up to 0.4 s to answer, and the next probe starts up to half a second late, so an entry with one probe too late refused requests for a moment.

Change: a process that checks the service itself asks its peers from 1 s on, and an agent's contact counts as fresh for 1 s. A cut-off entry still counts as isolated after 3 s.

Before: outage_test.go:69: in the outage: adapter-4@v1: status 503, outcome not-run, isolated (3 requests of one run). After: TestKeyValueOutage and TestCutOffEntryRefuses pass; the cut-off entry refuses after 2.9 s.

--- a/coordination/claim/contact.go
+++ b/coordination/claim/contact.go
@@ -7,7 +7,7 @@
 
 const (
 	// contactFresh is the age up to which the last renewal answers the question for the contact.
-	contactFresh = 2 * time.Second
+	contactFresh = time.Second
 	// contactWait bounds the wait for an early renewal. A service that needs longer counts as lost. With a longer wait the
 	// asking process would count as isolated in a silent outage before it has the answers.
 	contactWait = 400 * time.Millisecond
--- a/coordination/configuration/isolation.go
+++ b/coordination/configuration/isolation.go
@@ -15,6 +15,9 @@
 	// confirmTime is the age up to which a contact with the service is passed on to peers. It is shorter than
 	// isolationTime so that in an outage the peers report the loss before anybody counts itself as isolated.
 	confirmTime = 2 * time.Second
+	// missTime is the age of the contact from which a process that checks the service itself asks its peers. It leaves them
+	// two seconds to answer before the process counts as isolated; with confirmTime a silent service left too few.
+	missTime = time.Second
 	// probeInterval is the time between two checks of the contact.
 	probeInterval = 500 * time.Millisecond
 )
@@ -43,11 +46,13 @@
 	}
 }
 
-// stale reports whether the contact is old enough to ask other peers.
-func (s *Source) stale() bool {
+// stale reports whether the contact is too old to be passed on.
+func (s *Source) stale() bool { return s.contactAge() > confirmTime }
+
+func (s *Source) contactAge() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.clock.Since(s.contact) > confirmTime
+	return s.clock.Since(s.contact)
 }
 
 // check renews the contact and asks the peers if there is none.
@@ -70,7 +75,11 @@
 }
 
 func (s *Source) checkPeers(ctx context.Context) {
-	if s.stale() {
+	limit := confirmTime
+	if s.watches() {
+		limit = missTime
+	}
+	if s.contactAge() > limit {
 		s.probe(ctx)
 	}
 }
