--- a/coordination/loadpermit/client.go
+++ b/coordination/loadpermit/client.go
@@ -34,7 +34,7 @@
 
 // Share is the fixed share of the budget that an agent uses while there is no holder.
 type Share interface {
-	Take(ctx context.Context, e ident.Endpoint, wanted int) (granted int, expiry time.Duration, err error)
+	Take(ctx context.Context, e ident.Endpoint, wanted int, stalled time.Duration) (g permit.Grant, err error)
 	Done(e ident.Endpoint)
 }
 
@@ -66,21 +66,25 @@
 	return &Client{store: s, granter: granter, share: share, clock: clock}
 }
 
-// Take asks for up to wanted permits.
-func (c *Client) Take(ctx context.Context, e ident.Endpoint, wanted int) (granted int, expiry time.Duration, err error) {
+// Take asks for up to wanted permits for loads with the given stalled work.
+func (c *Client) Take(ctx context.Context, e ident.Endpoint, wanted int, stalled time.Duration) (g permit.Grant, err error) {
 	defer func() { err = eris.Wrap(err, "take load permits") }()
-	a, err := c.ask(ctx, e, wanted)
+	a, err := c.ask(ctx, e, wanted, stalled)
 	if err == nil {
-		return int(a.GetGranted()), time.Duration(a.GetExpireMilli()) * time.Millisecond, nil
+		return permit.Grant{
+			Granted: int(a.GetGranted()),
+			Expiry:  time.Duration(a.GetExpireMilli()) * time.Millisecond,
+			Wait:    time.Duration(a.GetWaitMilli()) * time.Millisecond,
+		}, nil
 	}
 	if !c.holderLost() {
-		return 0, 0, err
+		return permit.Grant{}, err
 	}
-	granted, expiry, err = c.share.Take(ctx, e, wanted)
+	g, err = c.share.Take(ctx, e, wanted, stalled)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fallback += granted
-	return granted, expiry, err
+	c.fallback += g.Granted
+	return g, err
 }
 
 // Done reports that a load has ended; it does not wait for the holder.
@@ -101,11 +105,11 @@
 	c.done++
 	go func() {
 		// An ended load that the holder cannot be told of now is reported with the next request.
-		_, _ = c.ask(context.Background(), e, 0)
+		_, _ = c.ask(context.Background(), e, 0, 0)
 	}()
 }
 
-func (c *Client) ask(ctx context.Context, e ident.Endpoint, wanted int) (a *wire.PermitResponse, err error) {
+func (c *Client) ask(ctx context.Context, e ident.Endpoint, wanted int, stalled time.Duration) (a *wire.PermitResponse, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	defer func() { c.note(err) }()
@@ -114,7 +118,9 @@
 		return nil, err
 	}
 	c.mu.Lock()
-	q := &wire.PermitRequest{Endpoint: string(e), Wanted: uint32(wanted), Done: c.done}
+	q := &wire.PermitRequest{
+		Endpoint: string(e), Wanted: uint32(wanted), Done: c.done, StalledMilli: stalled.Milliseconds(),
+	}
 	c.done = 0
 	c.mu.Unlock()
 	a, err = h.Permit(ctx, q)
--- a/coordination/loadpermit/fake_test.go
+++ b/coordination/loadpermit/fake_test.go
@@ -12,6 +12,7 @@
 	"shallotring.dev/protocol/keyvalue"
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/permit"
 	"shallotring.dev/state/resource"
 )
 
@@ -185,8 +186,8 @@
 // noShare grants nothing, so that all permits are those of holders.
 type noShare struct{}
 
-func (noShare) Take(context.Context, ident.Endpoint, int) (granted int, expiry time.Duration, err error) {
-	return 0, 0, nil
+func (noShare) Take(context.Context, ident.Endpoint, int, time.Duration) (g permit.Grant, err error) {
+	return g, nil
 }
 
 func (noShare) Done(ident.Endpoint) {}
@@ -194,9 +195,9 @@
 // countingShare grants one permit at each ask.
 type countingShare struct{ taken, done int }
 
-func (s *countingShare) Take(context.Context, ident.Endpoint, int) (granted int, expiry time.Duration, err error) {
+func (s *countingShare) Take(context.Context, ident.Endpoint, int, time.Duration) (g permit.Grant, err error) {
 	s.taken++
-	return 1, time.Second, nil
+	return permit.Grant{Granted: 1, Expiry: time.Second}, nil
 }
 
 func (s *countingShare) Done(ident.Endpoint) { s.done++ }
--- a/coordination/loadpermit/holder.go
+++ b/coordination/loadpermit/holder.go
@@ -183,14 +183,16 @@
 	for range q.GetDone() {
 		b.Done(e)
 	}
+	stalled := time.Duration(q.GetStalledMilli()) * time.Millisecond
 	for range q.GetWanted() {
-		if !b.TakeFor(now, e, float64(q.GetWanted())) {
+		if !b.TakeFor(now, e, stalled.Seconds()) {
 			break
 		}
 		// An agent uses a permit as soon as it gets it.
 		b.Begin(now, e)
 		a.Granted++
 	}
+	a.WaitMilli = b.Wait(now).Milliseconds()
 	return a, nil
 }
 
--- a/coordination/loadpermit/loadpermit_test.go
+++ b/coordination/loadpermit/loadpermit_test.go
@@ -42,11 +42,9 @@
 // loadOn asks for permits all the time, as an agent with waiting requests does, and uses each at once.
 func loadOn(ctx context.Context, c *Client, e ident.Endpoint, l *loads) {
 	for ctx.Err() == nil {
-		n, _, err := c.Take(ctx, e, 2)
-		if err != nil {
-			n = 0
-		}
-		for range n {
+		// Without a grant the number is zero.
+		g, _ := c.Take(ctx, e, 2, time.Second)
+		for range g.Granted {
 			l.add(1)
 			time.AfterFunc(loadTime, func() {
 				l.add(-1)
@@ -152,11 +150,11 @@
 			t.Fatal(err)
 		}
 		take := func() int {
-			n, _, err := c.Take(ctx, "e", 1)
+			g, err := c.Take(ctx, "e", 1, time.Second)
 			if err != nil {
 				return 0
 			}
-			return n
+			return g.Granted
 		}
 		take()
 		// Single calls are lost, with more than a lease time between them.
@@ -210,8 +208,8 @@
 		time.Sleep(permit.Expiry + time.Second)
 		take := func() (granted int) {
 			time.Sleep(2 * time.Second) // the rate is no limit here
-			granted, _, _ = c.Take(t.Context(), "e", inFlight+1)
-			return granted
+			g, _ := c.Take(t.Context(), "e", inFlight+1, time.Second)
+			return g.Granted
 		}
 		take() // starts the budget
 		if got := take(); got != inFlight {
@@ -274,8 +272,8 @@
 		c := NewClient(s, n.granter, noShare{}, quartz.NewReal())
 		take := func() (granted int) {
 			time.Sleep(2 * time.Second)
-			granted, _, _ = c.Take(t.Context(), "e", 1)
-			return granted
+			g, _ := c.Take(t.Context(), "e", 1, time.Second)
+			return g.Granted
 		}
 		for _, address := range []string{"a", "b"} {
 			h := n.add(s, p, address)
@@ -350,7 +348,7 @@
 		s, n := newStore(), newNetwork()
 		s.delay = time.Minute
 		c := NewClient(s, n.granter, &countingShare{}, quartz.NewReal())
-		go func() { _, _, _ = c.Take(t.Context(), "e", 1) }()
+		go func() { _, _ = c.Take(t.Context(), "e", 1, time.Second) }()
 		synctest.Wait()
 		begin := time.Now()
 		c.Done("e")
@@ -360,3 +358,39 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// Guards against a holder that does not know how much work waits and gives the next permit to whoever asks first.
+func TestMostStalledWorkGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, n := newStore(), newNetwork()
+		h := n.add(s, newPolicy(1, inFlight), "a")
+		go func() { _ = h.Run(t.Context()) }()
+		time.Sleep(permit.Expiry + time.Second)
+		stalled := map[ident.Endpoint]time.Duration{"few": 100 * time.Millisecond, "many": 3 * time.Second}
+		clients := make(map[ident.Endpoint]*Client)
+		for e := range stalled {
+			clients[e] = NewClient(s, n.granter, noShare{}, quartz.NewReal())
+		}
+		ask := func(e ident.Endpoint) permit.Grant {
+			g, err := clients[e].Take(t.Context(), e, 1, stalled[e])
+			if err != nil {
+				t.Fatal(err)
+			}
+			return g
+		}
+		// The budget starts empty, so both are refused at first; the one with little work asks first each time.
+		for {
+			few, many := ask("few"), ask("many")
+			if few.Granted > 0 {
+				t.Fatal("the permit went to the ask with less stalled work")
+			}
+			if few.Wait <= 0 {
+				t.Error("no expected wait in the answer to a refused ask")
+			}
+			if many.Granted > 0 {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
--- a/daemon/agent/orders.go
+++ b/daemon/agent/orders.go
@@ -110,10 +110,10 @@
 	now := a.clock.Now()
 	ctx, cancel := context.WithTimeout(a.work, listTimeout)
 	defer cancel()
-	n, expiry, err := a.permits.Take(ctx, a.settings.Endpoint, x.Wanted)
+	p, err := a.permits.Take(ctx, a.settings.Endpoint, x.Wanted, x.Stalled)
 	if err != nil {
 		a.log.WarnContext(ctx, "no load permits", errorAttr(err))
-		n = 0
+		p.Granted = 0
 	}
-	a.post(gate.Permits{Granted: n, Until: now.Add(expiry)})
+	a.post(gate.Permits{Granted: p.Granted, Until: now.Add(p.Expiry), Wait: p.Wait})
 }
--- a/daemon/agent/permits.go
+++ b/daemon/agent/permits.go
@@ -14,8 +14,8 @@
 
 // Permits hands out the right to load; it is safe for concurrent use.
 type Permits interface {
-	// Take asks for up to wanted permits; unused ones are void after the expiry.
-	Take(ctx context.Context, e ident.Endpoint, wanted int) (granted int, expiry time.Duration, err error)
+	// Take asks for up to wanted permits for loads with the given stalled work.
+	Take(ctx context.Context, e ident.Endpoint, wanted int, stalled time.Duration) (g permit.Grant, err error)
 	// Done reports that a load has ended.
 	Done(e ident.Endpoint)
 }
@@ -36,17 +36,19 @@
 }
 
 // Take grants at most one permit at a time.
-func (f *FixedShare) Take(_ context.Context, e ident.Endpoint, _ int) (granted int, expiry time.Duration, err error) {
+func (f *FixedShare) Take(_ context.Context, e ident.Endpoint, _ int, _ time.Duration) (g permit.Grant, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	if rate := f.share(); rate != f.rate || f.budget == nil {
 		f.rate, f.budget = rate, permit.New(rate, 1, now)
 	}
+	g.Expiry = permit.Expiry
 	if f.budget.Take(now, e) {
-		granted = 1
+		g.Granted = 1
 	}
-	return granted, permit.Expiry, nil
+	g.Wait = f.budget.Wait(now)
+	return g, nil
 }
 
 // Done ends the load of one permit.
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -65,6 +65,7 @@
 		Slots:       uint32(r.Slots),
 		Generation:  int64(s.agent.configuration.Current().Newest()),
 		QueueMilli:  r.Wait.Milliseconds(),
+		Pinned:      uint32(r.Pinned),
 	}
 	for _, x := range r.Adapters {
 		resp.Adapters = append(resp.Adapters, &wire.AdapterState{
--- a/soak/fleet/entry.go
+++ b/soak/fleet/entry.go
@@ -142,7 +142,7 @@
 	}
 	if p := k.report; p != nil {
 		r.Leaving = r.Leaving || p.Leaving
-		r.Running, r.Queued, r.QueueWait = p.Running, p.Queued, p.Wait
+		r.Running, r.Queued, r.QueueWait, r.Pinned = p.Running, p.Queued, p.Wait, p.Pinned
 		for _, x := range p.Adapters {
 			switch {
 			case x.Failing:
@@ -207,12 +207,12 @@
 }
 
 // grant hands out load permits; a new holder waits until those of the former one are void.
-func (e *entry) grant(name ident.Endpoint, wanted int) (n int) {
+func (e *entry) grant(name ident.Endpoint, x gate.AskPermits) (n int) {
 	now := e.clock().Now()
 	if e.permits == nil {
 		e.permits = permit.New(loadRate, loadsInFlight, now.Add(permit.Expiry))
 	}
-	for n < wanted && e.permits.TakeFor(now, name, float64(wanted)) {
+	for n < x.Wanted && e.permits.TakeFor(now, name, x.Stalled.Seconds()) {
 		e.permits.Begin(now, name)
 		n++
 	}
--- a/soak/fleet/order.go
+++ b/soak/fleet/order.go
@@ -177,7 +177,7 @@
 		return
 	}
 	f.call(&a.process, &holder.process, 500*time.Millisecond, func(reply func(any)) {
-		reply(holder.grant(a.site.name, x.Wanted))
+		reply(holder.grant(a.site.name, x))
 	}, func(answer any, s callStatus) {
 		if s != answered {
 			give(a.fixedShare())
--- a/state/gate/command.go
+++ b/state/gate/command.go
@@ -72,7 +72,11 @@
 }
 
 // AskPermits asks for load permits; Permits follows.
-type AskPermits struct{ Wanted int }
+type AskPermits struct {
+	Wanted int
+	// Stalled is the summed waiting time of the tries that the next load lets go on, as Queue.NextLoad weighs it.
+	Stalled time.Duration
+}
 
 // ReturnPermit reports that a load has ended.
 type ReturnPermit struct{}
--- a/state/gate/event.go
+++ b/state/gate/event.go
@@ -76,6 +76,8 @@
 type Permits struct {
 	Granted int
 	Until   time.Time
+	// Wait is the expected time until one more permit is granted.
+	Wait time.Duration
 }
 
 // Model is one adapter that the engine lists.
--- a/state/gate/gate.go
+++ b/state/gate/gate.go
@@ -41,7 +41,9 @@
 	FailingFor   time.Duration
 	// Quarantine is the time without a load of an adapter after an unload whose effect was unclear,
 	// because the delayed command could evict the adapter while it is in use again.
-	Quarantine  time.Duration
+	Quarantine time.Duration
+	// LoadTime is the expected time of a load from its permit on.
+	LoadTime    time.Duration
 	PermitRetry time.Duration
 	SurveyEvery time.Duration
 	// DrainGrace is the time after the start of a drain in which admitted tries may still start.
@@ -63,6 +65,7 @@
 		LoadBackoff:   250 * time.Millisecond,
 		FailingFor:    10 * time.Second,
 		Quarantine:    5 * time.Second,
+		LoadTime:      250 * time.Millisecond,
 		PermitRetry:   100 * time.Millisecond,
 		SurveyEvery:   time.Second,
 		DrainGrace:    2 * time.Second,
@@ -97,6 +100,8 @@
 	changes uint64
 	survey  surveyState
 	permits permitState
+	// reserved is the victim of the load that awaits a permit.
+	reserved ident.AdapterVersion
 	// silent counts the surveys in a row that had no answer.
 	silent  int
 	leaving bool
--- a/state/gate/load.go
+++ b/state/gate/load.go
@@ -38,13 +38,22 @@
 	until time.Time
 	asked bool
 	retry time.Time
+	// likely is when the holder expected to have a permit for one more load.
+	likely time.Time
 }
 
-// demand is the work that waits for one absent adapter.
-type demand struct {
-	adapter ident.AdapterVersion
-	known   Known
-	stalled time.Duration
+// loadPlan is what one pass over the waiting tries has found and prepared.
+type loadPlan struct {
+	// missing holds the declared weights of the adapters that tries wait for and that are not resident with them.
+	missing map[ident.AdapterVersion]Known
+	// awaited holds the resident adapters that waiting tries are about to use.
+	awaited map[ident.AdapterVersion]bool
+	// planned holds the loads that have a permit and wait for an unload.
+	planned map[ident.AdapterVersion]bool
+	// emptying is the number of slots that an unload is about to free.
+	emptying int
+	// former is the victim that was reserved before this step.
+	former ident.AdapterVersion
 }
 
 func (g *Gate) record(av ident.AdapterVersion) *adapter {
@@ -56,74 +65,138 @@
 	return a
 }
 
-// demands returns the absent adapters that tries wait for, the one with the most stalled work first.
-// Summed waiting time ages by itself, so an adapter with few requests is not passed over for ever.
-func (g *Gate) demands() (list []demand) {
-	index := make(map[ident.AdapterVersion]int)
+// newPlan sorts the waiting tries by what they wait for; one whose key is used by another try waits for no adapter.
+func (g *Gate) newPlan() (p loadPlan) {
+	p.missing = make(map[ident.AdapterVersion]Known)
+	p.awaited = make(map[ident.AdapterVersion]bool)
+	p.planned = make(map[ident.AdapterVersion]bool)
+	p.emptying = g.unloads()
 	g.queue.Each(func(it admission.Item) {
 		t := g.tries[it.ID]
 		if t == nil || (t.Key != "" && g.keyUsed(t.Run)) {
 			return
 		}
-		g.slots.Demand(g.now, it.Adapter)
-		if g.slots.State(it.Adapter) == slots.Resident && g.adapters[it.Adapter].digest == t.Known.Digest {
-			return
-		}
-		i, ok := index[it.Adapter]
-		if !ok {
-			i = len(list)
-			index[it.Adapter] = i
-			list = append(list, demand{adapter: it.Adapter, known: t.Known})
+		if g.resident(t.Run) {
+			p.awaited[it.Adapter] = true
+		} else if _, ok := p.missing[it.Adapter]; !ok {
+			p.missing[it.Adapter] = t.Known
 		}
-		list[i].stalled += g.now.Sub(it.Arrived) + time.Millisecond
 	})
-	for i := 1; i < len(list); i++ {
-		for j := i; j > 0 && list[j].stalled > list[j-1].stalled; j-- {
-			list[j], list[j-1] = list[j-1], list[j]
-		}
+	return p
+}
+
+// resident reports whether the adapter of a try is loaded with the declared weights.
+func (g *Gate) resident(r Run) bool {
+	return g.slots.State(r.Adapter) == slots.Resident && g.adapters[r.Adapter].digest == r.Known.Digest
+}
+
+// loadWait is the expected time until the adapter of a new try is resident.
+func (g *Gate) loadWait(r Run) time.Duration {
+	switch {
+	case g.Service || g.resident(r):
+		return 0
+	case g.slots.State(r.Adapter) == slots.Loading:
+		return g.LoadTime
 	}
-	return list
+	return max(g.permits.likely.Sub(g.now), 0) + g.LoadTime
 }
 
 func (g *Gate) planLoads() {
+	former := g.reserved
+	g.reserved = ident.AdapterVersion{}
 	if g.blocked() || g.pastGrace() {
 		return
 	}
-	wanted := 0
-	for _, d := range g.demands() {
-		a := g.record(d.adapter)
-		switch g.slots.State(d.adapter) {
+	p := g.newPlan()
+	p.former = former
+	for av := range p.missing {
+		a := g.record(av)
+		switch g.slots.State(av) {
 		case slots.Resident: // another digest than the declared one
-			g.evict(d.adapter)
-			continue
-		case slots.Loading, slots.Unloading:
-			continue
+			g.evict(av)
+			p.emptying = g.unloads()
 		case slots.Absent:
-		}
-		if g.now.Before(a.notBefore) {
-			g.wake(a.notBefore)
-			continue
-		}
-		if g.slots.Free() <= 0 {
-			if g.makeRoom(wanted) {
-				wanted++
+			if g.now.Before(a.notBefore) {
+				g.wake(a.notBefore)
 			}
-			continue
+		case slots.Loading, slots.Unloading:
 		}
-		wanted++
-		g.load(d, a)
 	}
-	g.askPermits(wanted)
+	for g.planLoad(&p) {
+	}
 }
 
-func (g *Gate) load(d demand, a *adapter) {
-	if !g.takePermit() || !g.slots.BeginLoad(g.now, d.adapter) {
-		return
+// planLoad begins or prepares the load with the most stalled work; it reports whether another one may follow.
+func (g *Gate) planLoad(p *loadPlan) (more bool) {
+	av, stalled, ok := g.queue.NextLoad(g.now, func(av ident.AdapterVersion) bool {
+		_, missing := p.missing[av]
+		return missing && !p.planned[av] && g.slots.State(av) == slots.Absent && !g.now.Before(g.record(av).notBefore)
+	})
+	if !ok {
+		return false
 	}
-	a.attempts++
+	if held := g.permitsHeld(); held <= len(p.planned) {
+		if held == 0 && g.reserve(p) {
+			g.askPermits(stalled)
+		}
+		return false
+	}
+	if g.slots.Free() > 0 {
+		return g.load(av, p.missing[av])
+	}
+	p.planned[av] = true
+	return g.makeRoom(p)
+}
+
+func (g *Gate) load(av ident.AdapterVersion, k Known) (begun bool) {
+	if !g.takePermit() || !g.slots.BeginLoad(g.now, av) {
+		return false
+	}
+	g.record(av).attempts++
 	g.number++
-	g.orders[g.number] = &order{adapter: d.adapter, digest: d.known.Digest, load: true}
-	g.emit(Load{Number: g.number, Adapter: d.adapter, Path: d.known.Path, Digest: d.known.Digest})
+	g.orders[g.number] = &order{adapter: av, digest: k.Digest, load: true}
+	g.emit(Load{Number: g.number, Adapter: av, Path: k.Path, Digest: k.Digest})
+	return true
+}
+
+// reserve chooses the victim of the load that a permit is asked for; it reports false if no slot can be made free, so that
+// no permit is held for a load that cannot begin. No try starts on the victim, or the load would lose its slot.
+func (g *Gate) reserve(p *loadPlan) (ok bool) {
+	if g.slots.Free() > 0 || p.emptying > 0 {
+		return true
+	}
+	g.reserved, ok = g.victim(p)
+	return ok
+}
+
+// victim returns the adapter to evict: one that no waiting try is about to use, or else the reserved one while its permit is
+// awaited or held. A refused permit ends the reservation, so that a try that has come for the victim is not held up for
+// longer than one call.
+func (g *Gate) victim(p *loadPlan) (av ident.AdapterVersion, ok bool) {
+	av, ok = g.slots.VictimExcept(g.now, func(av ident.AdapterVersion) bool { return p.awaited[av] })
+	if ok {
+		return av, true
+	}
+	wanted := g.permits.asked || g.permitsHeld() > 0
+	idle := g.slots.State(p.former) == slots.Resident && g.slots.InUse(p.former) == 0
+	if !wanted || !idle {
+		return ident.AdapterVersion{}, false
+	}
+	return p.former, true
+}
+
+// makeRoom evicts for the planned loads if the unloads in flight are not enough. Nothing is evicted before there is a permit
+// to use the slot.
+func (g *Gate) makeRoom(p *loadPlan) (ok bool) {
+	if p.emptying >= len(p.planned) {
+		return true
+	}
+	av, ok := g.victim(p)
+	if ok {
+		g.evict(av)
+		p.emptying++
+	}
+	return ok
 }
 
 func (g *Gate) permitsHeld() int {
@@ -141,9 +214,10 @@
 	return true
 }
 
-func (g *Gate) askPermits(wanted int) {
+// askPermits asks for the load with the most stalled work alone: another one has another place among all engines' loads.
+func (g *Gate) askPermits(stalled float64) {
 	p := &g.permits
-	if wanted == 0 || p.asked || g.permitsHeld() > 0 {
+	if p.asked {
 		return
 	}
 	if g.now.Before(p.retry) {
@@ -151,12 +225,13 @@
 		return
 	}
 	p.asked = true
-	g.emit(AskPermits{Wanted: wanted})
+	g.emit(AskPermits{Wanted: 1, Stalled: time.Duration(stalled * float64(time.Second))})
 }
 
 func (g *Gate) permitted(p Permits) {
 	g.permits.asked = false
 	g.permits.held, g.permits.until = p.Granted, p.Until
+	g.permits.likely = g.now.Add(p.Wait)
 	if p.Granted == 0 {
 		g.permits.retry = g.now.Add(g.PermitRetry)
 	}
@@ -172,20 +247,6 @@
 	return n
 }
 
-// makeRoom evicts for one more load if the unloads in flight are not enough; it reports false if no slot can be made free,
-// so that no permit is held for a load that cannot begin. Nothing is evicted before there is a permit to use the slot.
-func (g *Gate) makeRoom(wanted int) bool {
-	n := g.unloads()
-	if n > wanted {
-		return true
-	}
-	av, ok := g.slots.Victim(g.now)
-	if ok && n < g.permitsHeld() {
-		g.evict(av)
-	}
-	return ok
-}
-
 func (g *Gate) evict(av ident.AdapterVersion) {
 	if !g.slots.BeginUnload(av) {
 		return
@@ -240,6 +301,7 @@
 	a := g.record(o.adapter)
 	if !e.Failed && e.Digest == o.digest {
 		g.slots.Loaded(g.now, o.adapter)
+		g.queue.Loaded(g.now, o.adapter)
 		*a = adapter{digest: e.Digest}
 		return
 	}
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -124,6 +124,7 @@
 	g.synced = true
 	for _, m := range s.Models {
 		g.slots.Loaded(g.now, m.Adapter)
+		g.queue.Loaded(g.now, m.Adapter)
 		g.record(m.Adapter).digest = m.Digest
 	}
 	own := make(map[string]bool)
@@ -164,6 +165,7 @@
 		listed[m.Adapter] = true
 		if g.slots.State(m.Adapter) == slots.Absent {
 			g.slots.Loaded(g.now, m.Adapter)
+			g.queue.Loaded(g.now, m.Adapter)
 		}
 		g.record(m.Adapter).digest = m.Digest
 	}
--- a/state/gate/try.go
+++ b/state/gate/try.go
@@ -6,7 +6,6 @@
 	"shallotring.dev/state/admission"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
-	"shallotring.dev/state/slots"
 )
 
 type tryState int
@@ -105,11 +104,15 @@
 	case r.Key != "" && g.keyUsed(r):
 		return &outcome.Refusal{Reason: outcome.Duplicate, Detail: "another try with this key may have run here"}
 	}
+	if !g.Service {
+		g.slots.Demand(g.now, r.Adapter)
+	}
 	if a := g.adapters[r.Adapter]; a != nil && a.failing(g.now) {
 		return &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: a.notBefore.Sub(g.now), Detail: a.detail}
 	}
 	return g.queue.Push(g.now, admission.Item{
 		ID: r.ID, Caller: r.Caller, Share: r.Share, Adapter: r.Adapter, Priority: r.Priority, Deadline: r.Deadline,
+		LoadWait: g.loadWait(r),
 	})
 }
 
@@ -139,7 +142,7 @@
 	if t == nil || (t.Key != "" && g.keyUsed(t.Run)) {
 		return false
 	}
-	return g.Service || (g.slots.State(t.Adapter) == slots.Resident && g.adapters[t.Adapter].digest == t.Known.Digest)
+	return g.Service || (t.Adapter != g.reserved && g.resident(t.Run))
 }
 
 func (g *Gate) start(t *try) {
--- a/state/permit/budget.go
+++ b/state/permit/budget.go
@@ -17,6 +17,15 @@
 	agingPerSecond = 1.0
 )
 
+// Grant is the answer to an ask for permits.
+type Grant struct {
+	Granted int
+	// Expiry is the time after which unused permits are void.
+	Expiry time.Duration
+	// Wait is the expected time until one more permit is granted.
+	Wait time.Duration
+}
+
 // held is one granted permit.
 type held struct {
 	until time.Time
