admission: do not call a sole caller over its share

Cause: Push refused the item of a caller alone at half of the queue with caller-limit, and a caller that had left long ago still counted as somebody to compare with, so that a sole caller's loads were refused with caller-limit although the queue was empty.

Change: a caller is compared only with callers that wait or have arrived recently (the rule that the share of the queue already used). A sole caller past its part of the queue is refused with queue-full (503, another endpoint may be tried). The part itself is unchanged: half of the queue stays free for another caller.

--- a/state/admission/callers.go
+++ b/state/admission/callers.go
@@ -105,26 +105,30 @@
 
 // fraction is the caller's part of all shares; a caller alone leaves room for one more.
 func (c *callers) fraction(now time.Time, name ident.Caller) float64 {
-	own, sum, active := 1.0, 0.0, 0
+	own, sum := 1.0, 0.0
 	for _, y := range c.list {
 		if y.name == name {
 			own = y.share
 		}
-		if y.name == name || y.waiting > 0 || y.decayed(now) >= idle {
+		if y.name == name || y.active(now) {
 			sum += y.share
-			active++
 		}
 	}
-	if active <= 1 {
+	if !c.contended(now, name) {
 		sum += own
 	}
 	return own / max(sum, own)
 }
 
+// contended reports whether another caller competes with the named one.
+func (c *callers) contended(now time.Time, name ident.Caller) bool {
+	return slices.ContainsFunc(c.list, func(x *caller) bool { return x.name != name && x.active(now) })
+}
+
 // excess is the caller's arrivals divided by its fair part of all arrivals; 1 while there is nobody to compare with.
 func (c *callers) excess(now time.Time, name ident.Caller) float64 {
 	own, ok := c.known[name]
-	if !ok || len(c.known) < 2 || own.decayed(now) < sample {
+	if !ok || own.decayed(now) < sample || !c.contended(now, name) {
 		return 1
 	}
 	arrivals, shares := 0.0, 0.0
@@ -135,6 +139,9 @@
 	return own.decayed(now) / arrivals * shares / own.share
 }
 
+// active reports whether the caller competes for the queue.
+func (x *caller) active(now time.Time) bool { return x.waiting > 0 || x.decayed(now) >= idle }
+
 func (x *caller) decayed(now time.Time) float64 {
 	return x.arrivals * math.Exp(-max(now.Sub(x.updated), 0).Seconds()/window.Seconds())
 }
--- a/state/admission/queue.go
+++ b/state/admission/queue.go
@@ -67,6 +67,10 @@
 	case q.callers.excess(now, it.Caller) > overShare && q.callers.waiting(it.Caller) >= q.allowance(now, it.Caller):
 		return outcome.CallerLimit
 	case len(q.items) >= q.limit/2 && q.callers.waiting(it.Caller) >= q.allowance(now, it.Caller):
+		if !q.callers.contended(now, it.Caller) {
+			// The rest of the queue is kept for other callers, but a caller alone has done nothing wrong and may go elsewhere.
+			return outcome.QueueFull
+		}
 		return outcome.CallerLimit
 	case len(q.items) >= q.limit:
 		return outcome.QueueFull
--- a/state/admission/queue_test.go
+++ b/state/admission/queue_test.go
@@ -102,6 +102,22 @@
 			}
 			fill(q, 20, "x", 3)
 		}, Item{Caller: "x"}, outcome.CallerLimit},
+		{"calls a lone caller's full part of the queue its own fault", func(q *Queue) { fill(q, 20, "x", 8) }, Item{Caller: "x"}, outcome.QueueFull},
+		{"compares a lone caller with one that has gone", func(q *Queue) {
+			fill(q, -40, "x", 1)
+			fill(q, -40, "y", 1)
+			serve(q, -40, 2, 0)
+			fill(q, 20, "x", 8)
+		}, Item{Caller: "x"}, outcome.QueueFull},
+		{"refuses the loads of a lone caller because of one that has gone", func(q *Queue) {
+			fill(q, -40, "x", 1)
+			fill(q, -40, "y", 1)
+			serve(q, -40, 2, 0)
+			for range 20 {
+				fill(q, 20, "x", 1)
+				serve(q, 20, 1, 0)
+			}
+		}, Item{Caller: "x", LoadWait: time.Second}, ""},
 		{"holds a lone caller to a share", func(q *Queue) { fill(q, 20, "x", 7) }, Item{Caller: "x", LoadWait: time.Second}, ""},
 	}
 	for _, c := range cases {
