--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -180,7 +180,7 @@
 	c.Endpoint, c.Service, c.ChecksFencing = e.Name, e.Kind == resource.Service, e.ChecksFencing
 	c.Incarnation, c.Slots, c.BatchSize = i, e.Slots, e.BatchSize
 	policy := a.configuration.Current().Policy()
-	c.Queue = policy.QueuePerEndpoint
+	c.Queue, c.LoadTime = policy.QueuePerEndpoint, time.Duration(policy.LoadTime)
 	c.KeepKeyed = max(c.KeepKeyed, time.Duration(policy.KeyRetention)+time.Hour)
 	a.limits(&c)
 	return c
--- a/daemon/agent/configuration.go
+++ b/daemon/agent/configuration.go
@@ -49,7 +49,7 @@
 			a.drain("endpoint is leaving or not declared any more")
 			continue
 		}
-		a.post(gate.Configure{BatchSize: e.BatchSize})
+		a.post(gate.Configure{BatchSize: e.BatchSize, LoadTime: time.Duration(set.Policy().LoadTime)})
 	}
 }
 
--- a/daemon/entry/admitted.go
+++ b/daemon/entry/admitted.go
@@ -113,9 +113,10 @@
 	return &sharedBudget{ratio: ratio, budget: newBudget(ratio)}
 }
 
-func newBudget(ratio float64) *retry.Budget {
-	return retry.New(ratio, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-}
+func newBudget(ratio float64) *retry.Budget { return retry.New(ratio, newRandom()) }
+
+// newRandom returns an own source of random numbers: with the same one all entries would choose alike.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // setRatio puts the ratio of a changed policy in force.
 func (s *sharedBudget) setRatio(ratio float64) {
--- a/daemon/entry/control.go
+++ b/daemon/entry/control.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"shallotring.dev/protocol/wire"
@@ -61,12 +63,15 @@
 	ended     chan ended
 	observed  chan observed
 	stopped   chan struct{}
+	// policy is the one that the table works by; weights are its weights for the metrics.
+	policy  resource.Policy
+	weights atomic.Pointer[placement.Weights]
 }
 
 func newControl(e *Entry) *control {
 	return &control{
 		entry:     e,
-		table:     placement.New(),
+		table:     placement.New(placement.WithRandom(newRandom())),
 		known:     make(map[ident.Endpoint]*known),
 		questions: make(chan question, channelDepth),
 		ended:     make(chan ended, channelDepth),
@@ -110,9 +115,33 @@
 	return placed{target: target{endpoint: name, incarnation: k.claim.Incarnation, address: k.claim.Address}}
 }
 
-// refresh follows the claims and the declared endpoints.
+// follow puts the policy in force into the table.
+func (c *control) follow(p resource.Policy) {
+	if p == c.policy {
+		return
+	}
+	c.policy = p
+	c.table.Configure(
+		placement.WithWeights(placement.Weights{LoadStall: p.LoadStallWeight, BatchEfficiency: p.BatchEfficiencyWeight}),
+		placement.WithLoadBudget(p.LoadsPerSecond, p.LoadsInFlight),
+		placement.WithLoadTime(time.Duration(p.LoadTime)),
+	)
+	w := c.table.Weights()
+	c.weights.Store(&w)
+}
+
+// weightsInForce is safe for concurrent use.
+func (c *control) weightsInForce() (w placement.Weights) {
+	if p := c.weights.Load(); p != nil {
+		w = *p
+	}
+	return w
+}
+
+// refresh follows the policy, the claims and the declared endpoints.
 func (c *control) refresh() {
 	set := c.entry.configuration.Current()
+	c.follow(set.Policy())
 	seen := make(map[ident.Endpoint]bool, len(c.known))
 	for _, claim := range c.entry.agents.Claims() {
 		r, ok := set.Endpoint(claim.Endpoint)
@@ -174,6 +203,10 @@
 		return r
 	}
 	r.Running, r.Queued = int(k.report.GetRunning()), int(k.report.GetQueued())
+	// The agent's own limits are those that it acts on; a changed resource may not have reached it yet.
+	r.BatchSize = cmp.Or(int(k.report.GetBatchSize()), r.BatchSize)
+	r.Slots = cmp.Or(int(k.report.GetSlots()), r.Slots)
+	r.Pinned = int(k.report.GetPinned())
 	r.QueueWait = time.Duration(k.report.GetQueueMilli()) * time.Millisecond
 	for _, a := range k.report.GetAdapters() {
 		av := ident.AdapterVersion{Adapter: ident.Adapter(a.GetAdapter()), Version: ident.Version(a.GetVersion())}
--- /dev/null
+++ b/daemon/entry/control_test.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"shallotring.dev/protocol/openai"
+	"shallotring.dev/protocol/wire"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+	"shallotring.dev/state/placement"
+	"shallotring.dev/state/resource"
+)
+
+// Guards against a table that keeps its default weights, or those of an earlier policy.
+func TestTableFollowsThePolicy(t *testing.T) {
+	r := startEntry(t, testSettings(), twoAgents(t))
+	configuration := r.configuration.(*fixedConfiguration)
+	for i, w := range []placement.Weights{{LoadStall: 3, BatchEfficiency: 0.5}, {LoadStall: 1, BatchEfficiency: 4}} {
+		p := resource.DefaultPolicy()
+		p.LoadStallWeight, p.BatchEfficiencyWeight = w.LoadStall, w.BatchEfficiency
+		shard := &resource.Shard{}
+		shard.Put(&p)
+		configuration.set.Store(configuration.Current().Apply(1, ident.Revision(10+i), shard))
+		waitFor(t, "the weights", func() bool { return r.control.weightsInForce() == w })
+	}
+}
+
+// Guards against fields of a load report that do not reach the table.
+func TestReportReachesTheTable(t *testing.T) {
+	k := &known{
+		resource: &resource.Endpoint{Name: "e", Kind: resource.Engine, BaseModel: "base", Zone: "z", Slots: 4, BatchSize: 8},
+		report: &wire.ReportResponse{
+			Running: 3, Queued: 2, BatchSize: 6, Slots: 5, Pinned: 1, QueueMilli: 70, Leaving: true,
+			Adapters: []*wire.AdapterState{
+				{Adapter: "a", Version: "v"}, {Adapter: "b", Version: "v", Loading: true}, {Adapter: "c", Version: "v", Failing: true},
+			},
+		},
+	}
+	list := func(name ident.Adapter) []ident.AdapterVersion {
+		return []ident.AdapterVersion{{Adapter: name, Version: "v"}}
+	}
+	want := placement.Report{
+		Endpoint: "e", Kind: resource.Engine, BaseModel: "base", Zone: "z", Leaving: true, Running: 3, Queued: 2, BatchSize: 6,
+		Slots: 5, Pinned: 1, QueueWait: 70 * time.Millisecond, Resident: list("a"), Loading: list("b"), Failing: list("c"),
+	}
+	if got := k.view(); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// Guards against requests with a shared manual that are not recognised by it, so that each computes the manual again.
+func TestSharedManualHasOnePrefix(t *testing.T) {
+	r := startEntry(t, testSettings(), twoAgents(t))
+	query := func(manual, question string) placement.Query {
+		body := fmt.Sprintf(`{"model":"core","messages":[{"role":"system","content":%q},{"role":"user","content":%q}]}`, manual, question)
+		x := r.newExchange(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/chat/completions", nil), &resource.Caller{})
+		x.body = []byte(body)
+		if err := x.resolveModel(r.current(), openai.ChatRequest); err != nil {
+			t.Fatal(err)
+		}
+		return x.query
+	}
+	manual := strings.Repeat("harvest at noon ", 100)
+	first, second := query(manual, "when?"), query(manual, "how many baskets?")
+	if first.Prefix == 0 || first.Prefix != second.Prefix || first.PromptTokens < 400 {
+		t.Errorf("same manual: %+v, %+v", first, second)
+	}
+	if other := query("pond 7: "+manual, "when?"); other.Prefix == first.Prefix {
+		t.Error("two manuals have the same prefix")
+	}
+	if short := query("be brief", "when?"); short.Prefix != 0 {
+		t.Error("a short prompt has a prefix")
+	}
+}
+
+// Guards against an entry that blames its only caller for a full house: nobody else competes for the places.
+func TestSoleCallerIsNotOverItsShare(t *testing.T) {
+	a := newAdmitted(4)
+	for i := range 4 {
+		if x := a.enter("depot", 1); x != nil {
+			t.Fatalf("request %d refused: %v", i, x)
+		}
+	}
+	if x := a.enter("depot", 1); x == nil || x.Reason != outcome.QueueFull {
+		t.Errorf("sole caller: %v", x)
+	}
+}
--- a/daemon/entry/meters.go
+++ b/daemon/entry/meters.go
@@ -26,6 +26,8 @@
 	s := metrics.NewSet()
 	s.NewGauge("shallotring_entry_requests_in_progress", func() float64 { return float64(e.admitted.count()) })
 	s.NewGauge("shallotring_entry_request_body_bytes", func() float64 { return float64(e.bodies.Load()) })
+	s.NewGauge("shallotring_entry_load_stall_weight", func() float64 { return e.control.weightsInForce().LoadStall })
+	s.NewGauge("shallotring_entry_batch_efficiency_weight", func() float64 { return e.control.weightsInForce().BatchEfficiency })
 	return &meters{
 		set:           s,
 		completed:     s.NewCounter(`shallotring_entry_requests_total{outcome="completed"}`),
--- a/state/attempt/attempt.go
+++ b/state/attempt/attempt.go
@@ -8,6 +8,7 @@
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
+	"shallotring.dev/state/retry"
 )
 
 // Budget limits and spaces retries; retry.Budget implements it.
@@ -45,6 +46,7 @@
 type Attempt struct {
 	request  Request
 	budget   Budget
+	now      time.Time
 	phase    phase
 	try      ident.TryID
 	endpoint ident.Endpoint
@@ -73,7 +75,7 @@
 
 // Step takes one event and returns the commands to carry out; the slice is valid until the next call.
 func (a *Attempt) Step(now time.Time, e Event) []Command {
-	a.out = a.out[:0]
+	a.out, a.now = a.out[:0], now
 	if a.phase == done || e.Try != 0 && e.Try != a.try.Try {
 		return nil
 	}
@@ -300,7 +302,7 @@
 func (a *Attempt) notRun(p Proof) {
 	a.proof = p
 	a.conclude(outcome.NotRun, nil)
-	if a.failure == Expired || a.failure == Abandoned || !a.retry() {
+	if a.failure == Expired || a.failure == Abandoned || a.overShare(p) || !a.retry() {
 		a.finishNotRun(a.failure)
 	}
 }
@@ -315,14 +317,23 @@
 	}
 }
 
+// overShare reports a refusal that asks the caller to send less: a try elsewhere would only move its excess there.
+func (a *Attempt) overShare(p Proof) bool {
+	return p == AgentRefused && a.refusal.Reason == outcome.CallerLimit
+}
+
 func (a *Attempt) retry() bool {
-	if a.Tries() >= a.request.MaxTries || !a.budget.Take() {
+	if a.Tries() >= a.request.MaxTries {
+		return false
+	}
+	wait := a.budget.Backoff(a.Tries())
+	if !retry.Worthwhile(a.now, wait, a.request.Deadline) || !a.budget.Take() {
 		return false
 	}
 	a.exclude = append(slices.Clip(a.exclude), a.endpoint)
 	a.failure = ""
 	a.phase = waiting
-	a.emit(Command{Kind: Wait, Wait: a.budget.Backoff(a.Tries())})
+	a.emit(Command{Kind: Wait, Wait: wait})
 	return true
 }
 
--- a/state/gate/event.go
+++ b/state/gate/event.go
@@ -124,10 +124,12 @@
 	Incarnation ident.Incarnation
 }
 
-// Configure reports the parts of the Endpoint resource that can change while the agent runs.
+// Configure reports the parts of the Endpoint and Policy resources that can change while the agent runs.
 type Configure struct {
 	BatchSize int
-	Leaving   bool
+	// LoadTime is the expected time of a load; zero leaves it as it is.
+	LoadTime time.Duration
+	Leaving  bool
 }
 
 // Drain stops new work for good.
--- a/state/gate/gate.go
+++ b/state/gate/gate.go
@@ -229,6 +229,9 @@
 	if c.BatchSize > 0 {
 		g.BatchSize = c.BatchSize
 	}
+	if c.LoadTime > 0 {
+		g.LoadTime = c.LoadTime
+	}
 	if c.Leaving {
 		g.leave()
 	}
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -84,15 +84,23 @@
 		names: make(map[ident.Endpoint]*endpoint), pools: make(map[poolKey]*pool),
 		adapters: make(map[ident.AdapterVersion]*adapter),
 	}
-	for _, o := range options {
-		o(t)
-	}
+	t.Configure(options...)
 	if t.random == nil {
 		t.random = rand.New(rand.NewPCG(1, 1))
 	}
 	return t
 }
 
+// Configure changes properties of the table; what it knows of endpoints and demand stays.
+func (t *Table) Configure(options ...Option) {
+	for _, o := range options {
+		o(t)
+	}
+}
+
+// Weights returns the weights in force.
+func (t *Table) Weights() Weights { return t.weights }
+
 // seconds returns the time on the table's own scale, which starts with its first event.
 func (t *Table) seconds(now time.Time) float64 {
 	if t.epoch.IsZero() {
--- a/state/placement/table_test.go
+++ b/state/placement/table_test.go
@@ -244,3 +244,21 @@
 		t.Errorf("%v allocations", n)
 	}
 }
+
+// Guards against a table that keeps the weights, load budget and load time of an earlier policy.
+func TestConfigure(t *testing.T) {
+	x := New()
+	if got := x.absentTime(0); got != 250 {
+		t.Errorf("load time %v ms by default", got)
+	}
+	w := Weights{LoadStall: 2, BatchEfficiency: 3}
+	x.Configure(WithWeights(w), WithLoadBudget(2, 1), WithLoadTime(time.Second))
+	if x.Weights() != w || x.absentTime(0) != 1000 {
+		t.Errorf("weights %v, load time %v ms", x.Weights(), x.absentTime(0))
+	}
+	x.loads = 3
+	// Two loads go first at two a second; four loads share the store that takes one in this time.
+	if got := x.absentTime(0); got != 5000 {
+		t.Errorf("wait behind three loads: %v ms", got)
+	}
+}
--- a/state/resource/policy.go
+++ b/state/resource/policy.go
@@ -13,6 +13,7 @@
 		BatchEfficiencyWeight: 1,
 		LoadsPerSecond:        4,
 		LoadsInFlight:         8,
+		LoadTime:              Duration(250 * time.Millisecond),
 		QueuePerEndpoint:      64,
 		RetryRatio:            0.1,
 		KeyRetention:          Duration(24 * time.Hour),
--- a/state/resource/resource.go
+++ b/state/resource/resource.go
@@ -122,6 +122,8 @@
 	// LoadsPerSecond and LoadsInFlight bound the loads of all engines together.
 	LoadsPerSecond float64
 	LoadsInFlight  int
+	// LoadTime is the time of one load while no more than LoadsInFlight are in flight; zero means the default.
+	LoadTime Duration
 	// QueuePerEndpoint bounds the tries that wait at an agent.
 	QueuePerEndpoint int
 	// RetryRatio is the share of fresh requests that may be retried.
--- a/state/resource/set.go
+++ b/state/resource/set.go
@@ -112,10 +112,15 @@
 
 // Policy returns the policy named "default", or the built-in policy if none is declared.
 func (s *Set) Policy() Policy {
-	if p, ok := s.policies[DefaultPolicyName]; ok {
-		return *p
+	p, ok := s.policies[DefaultPolicyName]
+	if !ok {
+		return DefaultPolicy()
 	}
-	return DefaultPolicy()
+	policy := *p
+	if policy.LoadTime == 0 {
+		policy.LoadTime = DefaultPolicy().LoadTime
+	}
+	return policy
 }
 
 // Route returns the route with the longest matching prefix; ok is false if none matches.
--- a/state/resource/validate.go
+++ b/state/resource/validate.go
@@ -105,6 +105,8 @@
 		return eris.New("LoadsPerSecond: must be positive")
 	case p.LoadsInFlight < 1:
 		return eris.New("LoadsInFlight: must be at least 1")
+	case p.LoadTime < 0:
+		return eris.New("LoadTime: must not be negative")
 	case p.QueuePerEndpoint < 1:
 		return eris.New("QueuePerEndpoint: must be at least 1")
 	case p.RetryRatio < 0 || p.RetryRatio > 1:
