--- a/coordination/loadpermit/fake_test.go
+++ b/coordination/loadpermit/fake_test.go
@@ -193,14 +193,14 @@
 	return &fixedShare{n, permit.New(rate/float64(agents), 1, time.Now())}
 }
 
-func (s *fixedShare) Take(_ context.Context, e ident.Endpoint, _ int) (granted int, expiry time.Duration, err error) {
+func (s *fixedShare) Take(_ context.Context, e ident.Endpoint, _ int, _ time.Duration) (g permit.Grant, err error) {
 	s.network.mu.Lock()
 	defer s.network.mu.Unlock()
 	if !s.budget.Take(time.Now(), e) {
-		return 0, permit.Expiry, nil
+		return permit.Grant{Expiry: permit.Expiry}, nil
 	}
 	s.network.grants = append(s.network.grants, grant{time.Now(), string(e)})
-	return 1, permit.Expiry, nil
+	return permit.Grant{Granted: 1, Expiry: permit.Expiry}, nil
 }
 
 func (s *fixedShare) Done(e ident.Endpoint) {
@@ -212,8 +212,8 @@
 // noShare grants nothing, so that all permits are those of holders.
 type noShare struct{}
 
-func (noShare) Take(context.Context, ident.Endpoint, int) (granted int, expiry time.Duration, err error) {
-	return 0, 0, nil
+func (noShare) Take(context.Context, ident.Endpoint, int, time.Duration) (g permit.Grant, err error) {
+	return g, nil
 }
 
 func (noShare) Done(ident.Endpoint) {}
@@ -221,9 +221,9 @@
 // countingShare grants one permit at each ask.
 type countingShare struct{ taken, done int }
 
-func (s *countingShare) Take(context.Context, ident.Endpoint, int) (granted int, expiry time.Duration, err error) {
+func (s *countingShare) Take(context.Context, ident.Endpoint, int, time.Duration) (g permit.Grant, err error) {
 	s.taken++
-	return 1, time.Second, nil
+	return permit.Grant{Granted: 1, Expiry: time.Second}, nil
 }
 
 func (s *countingShare) Done(ident.Endpoint) { s.done++ }
--- a/state/gate/event.go
+++ b/state/gate/event.go
@@ -76,6 +76,8 @@
 type Permits struct {
 	Granted int
 	Until   time.Time
+	// Wait is the expected time until one more permit is granted.
+	Wait time.Duration
 }
 
 // Model is one adapter that the engine lists.
@@ -122,10 +124,12 @@
 	Incarnation ident.Incarnation
 }
 
-// Configure reports the parts of the Endpoint resource that can change while the agent runs.
+// Configure reports the parts of the Endpoint and Policy resources that can change while the agent runs.
 type Configure struct {
 	BatchSize int
-	Leaving   bool
+	// LoadTime is the expected time of a load; zero leaves it as it is.
+	LoadTime time.Duration
+	Leaving  bool
 }
 
 // Drain stops new work for good.
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -129,6 +129,7 @@
 	g.synced = true
 	for _, m := range s.Models {
 		g.slots.Loaded(g.now, m.Adapter)
+		g.queue.Loaded(g.now, m.Adapter)
 		g.record(m.Adapter).digest = m.Digest
 	}
 	own := make(map[string]bool)
@@ -171,6 +172,7 @@
 		a.digest = m.Digest
 		if g.slots.State(m.Adapter) == slots.Absent {
 			g.slots.Loaded(g.now, m.Adapter)
+			g.queue.Loaded(g.now, m.Adapter)
 			// A delayed load has taken effect; a delayed unload of the same adapter may follow it.
 			if g.now.Before(a.quarantine) {
 				g.evict(m.Adapter)
