--- a/daemon/agent/fake_test.go
+++ b/daemon/agent/fake_test.go
@@ -60,10 +60,18 @@
 }
 
 // fixedConfiguration never changes.
-type fixedConfiguration struct{ set *resource.Set }
+type fixedConfiguration struct {
+	set        *resource.Set
+	generation ident.Revision
+	failure    string
+}
 
 func (f fixedConfiguration) Current() *resource.Set { return f.set }
 
+func (f fixedConfiguration) Generation() ident.Revision { return f.generation }
+
+func (f fixedConfiguration) Failure() string { return f.failure }
+
 func (f fixedConfiguration) Refresh(context.Context, ident.Revision) (err error) { return nil }
 
 const digest = "00"
@@ -89,7 +97,7 @@
 		sh.Put(r)
 		set = set.Apply(n.Shard(), ident.Revision(i+1), sh)
 	}
-	return fixedConfiguration{set}
+	return fixedConfiguration{set: set}
 }
 
 // fakeEngine answers as an engine and as a plain service.
--- a/daemon/agent/options.go
+++ b/daemon/agent/options.go
@@ -18,6 +18,10 @@
 type Configuration interface {
 	// Current returns the configuration in force.
 	Current() *resource.Set
+	// Generation returns the revision up to which each change is in force.
+	Generation() ident.Revision
+	// Failure says why the newest configuration is not in force; empty if nothing is known to be missing.
+	Failure() string
 	// Refresh brings the configuration up to the revision or returns an error.
 	Refresh(ctx context.Context, revision ident.Revision) (err error)
 }
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -63,7 +63,7 @@
 		Queued:      uint32(r.Queued),
 		BatchSize:   uint32(r.BatchSize),
 		Slots:       uint32(r.Slots),
-		Generation:  int64(s.agent.configuration.Current().Newest()),
+		Generation:  int64(s.agent.configuration.Generation()),
 		QueueMilli:  r.Wait.Milliseconds(),
 		Pinned:      uint32(r.Pinned),
 	}
@@ -89,7 +89,8 @@
 // InForce returns the newest configuration revision in force and, if asked for, the contact with the key-value service.
 func (s *service) InForce(ctx context.Context, r *wire.InForceRequest) (resp *wire.InForceResponse, err error) {
 	resp = &wire.InForceResponse{
-		Process: string(s.agent.process), Role: string(registry.RoleAgent), Generation: int64(s.agent.configuration.Current().Newest()),
+		Process: string(s.agent.process), Role: string(registry.RoleAgent), Generation: int64(s.agent.configuration.Generation()),
+		Failure: s.agent.configuration.Failure(),
 	}
 	if r.GetContact() {
 		var age time.Duration
