engine: check the claim at each write to the socket, and report its effect truly

Cause: TestFrozenAgent failed in a full run ('stale commands: /v1/completions with 12 after 14') at an engine that ignores fencing numbers: the last check was made while the body was read, and under load the process can lose its processor for longer than its lease before the write. Reading that code showed a second fault: net/http reads once more after the last byte, when the request has left; a check that failed there reported no effect, so a run would be told as not run (G4). Ruled out: the claim itself, its tests of three agents pass. Change: the connection checks before each write, which replaces the check of the body. A refused write counts as no effect only if no byte of the request was written before, because a service may act on the header alone. Conclusion: what remains is a pause inside the write itself.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,7 +38,6 @@
 	hosts         HostList
 	clock         quartz.Clock
 	log           *timeline.Log
-	transport     http.RoundTripper
 	limits        func(*gate.Config)
 
 	metrics *metrics.Set
@@ -198,9 +196,6 @@
 			}
 		}),
 	)
-	if a.transport != nil {
-		list = append(list, engine.WithTransport(a.transport))
-	}
 	return list
 }
 
--- a/daemon/agent/options.go
+++ b/daemon/agent/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
@@ -50,8 +49,5 @@
 // WithMetrics sets the set that the metrics are registered in and that the admin port shows.
 func WithMetrics(s *metrics.Set) Option { return func(a *Agent) { a.metrics = s } }
 
-// WithTransport replaces the HTTP transport to the endpoint.
-func WithTransport(t http.RoundTripper) Option { return func(a *Agent) { a.transport = t } }
-
 // WithLimits changes the limits of the gate; the fields that describe the endpoint are set by its resource.
 func WithLimits(fn func(*gate.Config)) Option { return func(a *Agent) { a.limits = fn } }
--- a/protocol/engine/client.go
+++ b/protocol/engine/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -26,13 +27,20 @@
 	HeaderPriority       = "X-Request-Priority"
 )
 
-// maxAnswerBytes bounds the answers of commands and lists.
-const maxAnswerBytes = 4 << 20
+const (
+	// maxAnswerBytes bounds the answers of commands and lists.
+	maxAnswerBytes = 4 << 20
+	// writeBufferBytes lets most requests leave in one write, whose guard is then the last check of the whole request.
+	writeBufferBytes = 64 << 10
+)
 
 // Client calls one endpoint; it is safe for concurrent use.
 type Client struct {
-	base     *url.URL
-	http     *http.Client
+	base *url.URL
+	// commands checks the guard at each write to a connection; lists are read without it.
+	commands *http.Client
+	lists    *http.Client
+	dial     Dial
 	guard    func() (err error)
 	observed func(ident.StartID)
 	// pollEvery is the time between two looks at the list of adapters during a load or unload.
@@ -43,8 +51,8 @@
 // Option changes how a client is built.
 type Option func(*Client)
 
-// WithTransport replaces the HTTP transport.
-func WithTransport(t http.RoundTripper) Option { return func(c *Client) { c.http.Transport = t } }
+// WithDial replaces how connections are opened.
+func WithDial(dial Dial) Option { return func(c *Client) { c.dial = dial } }
 
 // WithGuard sets a check that is made immediately before each command and request is sent; its error stops the call.
 func WithGuard(guard func() (err error)) Option { return func(c *Client) { c.guard = guard } }
@@ -68,22 +76,35 @@
 	}
 	c = &Client{
 		base:      u,
-		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute}},
+		dial:      (&net.Dialer{}).DialContext,
 		guard:     func() error { return nil },
 		observed:  func(ident.StartID) {},
 		pollEvery: 20 * time.Millisecond,
 		after:     time.After,
 	}
-	// A redirect would repeat a request at an address that no operator declared.
-	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	for _, o := range options {
 		o(c)
 	}
+	c.commands = newHTTPClient(guardedDial(c.dial, c.guard))
+	c.lists = newHTTPClient(c.dial)
 	return c, nil
 }
 
+func newHTTPClient(dial Dial) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, WriteBufferSize: writeBufferBytes,
+		},
+		// A redirect would repeat a request at an address that no operator declared.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Close drops the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.commands.CloseIdleConnections()
+	c.lists.CloseIdleConnections()
+}
 
 // Model is one adapter that the engine lists.
 type Model struct {
@@ -202,7 +223,7 @@
 	if err != nil {
 		return "", err
 	}
-	resp, err := c.http.Do(r)
+	resp, err := c.lists.Do(r)
 	if err != nil {
 		return "", err
 	}
@@ -256,16 +277,12 @@
 	if r.Body == http.NoBody {
 		r.Body = io.NopCloser(strings.NewReader(""))
 	}
-	r.Body = guardedBody{ReadCloser: r.Body, guard: c.guard}
+	r.Body = readOnce{r.Body}
 	trace := &connectTrace{}
 	if err = c.guard(); err != nil {
 		return nil, &CallError{Effect: NoEffect, Err: err}
 	}
-	resp, err = c.http.Do(trace.attach(r))
-	var refused *CallError
-	if errors.As(err, &refused) {
-		return nil, refused
-	}
+	resp, err = c.commands.Do(trace.attach(r))
 	if err != nil {
 		return nil, &CallError{Effect: trace.effect(err), Err: withoutURL(err)}
 	}
@@ -277,6 +294,9 @@
 	return resp, nil
 }
 
+// readOnce hides from net/http that a body could be read again.
+type readOnce struct{ io.ReadCloser }
+
 func (c *Client) url(path string) string {
 	return strings.TrimSuffix(c.base.String(), "/") + "/" + strings.TrimPrefix(path, "/")
 }
--- a/protocol/engine/client_test.go
+++ b/protocol/engine/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -114,6 +115,63 @@
 	}
 }
 
+// Guards against a request that arrives whole although one of its checks has failed (G2).
+func TestNoWholeRequestAfterAFailedCheck(t *testing.T) {
+	call := Call{ID: id, Service: true, Method: http.MethodPost, Path: "/x", Body: []byte("{}")}
+	for allowed := int32(0); ; allowed++ {
+		var whole, checks atomic.Int32
+		handler := func(_ http.ResponseWriter, r *http.Request) {
+			if body, err := io.ReadAll(r.Body); err == nil && string(body) == "{}" {
+				whole.Add(1)
+			}
+		}
+		c := serve(t, handler, WithGuard(func() error {
+			if checks.Add(1) > allowed {
+				return eris.New("lease")
+			}
+			return nil
+		}))
+		_, _, err := c.Run(t.Context(), 7, call, func(Answer, []byte) error { return nil })
+		if checks.Load() <= allowed {
+			if EffectOf(err) != Done || whole.Load() != 1 {
+				t.Errorf("all checks passed: effect %v, %d requests", EffectOf(err), whole.Load())
+			}
+			return
+		}
+		// The check before the call and the one before the first write come before any byte.
+		want := MayHaveEffect
+		if allowed < 2 {
+			want = NoEffect
+		}
+		if EffectOf(err) != want || whole.Load() != 0 {
+			t.Errorf("%d checks passed: effect %v, want %v, %d requests", allowed, EffectOf(err), want, whole.Load())
+		}
+	}
+}
+
+// Guards against a write to the socket after a pause since the check of the body.
+func TestGuardedConnection(t *testing.T) {
+	c := serve(t, func(http.ResponseWriter, *http.Request) {})
+	refused := false
+	conn, err := guardedDial((&net.Dialer{}).DialContext, func() error {
+		if refused {
+			return eris.New("lease")
+		}
+		return nil
+	})(t.Context(), "tcp", c.base.Host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if n, err := conn.Write([]byte("GET")); n != 3 || err != nil {
+		t.Errorf("allowed: %d bytes, %v", n, err)
+	}
+	refused = true
+	if n, err := conn.Write([]byte(" /")); n != 0 || err == nil {
+		t.Errorf("refused: %d bytes, %v", n, err)
+	}
+}
+
 // Guards against net/http sending a request a second time after a reused connection broke (G5).
 func TestTransportNeverRepeats(t *testing.T) {
 	var count atomic.Int32
--- a/protocol/engine/effect.go
+++ b/protocol/engine/effect.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -51,19 +52,41 @@
 	return MayHaveEffect
 }
 
-// connectTrace records whether a connection was handed to a request; before that no byte of it can have left.
-type connectTrace struct{ connected atomic.Bool }
+// connectTrace records the connection that a request got; before that no byte of it can have left.
+type connectTrace struct {
+	connected atomic.Bool
+	conn      atomic.Pointer[guardedConn]
+	// before is the number of bytes written to the connection before the request.
+	before atomic.Int64
+}
 
 func (t *connectTrace) attach(r *http.Request) *http.Request {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: t.got}
 	return r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 }
 
-// effect classifies an error of the transport.
+func (t *connectTrace) got(info httptrace.GotConnInfo) {
+	conn := info.Conn
+	if x, ok := conn.(*tls.Conn); ok {
+		conn = x.NetConn()
+	}
+	if g, ok := conn.(*guardedConn); ok {
+		t.before.Store(g.written.Load())
+		t.conn.Store(g)
+	}
+	t.connected.Store(true)
+}
+
+// effect classifies an error of the transport. A service may act on the header alone, so a write that was refused after
+// the first one leaves the effect open.
 func (t *connectTrace) effect(err error) Effect {
 	var op *net.OpError
 	if !t.connected.Load() || (errors.As(err, &op) && op.Op == "dial") {
 		return NoEffect
 	}
+	var refused *guardError
+	if g := t.conn.Load(); g != nil && errors.As(err, &refused) && g.written.Load() == t.before.Load() {
+		return NoEffect
+	}
 	return MayHaveEffect
 }
--- a/protocol/engine/guarded_test.go
+++ b/protocol/engine/guarded_test.go
@@ -33,12 +33,11 @@
 				defer ended.Store(true)
 				return (&net.Dialer{}).DialContext(ctx, network, address)
 			}
-			transport := &http.Transport{DialContext: dial}
 			c := serve(t, func(_ http.ResponseWriter, r *http.Request) {
 				if _, err := io.ReadAll(r.Body); err == nil {
 					runs.Add(1)
 				}
-			}, WithGuard(guard), WithTransport(transport))
+			}, WithGuard(guard), WithDial(dial))
 			_, _, err := c.Run(t.Context(), 7, Call{
 				ID: id, Adapter: av, Service: service, Method: http.MethodPost, Path: "/v1/completions", Body: []byte(body),
 			}, func(Answer, []byte) error { return nil })
