Convert ids and outcomes of messages in one place

Cause: four packages had their own conversions of try ids and outcomes. Conclusion: a new outcome cannot be mapped in two ways.

--- a/coordination/bucket/call.go
+++ b/coordination/bucket/call.go
@@ -129,7 +129,7 @@
 	c, ok := o.lines[n].call(ctx, func(t ledger.Token) ledger.Event {
 		return ledger.Intend{
 			Token: t, Caller: ident.Caller(r.Caller), Key: ident.Key(r.Key), Digest: r.BodyDigest,
-			ID: tryID(r.ID), Endpoint: ident.Endpoint(r.Endpoint),
+			ID: r.ID.Ident(), Endpoint: ident.Endpoint(r.Endpoint),
 		}
 	}).(ledger.IntendReply)
 	if !ok {
@@ -145,8 +145,8 @@
 func (o *Owner) concludeLocal(ctx context.Context, n int, r *wire.ConcludeRequest) *wire.ConcludeResponse {
 	c, ok := o.lines[n].call(ctx, func(t ledger.Token) ledger.Event {
 		return ledger.Conclude{
-			Token: t, Caller: ident.Caller(r.Caller), Key: ident.Key(r.Key), ID: tryID(r.ID),
-			Outcome: outcomeOf(r.Outcome), Answer: answerOf(r.Answer),
+			Token: t, Caller: ident.Caller(r.Caller), Key: ident.Key(r.Key), ID: r.ID.Ident(),
+			Outcome: r.Outcome.State(), Answer: answerOf(r.Answer),
 		}
 	}).(ledger.ConcludeReply)
 	if !ok {
--- a/coordination/bucket/convert.go
+++ b/coordination/bucket/convert.go
@@ -4,31 +4,8 @@
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/ledger"
-	"shallotring.dev/state/outcome"
 )
 
-func tryID(t *wire.TryID) ident.TryID {
-	return ident.TryID{
-		RequestID: ident.RequestID(t.GetRequestID()), Try: ident.Try(t.GetTry()),
-		Incarnation: ident.Incarnation(t.GetIncarnation()),
-	}
-}
-
-func wireTryID(t ident.TryID) *wire.TryID {
-	return &wire.TryID{RequestID: string(t.RequestID), Try: uint32(t.Try), Incarnation: int64(t.Incarnation)}
-}
-
-func outcomeOf(o wire.Outcome) outcome.Outcome {
-	switch o {
-	case wire.Outcome_OUTCOME_COMPLETED:
-		return outcome.Completed
-	case wire.Outcome_OUTCOME_NOT_RUN:
-		return outcome.NotRun
-	default:
-		return outcome.Unknown
-	}
-}
-
 func answerOf(a *wire.Answer) *ledger.Answer {
 	if a == nil {
 		return nil
--- a/coordination/bucket/perform.go
+++ b/coordination/bucket/perform.go
@@ -114,7 +114,7 @@
 	if !ok {
 		return e
 	}
-	a, err := l.owner.agent(address).Settle(ctx, &wire.SettleRequest{ID: wireTryID(x.ID)})
+	a, err := l.owner.agent(address).Settle(ctx, &wire.SettleRequest{ID: wire.NewTryID(x.ID)})
 	if err != nil {
 		return e
 	}
--- a/daemon/agent/run.go
+++ b/daemon/agent/run.go
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithCancel(a.work)
 	defer cancel()
 	j := &job{
-		agent: a, request: request, id: tryID(request.GetID()), began: a.clock.Now(),
+		agent: a, request: request, id: request.GetID().Ident(), began: a.clock.Now(),
 		stream: &stream{start: make(chan gate.Start, 1), finish: make(chan gate.Finish, 1), cancel: cancel},
 		out:    frame.NewWriter(out, request.GetID()),
 		flush:  out.flush,
@@ -264,7 +264,7 @@
 		return
 	}
 	_ = j.send(j.out.End(&wire.End{
-		Outcome: wireOutcome(x.Outcome), PromptTokens: uint64(j.usage.PromptTokens), CompletionTokens: uint64(j.usage.CompletionTokens),
+		Outcome: wire.NewOutcome(x.Outcome), PromptTokens: uint64(j.usage.PromptTokens), CompletionTokens: uint64(j.usage.CompletionTokens),
 		StallMilli: j.stall.Milliseconds(), Detail: finishDetail(x),
 	}, int32(j.status.Status), j.status.ContentType))
 }
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -32,7 +32,7 @@
 
 // Settle says what became of a try.
 func (s *service) Settle(ctx context.Context, r *wire.SettleRequest) (resp *wire.SettleResponse, err error) {
-	id := tryID(r.GetID())
+	id := r.GetID().Ident()
 	commands, err := s.agent.ask(ctx, gate.Settle{ID: id, Cancel: r.GetCancel()}, nil)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
@@ -105,22 +105,6 @@
 	return resp, nil
 }
 
-func tryID(id *wire.TryID) ident.TryID {
-	return ident.TryID{
-		RequestID: ident.RequestID(id.GetRequestID()), Try: ident.Try(id.GetTry()), Incarnation: ident.Incarnation(id.GetIncarnation()),
-	}
-}
-
-func wireOutcome(o outcome.Outcome) wire.Outcome {
-	switch o {
-	case outcome.Completed:
-		return wire.Outcome_OUTCOME_COMPLETED
-	case outcome.NotRun:
-		return wire.Outcome_OUTCOME_NOT_RUN
-	}
-	return wire.Outcome_OUTCOME_UNKNOWN
-}
-
 func wireRefusal(r *outcome.Refusal) *wire.Refusal {
 	return &wire.Refusal{Reason: string(r.Reason), RetryAfterMilli: r.RetryAfter.Milliseconds(), Detail: r.Detail}
 }
--- a/daemon/entry/exchange.go
+++ b/daemon/entry/exchange.go
@@ -219,7 +219,7 @@
 		Caller:     string(x.caller.Name),
 		Key:        string(x.key),
 		BodyDigest: h.Sum(nil),
-		ID:         tryID(c.Try),
+		ID:         wire.NewTryID(c.Try),
 		Endpoint:   string(c.Endpoint),
 	})
 	if err != nil {
@@ -237,8 +237,8 @@
 	r, err := x.entry.ledger.Conclude(ctx, &wire.ConcludeRequest{
 		Caller:  string(x.caller.Name),
 		Key:     string(x.key),
-		ID:      tryID(c.Try),
-		Outcome: wireOutcome(c.Outcome),
+		ID:      wire.NewTryID(c.Try),
+		Outcome: wire.NewOutcome(c.Outcome),
 		Answer:  c.Answer,
 	})
 	if err != nil || !r.GetRecorded() {
@@ -256,7 +256,7 @@
 		body = x.body
 	}
 	text, err := proto.Marshal(&wire.RunRequest{
-		ID:                tryID(c.Try),
+		ID:                wire.NewTryID(c.Try),
 		Endpoint:          string(c.Endpoint),
 		Adapter:           string(x.adapter.Adapter),
 		Version:           string(x.adapter.Version),
@@ -324,7 +324,7 @@
 		e.Kind, e.Reason, e.Outcome = timeline.TryRefused, outcome.Reason(r.GetReason()), outcome.NotRun
 	}
 	if end := f.GetEnd(); end != nil {
-		e.Outcome = stateOutcome(end.GetOutcome())
+		e.Outcome = end.GetOutcome().State()
 		e.PromptTokens, e.CompletionTokens = ident.Tokens(end.GetPromptTokens()), ident.Tokens(end.GetCompletionTokens())
 		e.Stall = time.Duration(end.GetStallMilli()) * time.Millisecond
 	}
@@ -363,7 +363,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.entry.settings.SettleTimeout)
 	defer cancel()
 	// A keyed try is not cancelled: it may have had its effect, and the ledger returns its response when the key is repeated.
-	r, err := x.entry.agent(x.target.address).Settle(ctx, &wire.SettleRequest{ID: tryID(c.Try), Cancel: x.key == ""})
+	r, err := x.entry.agent(x.target.address).Settle(ctx, &wire.SettleRequest{ID: wire.NewTryID(c.Try), Cancel: x.key == ""})
 	if err != nil {
 		return nil
 	}
@@ -398,27 +398,3 @@
 	e.Adapter, e.Version, e.Service = x.adapter.Adapter, x.adapter.Version, x.service
 	x.entry.log.Event(e)
 }
-
-func tryID(t ident.TryID) *wire.TryID {
-	return &wire.TryID{RequestID: string(t.RequestID), Try: uint32(t.Try), Incarnation: int64(t.Incarnation)}
-}
-
-func wireOutcome(o outcome.Outcome) wire.Outcome {
-	switch o {
-	case outcome.Completed:
-		return wire.Outcome_OUTCOME_COMPLETED
-	case outcome.NotRun:
-		return wire.Outcome_OUTCOME_NOT_RUN
-	}
-	return wire.Outcome_OUTCOME_UNKNOWN
-}
-
-func stateOutcome(o wire.Outcome) outcome.Outcome {
-	switch o {
-	case wire.Outcome_OUTCOME_COMPLETED:
-		return outcome.Completed
-	case wire.Outcome_OUTCOME_NOT_RUN:
-		return outcome.NotRun
-	}
-	return outcome.Unknown
-}
--- a/soak/fleet/agent.go
+++ b/soak/fleet/agent.go
@@ -8,7 +8,6 @@
 	"shallotring.dev/soak/backend"
 	"shallotring.dev/state/gate"
 	"shallotring.dev/state/ident"
-	"shallotring.dev/state/outcome"
 	"shallotring.dev/state/permit"
 	"shallotring.dev/state/resource"
 )
@@ -321,13 +320,3 @@
 	}
 	return &wire.SettleResponse{State: wire.TryState_TRY_STATE_UNKNOWN}
 }
-
-func wireOutcome(o outcome.Outcome) wire.Outcome {
-	switch o {
-	case outcome.Completed:
-		return wire.Outcome_OUTCOME_COMPLETED
-	case outcome.NotRun:
-		return wire.Outcome_OUTCOME_NOT_RUN
-	}
-	return wire.Outcome_OUTCOME_UNKNOWN
-}
--- a/soak/fleet/exchange.go
+++ b/soak/fleet/exchange.go
@@ -164,7 +164,7 @@
 	}
 	x.blocked = true
 	x.entry.conclude(&wire.ConcludeRequest{
-		Caller: string(x.request.Caller), Key: string(x.request.Key), ID: wireTryID(c.Try), Outcome: wireOutcome(c.Outcome), Answer: c.Answer,
+		Caller: string(x.request.Caller), Key: string(x.request.Key), ID: wireTryID(c.Try), Outcome: wire.NewOutcome(c.Outcome), Answer: c.Answer,
 	}, func(recorded bool) {
 		x.note("conclude of try %d as %s, recorded %t", c.Try.Try, c.Outcome, recorded)
 		x.blocked = false
--- a/soak/fleet/job.go
+++ b/soak/fleet/job.go
@@ -224,7 +224,7 @@
 // finish writes the last frame.
 func (j *job) finish(x gate.Finish) {
 	if !j.broken {
-		_ = j.out.End(&wire.End{Outcome: wireOutcome(x.Outcome), Detail: x.Detail}, 200, j.contentType())
+		_ = j.out.End(&wire.End{Outcome: wire.NewOutcome(x.Outcome), Detail: x.Detail}, 200, j.contentType())
 	}
 	j.stream.end()
 }
--- a/soak/fleet/line.go
+++ b/soak/fleet/line.go
@@ -12,7 +12,6 @@
 	"shallotring.dev/soak/store"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/ledger"
-	"shallotring.dev/state/outcome"
 )
 
 const (
@@ -294,7 +293,7 @@
 		e.callEntry(to, 4*ledgerCall, func(p *entry, reply func(any)) {
 			p.lines[n].call(func(t ledger.Token) ledger.Event {
 				return ledger.Intend{Token: t, Caller: ident.Caller(r.Caller), Key: ident.Key(r.Key), Digest: r.BodyDigest,
-					ID: identTryID(r.ID), Endpoint: ident.Endpoint(r.Endpoint)}
+					ID: r.ID.Ident(), Endpoint: ident.Endpoint(r.Endpoint)}
 			}, func(c ledger.Command) {
 				x := c.(ledger.IntendReply)
 				w := &wire.IntendResponse{State: intentStates[x.Decision], Answer: wireAnswer(x.Answer), RetryAfterMilli: x.RetryAfter.Milliseconds()}
@@ -331,8 +330,8 @@
 	e.route(n, func(to ident.Process, next func(ident.Process)) {
 		e.callEntry(to, 4*ledgerCall, func(p *entry, reply func(any)) {
 			p.lines[n].call(func(t ledger.Token) ledger.Event {
-				return ledger.Conclude{Token: t, Caller: ident.Caller(r.Caller), Key: ident.Key(r.Key), ID: identTryID(r.ID),
-					Outcome: outcomeOf(r.Outcome), Answer: ledgerAnswer(r.Answer)}
+				return ledger.Conclude{Token: t, Caller: ident.Caller(r.Caller), Key: ident.Key(r.Key), ID: r.ID.Ident(),
+					Outcome: r.Outcome.State(), Answer: ledgerAnswer(r.Answer)}
 			}, func(c ledger.Command) {
 				x := c.(ledger.ConcludeReply)
 				w := &wire.ConcludeResponse{Recorded: x.Recorded}
@@ -373,17 +372,3 @@
 func unavailable() *wire.IntendResponse {
 	return &wire.IntendResponse{State: wire.IntentState_INTENT_STATE_UNAVAILABLE, RetryAfterMilli: 1000}
 }
-
-func identTryID(t *wire.TryID) ident.TryID {
-	return ident.TryID{RequestID: ident.RequestID(t.GetRequestID()), Try: ident.Try(t.GetTry()), Incarnation: ident.Incarnation(t.GetIncarnation())}
-}
-
-func outcomeOf(o wire.Outcome) outcome.Outcome {
-	switch o {
-	case wire.Outcome_OUTCOME_COMPLETED:
-		return outcome.Completed
-	case wire.Outcome_OUTCOME_NOT_RUN:
-		return outcome.NotRun
-	}
-	return outcome.Unknown
-}
