standin: check the fencing number when a request is whole

Cause: TestFrozenAgent failed once in 8 repetitions at the engine that checks fencing numbers ('ran with fencing number 12 after 14'). The stand-in checked at the arrival of the header; a former agent that was frozen between header and body finished the request after its successor's first command. Ruled out: the agent, which may go on past its lease at such an engine by design. Change: the stand-in checks again in the step that starts or unloads, as an engine must; the agent's client sends a small request in one write again. Conclusion: the contract of engines that check is now explicit.

--- a/protocol/engine/client.go
+++ b/protocol/engine/client.go
@@ -277,7 +277,6 @@
 	if r.Body == http.NoBody {
 		r.Body = io.NopCloser(strings.NewReader(""))
 	}
-	r.Body = readOnce{r.Body}
 	trace := &connectTrace{}
 	if err = c.guard(); err != nil {
 		return nil, &CallError{Effect: NoEffect, Err: err}
@@ -294,9 +293,6 @@
 	return resp, nil
 }
 
-// readOnce hides from net/http that a body could be read again.
-type readOnce struct{ io.ReadCloser }
-
 func (c *Client) url(path string) string {
 	return strings.TrimSuffix(c.base.String(), "/") + "/" + strings.TrimPrefix(path, "/")
 }
--- a/standin/engine/api.go
+++ b/standin/engine/api.go
@@ -100,7 +100,7 @@
 func (e *Engine) fence(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !e.checkFencing(r.URL.Path, fencingNumber(r)) {
-			writeError(w, http.StatusPreconditionFailed, "old_fencing_number", "the fencing number is old")
+			writeFenced(w)
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -161,8 +161,10 @@
 	if !readJSON(w, r, &c) {
 		return
 	}
-	err := e.load(r.Context(), c.Name, c.Path)
+	err := e.load(r.Context(), c.Name, c.Path, fencingNumber(r))
 	switch {
+	case errors.Is(err, errFenced):
+		writeFenced(w)
 	case errors.Is(err, errNoSlot):
 		writeError(w, http.StatusConflict, "no_slot", err.Error())
 	case err != nil:
@@ -177,7 +179,12 @@
 	if !readJSON(w, r, &c) {
 		return
 	}
-	if err := e.unload(c.Name); err != nil {
+	err := e.unload(c.Name, fencingNumber(r))
+	if errors.Is(err, errFenced) {
+		writeFenced(w)
+		return
+	}
+	if err != nil {
 		writeError(w, http.StatusNotFound, "not_loaded", err.Error())
 		return
 	}
@@ -210,6 +217,10 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+func writeFenced(w http.ResponseWriter) {
+	writeError(w, http.StatusPreconditionFailed, "old_fencing_number", errFenced.Error())
+}
+
 func writeError(w http.ResponseWriter, status int, code, message string) {
 	writeJSON(w, status, errorBody{Error: apiError{Message: message, Type: "engine_error", Code: code}})
 }
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -91,6 +92,10 @@
 	}
 	id := r.Header.Get(HeaderRequestID)
 	ctx, _, end, err := e.begin(r.Context(), id, c.Model, PromptDigest(prompt), fencingNumber(r))
+	if errors.Is(err, errFenced) {
+		writeFenced(w)
+		return
+	}
 	if err != nil {
 		writeError(w, http.StatusNotFound, "model_not_found", err.Error())
 		return
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -159,9 +159,10 @@
 	errNoSlot    = eris.New("no free adapter slot")
 	errNotLoaded = eris.New("model is not loaded")
 	errRestarted = eris.New("engine restarted")
+	errFenced    = eris.New("the fencing number is old")
 )
 
-func (e *Engine) load(ctx context.Context, name, path string) (err error) {
+func (e *Engine) load(ctx context.Context, name, path string, number int64) (err error) {
 	e.mu.Lock()
 	_, loaded := e.adapters[name]
 	full := len(e.adapters) >= e.slots
@@ -181,6 +182,9 @@
 	if epoch != e.epoch {
 		return errRestarted
 	}
+	if e.fenced(number) {
+		return errFenced
+	}
 	if len(e.adapters) >= e.slots {
 		return errNoSlot
 	}
@@ -188,9 +192,12 @@
 	return nil
 }
 
-func (e *Engine) unload(name string) (err error) {
+func (e *Engine) unload(name string, number int64) (err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.fenced(number) {
+		return errFenced
+	}
 	a, ok := e.adapters[name]
 	if !ok {
 		return errNotLoaded
@@ -202,6 +209,10 @@
 	return nil
 }
 
+// fenced reports whether a newer number has come since the command arrived. The check at the arrival alone would let a
+// command run whose body arrives after a newer agent's first command.
+func (e *Engine) fenced(number int64) bool { return e.checksFencing && number < e.fencing }
+
 // checkFencing records the number and reports whether a command with it may be executed.
 func (e *Engine) checkFencing(command string, number int64) bool {
 	e.mu.Lock()
@@ -220,6 +231,9 @@
 func (e *Engine) begin(ctx context.Context, id, model, promptDigest string, fencing int64) (runCtx context.Context, run *Run, end func(finished bool), err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.fenced(fencing) {
+		return nil, nil, nil, errFenced
+	}
 	a, ok := e.adapters[model]
 	if !ok && model != string(e.base) {
 		return nil, nil, nil, errNotLoaded
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -65,7 +65,7 @@
 // Guards against a restart that keeps adapters or the start id, which would hide the agent's handling of restarts.
 func TestRestartLosesEverything(t *testing.T) {
 	e := New("base", instantLoader{}, WithTokenInterval(0))
-	if err := e.load(context.Background(), "a@1", "a/1"); err != nil {
+	if err := e.load(context.Background(), "a@1", "a/1", 0); err != nil {
 		t.Fatal(err)
 	}
 	before := e.startID
@@ -74,3 +74,33 @@
 		t.Errorf("after the restart: loaded %v, start id %s, before %s", e.Loaded(), e.startID, before)
 	}
 }
+
+// Guards against a request of a former agent that runs because its body arrives after its number was checked.
+func TestFencingIsCheckedWhenTheRequestIsWhole(t *testing.T) {
+	e := New("base", instantLoader{}, WithFencing(true), WithTokenInterval(0))
+	s := httptest.NewServer(e.Handler())
+	defer s.Close()
+	if err := e.load(t.Context(), "a@1", "a/1", 5); err != nil {
+		t.Fatal(err)
+	}
+	body, write := io.Pipe()
+	req, err := http.NewRequest(http.MethodPost, s.URL+"/v1/completions", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(HeaderFencing, "5")
+	go func() {
+		io.WriteString(write, `{"model":"a@1",`)
+		call(t, s.URL+"/cancel", "6", `{"request_id":"none"}`)
+		io.WriteString(write, `"prompt":"hi"}`)
+		write.Close()
+	}()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusPreconditionFailed || len(e.Journal()) != 0 {
+		t.Errorf("status %d, journal %v", resp.StatusCode, e.Journal())
+	}
+}
