--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -44,6 +44,9 @@
 	meters  *meters
 	client  *engine.Client
 	claim   *claim.Claim
+	// claimChanges counts the changes of the claim's status; claimOrder keeps their order on the way to the gate.
+	claimChanges atomic.Int64
+	claimOrder   sync.Mutex
 	// claimed shares the claim with the admin port, which is open before there is one.
 	claimed atomic.Pointer[claim.Claim]
 	inbox   chan message
--- a/daemon/agent/configuration.go
+++ b/daemon/agent/configuration.go
@@ -113,23 +113,60 @@
 
 // keepClaim renews the claim and tells the gate what it allows.
 func (a *Agent) keepClaim() {
-	err := a.claim.Keep(a.work, func(s claim.Status, i ident.Incarnation) {
-		status := gate.ClaimLost
-		switch s {
-		case claim.Held:
-			status = gate.ClaimHeld
-			a.held.Store(int64(i))
-			a.log.Event(timeline.Event{Kind: timeline.EndpointClaimed, Endpoint: a.settings.Endpoint, Incarnation: i})
-		case claim.Unsure:
-			status = gate.ClaimUnsure
-		}
-		a.post(gate.Claim{Status: status, Incarnation: i})
-	})
+	err := a.claim.Keep(a.work, a.claimChanged)
 	if a.work.Err() == nil {
 		a.check(err)
 	}
 }
 
+// claimChanged passes the status of the claim on. A claim that was taken again counts as held once the configuration is
+// as new as the claim: an agent that was cut off may not know yet that its endpoint is leaving.
+func (a *Agent) claimChanged(s claim.Status, i ident.Incarnation) {
+	change := a.claimChanges.Add(1)
+	switch s {
+	case claim.Held:
+		if a.held.Swap(int64(i)) == int64(i) {
+			a.postClaim(change, gate.Claim{Status: gate.ClaimHeld, Incarnation: i})
+			return
+		}
+		a.log.Event(timeline.Event{Kind: timeline.EndpointClaimed, Endpoint: a.settings.Endpoint, Incarnation: i})
+		a.spawn(func() { a.resume(change, i) })
+	case claim.Unsure:
+		a.postClaim(change, gate.Claim{Status: gate.ClaimUnsure, Incarnation: i})
+	default:
+		a.postClaim(change, gate.Claim{Status: gate.ClaimLost, Incarnation: i})
+	}
+}
+
+// resume reads the configuration up to the revision of the claim and then lets the gate work under it.
+func (a *Agent) resume(change int64, i ident.Incarnation) {
+	for {
+		ctx, cancel := context.WithTimeout(a.work, refreshTimeout)
+		err := a.configuration.Refresh(ctx, ident.Revision(i))
+		cancel()
+		if err == nil {
+			break
+		}
+		a.log.Warn("claim is not used before the configuration is read", errorAttr(err))
+		if a.sleep(a.work, configurationPoll) != nil || a.claimChanges.Load() != change {
+			return
+		}
+	}
+	if e, ok := a.configuration.Current().Endpoint(a.settings.Endpoint); !ok || e.Leaving {
+		a.drain("endpoint is leaving or not declared any more")
+	}
+	a.postClaim(change, gate.Claim{Status: gate.ClaimHeld, Incarnation: i})
+}
+
+// postClaim drops a change that a later one has overtaken.
+func (a *Agent) postClaim(change int64, c gate.Claim) {
+	a.claimOrder.Lock()
+	defer a.claimOrder.Unlock()
+	if a.claimChanges.Load() == change {
+		a.post(c)
+	}
+}
+
 func (a *Agent) sleep(ctx context.Context, d time.Duration) (err error) {
 	t := a.clock.NewTimer(d)
 	defer t.Stop()
--- a/soak/fleet/agent.go
+++ b/soak/fleet/agent.go
@@ -77,6 +77,7 @@
 		c.Endpoint, c.Service, c.ChecksFencing = e.Name, e.Kind == resource.Service, e.ChecksFencing
 		c.Incarnation, c.Slots, c.BatchSize, c.Queue = a.claim.incarnation, e.Slots, e.BatchSize, 16
 		a.gate = gate.New(c)
+		a.claim.resumed, a.claim.reported = a.claim.incarnation, gate.ClaimHeld
 		a.answered = a.clock().Now()
 		a.claim.keep(a.clock().Now().Add(keepAlive))
 		a.every(pollSettings, a.configure)
--- a/soak/fleet/claim.go
+++ b/soak/fleet/claim.go
@@ -25,6 +25,8 @@
 	incarnation ident.Incarnation
 	renewed     time.Time
 	reported    gate.ClaimStatus
+	// resumed is the incarnation that the gate works under.
+	resumed ident.Incarnation
 }
 
 func (c *claim) key() string { return claimPrefix + string(c.agent.site.name) }
@@ -127,7 +129,6 @@
 			}
 			clear(c.pending)
 			c.status, c.held, c.lease, c.incarnation, c.renewed = gate.ClaimHeld, true, lease, ident.Incarnation(at), started
-			c.reported = gate.ClaimHeld
 			c.agent.fleet.note(string(c.agent.site.name), "%s claimed with incarnation %d", c.agent.id, at)
 			done()
 		})
@@ -159,6 +160,10 @@
 
 func (c *claim) report(next time.Time) {
 	s := c.current()
+	if s != gate.ClaimLost && c.resumed != c.incarnation {
+		c.keep(next)
+		return
+	}
 	if s != c.reported {
 		c.reported = s
 		c.agent.step(gate.Claim{Status: s, Incarnation: c.incarnation})
@@ -170,8 +175,26 @@
 	c.held = false
 	c.agent.fleet.note(string(c.agent.site.name), "%s lost its claim", c.agent.id)
 	c.acquire(func() {
-		c.agent.step(gate.Claim{Status: gate.ClaimHeld, Incarnation: c.incarnation})
+		c.reported = gate.ClaimLost
 		c.keep(c.now().Add(keepAlive))
+		c.resume(c.incarnation)
+	})
+}
+
+// resume lets the gate work under a claim that was taken again once the configuration is as new as the claim.
+func (c *claim) resume(i ident.Incarnation) {
+	c.agent.readAll(func(ok bool) {
+		if c.released || c.incarnation != i || c.status != gate.ClaimHeld {
+			return
+		}
+		if !ok {
+			c.agent.later(retryEvery, func() { c.resume(i) })
+			return
+		}
+		c.agent.configure()
+		c.resumed = i
+		c.reported = c.current()
+		c.agent.step(gate.Claim{Status: c.reported, Incarnation: i})
 	})
 }
 
