placement: spread calls over the instances of a plain service

Cause: the charge for empty batch places, meant for engines, filled one instance of a plain service first; when its agent was killed nearly all open orders were unknown. Change: plain services are charged by their occupancy. Conclusion: the loss of one agent concerns its part of the calls.

--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -132,7 +132,12 @@
 	if !e.takes(*c.q) {
 		return
 	}
-	cost := extra + c.t.queueCost(e) + c.t.batchCost(e)
+	cost := extra + c.t.queueCost(e)
+	if e.Kind == resource.Engine {
+		cost += c.t.batchCost(e)
+	} else {
+		cost += c.t.occupancyCost(e)
+	}
 	if c.t.has(PrefixTerm) && e.caches(s, c.prefix) {
 		cost -= c.t.prefixGain(c.q)
 	}
@@ -208,6 +213,15 @@
 	return t.weights.BatchEfficiency * batchCharge * float64(free) / float64(e.BatchSize)
 }
 
+// occupancyCost spreads calls over the instances of a plain service, which gain nothing from a full batch. Calls on one
+// instance only would all be lost with its agent.
+func (t *Table) occupancyCost(e *endpoint) float64 {
+	if e.BatchSize <= 0 {
+		return 0
+	}
+	return batchCharge * float64(t.load(e)) / float64(e.BatchSize)
+}
+
 func (t *Table) prefixGain(q *Query) float64 {
 	tokens := q.PrefixTokens
 	if tokens == 0 {
--- a/state/placement/table_test.go
+++ b/state/placement/table_test.go
@@ -262,3 +262,25 @@
 		t.Errorf("wait behind three loads: %v ms", got)
 	}
 }
+
+// Guards against calls of a plain service that all go to one instance, so that the loss of its agent leaves them all unknown.
+func TestCallsSpreadOverInstances(t *testing.T) {
+	table := New(WithRandom(rand.New(rand.NewPCG(1, 2))))
+	for i := range 4 {
+		table.Observe(at(0), Report{
+			Endpoint: ident.Endpoint(fmt.Sprint("s", i)), Kind: resource.Service, Service: "custody", BatchSize: 32,
+		})
+	}
+	q := Query{Service: "custody"}
+	chosen := map[ident.Endpoint]int{}
+	for range 40 {
+		name, _ := table.Choose(at(0.1), q)
+		table.Sent(at(0.1), name, q)
+		chosen[name]++
+	}
+	for i := range 4 {
+		if n := chosen[ident.Endpoint(fmt.Sprint("s", i))]; n < 7 || n > 13 {
+			t.Errorf("%v: want about 10 calls at each instance", chosen)
+		}
+	}
+}
