--- a/daemon/processes/deployment_test.go
+++ b/daemon/processes/deployment_test.go
@@ -278,6 +278,17 @@
 	}
 }
 
+// drainOthers leaves one engine to do all work. While another one holds every adapter and has room, the placement need not
+// choose it.
+func (d *deployment) drainOthers(only *endpoint) {
+	d.t.Helper()
+	for _, e := range d.endpoints {
+		if e != only && e.Kind == resource.Engine {
+			d.operate(0, "drain", string(e.Name))
+		}
+	}
+}
+
 func (d *deployment) awaitEntry(g *gate) {
 	d.t.Helper()
 	until(d.t, g.name+" is ready", func() bool { return ready(g.admin) })
--- a/daemon/processes/kill_test.go
+++ b/daemon/processes/kill_test.go
@@ -48,8 +48,7 @@
 			e := d.endpoints[0]
 			e.standin.kill()
 			e.standin = start(d.t, "engine-next", "standin", e.command...)
-			// The other engine holds every adapter and has room, so the placement need not choose this one before it leaves.
-			d.operate(0, "drain", string(d.endpoints[1].Name))
+			d.drainOthers(e)
 			until(d.t, "the next engine runs requests", func() bool {
 				_, ok := fetch(e.url + "/journal")
 				return ok && len(d.journal(e).Runs) > 0
