agent: release the claim before the listener closes, and keep refusing for a second

A drained agent closed its listener while its claim was still there, so entries and the operator's command still chose it; a request on an idle connection that the shutdown closes is unknown to its entry. Ruled out: the drain, no request was in progress. Change: the claim is released first, and the drained agent refuses tries and answers calls for a second before the listener closes. Conclusion: what remains of the wait is the entry's view of the registry.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -22,6 +22,10 @@
 	"shallotring.dev/transport/timeline"
 )
 
+// refusalTime is the time for which a drained agent refuses tries and answers settlements before it closes its listener.
+// The registry of an entry follows a released claim well within it.
+const refusalTime = time.Second
+
 // configurationPoll is the time between two looks at the configuration in force; Leaving takes effect within it.
 const configurationPoll = 250 * time.Millisecond
 
@@ -226,13 +230,15 @@
 	case <-a.work.Done():
 		return context.Cause(a.work)
 	}
-	// The last frames of the tries are still being written; callers that settle are answered until the listener closes.
-	if err = a.listener.Shutdown(a.work); err != nil {
-		return err
-	}
+	// Nothing is sent to the endpoint any more. The claim goes first, so that entries stop choosing this agent while it still
+	// refuses what is on its way; a request on an idle connection that the shutdown closes would be unknown to its entry.
 	a.claim.Release(a.work)
 	a.log.Event(timeline.Event{Kind: timeline.EndpointReleased, Endpoint: a.settings.Endpoint})
-	return nil
+	if err = a.sleep(a.work, refusalTime); err != nil {
+		return context.Cause(a.work)
+	}
+	// The last frames of the tries may still be on their way to slow receivers.
+	return a.listener.Shutdown(a.work)
 }
 
 // drain refuses new tries from now on; the first reason is logged.
