entry: keep the connections of the abort test open until the entry has ended

Cause: TestNeverEndingBody failed in one uncached run ('run: <nil>, want stopped before all requests in progress had finished'): the cleanup closed the hanging connections while the entry was stopping, so the stop was a graceful one. Change: the test waits for the end of the entry first; make test runs four packages at a time, because the processes of one test package fill the machine. Conclusion: the check is as strict and no longer depends on the order.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,9 @@
 local:
 	go run ./cmd/shallotring local
 
+# Four packages at a time: the tests of separate processes start some fifty processes by themselves.
 test:
-	go test -race $(PACKAGES)
+	go test -race -p 4 $(PACKAGES)
 
 soak:
 	go run ./cmd/soak --seed=$(SEED) --duration=$(DURATION) --schedules=$(SCHEDULES) --leave-out=$(LEAVE_OUT)
--- a/daemon/entry/load_test.go
+++ b/daemon/entry/load_test.go
@@ -108,6 +108,8 @@
 	r.stop()
 	r.want = ErrAborted
 	r.Abort("end of test")
+	// The connections stay open until the entry has ended; without them the stop would be a graceful one.
+	r.ended <- <-r.ended
 }
 
 // Guards against the body's read timeout ending a response that takes longer than it.
