Run on the users' platform: the whole path, thin

Cause: the platform speaks its own protocol, and the programs could not start there. Change: platform/ decodes settings, store, catalog, engines and headers. daemon/frontend sends requests straight to endpoints with its own HTTP client (protocol/upstream), daemon/sidecar orders the engine, coordination/mirror copies a prefix of the store. The placement table gains terms for prompts that wait and for availability zones. Before: nothing was served.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"log/slog"
 	"os"
 
@@ -9,23 +10,37 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/coordination/registry"
+	"shallotring.dev/daemon/direct"
 	"shallotring.dev/daemon/node"
 	"shallotring.dev/daemon/program"
+	"shallotring.dev/platform/boot"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/settings"
 	"shallotring.dev/transport/timeline"
 )
 
 type commandLine struct {
-	Run     runCommand     `cmd:"" default:"withargs" help:"Run the agent (the default command)."`
-	Check   checkCommand   `cmd:"" help:"Check a settings file."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Run      runCommand      `cmd:"" default:"withargs" help:"Run the agent (the default command)."`
+	Platform platformCommand `cmd:"" help:"Run beside an engine on the users' platform."`
+	Check    checkCommand    `cmd:"" help:"Check a settings file."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
 type runCommand struct {
 	Settings string `required:"" placeholder:"FILE" help:"Settings file (TOML)."`
 }
 
+type platformCommand struct {
+	program.Platform `embed:""`
+}
+
+// Run serves with the settings file that the environment names.
+func (p *platformCommand) Run() (err error) {
+	return p.Platform.Run("agent", func(ctx context.Context, s boot.Settings, log *slog.Logger) (err error) {
+		return direct.NewAgent(s, log).Run(ctx, p.Metrics)
+	})
+}
+
 type checkCommand struct {
 	File string `arg:"" help:"Settings file (TOML)."`
 }
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"os"
@@ -9,17 +10,20 @@
 	"github.com/alecthomas/kong"
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/daemon/direct"
 	"shallotring.dev/daemon/node"
 	"shallotring.dev/daemon/program"
+	"shallotring.dev/platform/boot"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/settings"
 	"shallotring.dev/transport/timeline"
 )
 
 type commandLine struct {
-	Run     runCommand     `cmd:"" default:"withargs" help:"Run the entry (the default command)."`
-	Check   checkCommand   `cmd:"" help:"Check a settings file."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Run      runCommand      `cmd:"" default:"withargs" help:"Run the entry (the default command)."`
+	Platform platformCommand `cmd:"" help:"Run as an entry on the users' platform."`
+	Check    checkCommand    `cmd:"" help:"Check a settings file."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
 type runCommand struct {
@@ -43,6 +47,17 @@
 	return e.Run(ctx)
 }
 
+type platformCommand struct {
+	program.Platform `embed:""`
+}
+
+// Run serves with the settings file that the environment names.
+func (p *platformCommand) Run() (err error) {
+	return p.Platform.Run("entry", func(ctx context.Context, s boot.Settings, log *slog.Logger) (err error) {
+		return direct.NewEntry(s, log).Run(ctx, p.Metrics)
+	})
+}
+
 type checkCommand struct {
 	File string `arg:"" help:"Settings file (TOML)."`
 }
--- /dev/null
+++ b/daemon/direct/agent.go
@@ -0,0 +1,94 @@
+package direct
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/coordination/mirror"
+	"shallotring.dev/daemon/sidecar"
+	"shallotring.dev/platform/boot"
+	"shallotring.dev/platform/catalog"
+	"shallotring.dev/platform/engine"
+	"shallotring.dev/platform/store"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/transport/admin"
+)
+
+// claimPrefix holds one key for each host; the revision of its last write is the fencing number of the host's process.
+const claimPrefix = "shallotring/agents/"
+
+// Agent is the program beside an engine.
+type Agent struct {
+	settings boot.Settings
+	log      *slog.Logger
+}
+
+// NewAgent returns an agent for the settings.
+func NewAgent(s boot.Settings, log *slog.Logger) *Agent { return &Agent{settings: s, log: log} }
+
+// Run orders the engine until the context ends.
+func (a *Agent) Run(ctx context.Context, metricsAddress string) (err error) {
+	defer func() { err = eris.Wrap(err, "agent") }()
+	set := metrics.NewSet()
+	c := store.New(a.settings.Store)
+	claim := func(ctx context.Context) (fence ident.Incarnation, err error) {
+		at, err := c.Put(ctx, claimPrefix+string(a.settings.Host), []byte(strconv.Itoa(os.Getpid())))
+		return ident.Incarnation(at), err
+	}
+	s := sidecar.New(engine.New(a.settings.Engine, a.settings.Host), claim, sidecar.WithLog(a.log), sidecar.WithMetrics(set))
+	operators := mirror.New(c, catalog.ConfigurationKey, func(list []mirror.Record) { a.configure(s, list) }, mirror.WithLog(a.log))
+	l, err := net.Listen("tcp", net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.Control)))
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if metricsAddress != "" {
+		m, err := net.Listen("tcp", metricsAddress)
+		if err != nil {
+			return err
+		}
+		h := &http.Server{Handler: admin.Handler(set, func() string { return "" }), ReadHeaderTimeout: headerTimeout}
+		wg.Go(func() {
+			if err := h.Serve(m); !eris.Is(err, http.ErrServerClosed) {
+				a.log.Error("metrics listener ended", slog.Any("Error", err))
+			}
+		})
+		defer h.Close()
+	}
+	wg.Go(func() { operators.Run(ctx) })
+	a.log.Info("process started", slog.String("Engine", a.settings.Engine), slog.Int("PID", os.Getpid()))
+	err = s.Run(ctx, l)
+	a.log.Info("process stopped", slog.Any("Error", err))
+	return err
+}
+
+func (a *Agent) configure(s *sidecar.Sidecar, list []mirror.Record) {
+	for _, r := range list {
+		if r.Key != catalog.ConfigurationKey || r.Deleted {
+			continue
+		}
+		t, err := catalog.Configuration(r.Value)
+		if err != nil {
+			a.log.Error("configuration not read", slog.Int64("Revision", int64(r.Revision)), slog.Any("Error", err))
+			continue
+		}
+		e := t.Services[a.settings.Service].Engine
+		if e == nil || len(e.Models) == 0 {
+			a.log.Warn("configuration names no models for the engine", slog.Int64("Version", t.Version), slog.String("Service", string(a.settings.Service)))
+			continue
+		}
+		s.Configure(e.Models[0], e.Adapters)
+		a.log.Info("configuration in force", slog.Int64("Version", t.Version), slog.String("Model", string(e.Models[0])), slog.Int("Adapters", e.Adapters))
+	}
+}
--- /dev/null
+++ b/daemon/frontend/place.go
@@ -0,0 +1,172 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"shallotring.dev/state/holdings"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/outcome"
+	"shallotring.dev/state/placement"
+	"shallotring.dev/state/retry"
+	"shallotring.dev/state/routing"
+
+	"shallotring.dev/protocol/control"
+)
+
+// maxMoves bounds the endpoints at which one request waits for its adapter.
+const maxMoves = 4
+
+func (f *Frontend) query(x *request) placement.Query {
+	q := placement.Query{Adapter: x.adapter, PromptTokens: x.call.Prompt, Zone: f.zone, Exclude: x.excluded}
+	if x.call.Model == "" {
+		q.Service = x.service
+		return q
+	}
+	q.BaseModel = x.call.Model
+	q.Prefix, q.PrefixTokens = x.call.Shared()
+	return q
+}
+
+// budget returns the budget of repeats of a service; the lock is held.
+func (f *Frontend) budget(s ident.Service) *retry.Window {
+	b := f.budgets[s]
+	if b == nil {
+		b = retry.NewWindow(f.retries.Ratio, f.retries.Extra, f.retries.Window)
+		f.budgets[s] = b
+	}
+	return b
+}
+
+// place chooses an endpoint and waits until it holds the adapter; a refusal means that nothing was sent now.
+func (f *Frontend) place(ctx context.Context, x *request) (e *endpoint, refusal *outcome.Refusal) {
+	for range maxMoves {
+		now := f.clock.Now()
+		if x.deadline.Sub(now) < shortest {
+			return nil, &outcome.Refusal{Reason: outcome.Deadline, RetryAfter: unavailable, Detail: "no time is left"}
+		}
+		f.mu.Lock()
+		q := f.query(x)
+		name, cost, ok := f.placement.Cheapest(now, q)
+		e = f.endpoints[name]
+		if !ok || e == nil {
+			f.mu.Unlock()
+			return nil, &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: unavailable, Detail: fmt.Sprintf("of service %s", x.service)}
+		}
+		if expected := time.Duration(cost * float64(time.Millisecond)); now.Add(expected).After(x.deadline) {
+			f.mu.Unlock()
+			return nil, &outcome.Refusal{Reason: outcome.Deadline, RetryAfter: expected / 2, Detail: fmt.Sprintf("expected wait %d ms", expected.Milliseconds())}
+		}
+		f.began(now, x, e, q)
+		if x.adapter.IsZero() || e.holds(now, x.adapter) || e.link == nil {
+			f.mu.Unlock()
+			return e, nil
+		}
+		w := e.want(now, x.adapter)
+		e.link.offer(control.Account{Wants: []holdings.Want{{Adapter: x.adapter, Waiting: w.requests}}}, now)
+		f.mu.Unlock()
+		if f.await(ctx, x, e, w, now) {
+			return e, nil
+		}
+		f.ended(x, e, q, false)
+		if ctx.Err() != nil {
+			return nil, &outcome.Refusal{Reason: outcome.Deadline, Detail: "adapter was not loaded in time"}
+		}
+		x.excluded = append(x.excluded, e.ID)
+	}
+	return nil, &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: unavailable, Detail: "no engine loaded the adapter"}
+}
+
+// await waits until the endpoint holds the adapter. After a third of the time that is left another endpoint is tried.
+func (f *Frontend) await(ctx context.Context, x *request, e *endpoint, w *wait, began time.Time) (loaded bool) {
+	t := f.clock.NewTimer(x.deadline.Sub(began) / 3)
+	defer t.Stop()
+	select {
+	case <-w.done:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.requests--; w.requests == 0 && e.waits[x.adapter] == w {
+		delete(e.waits, x.adapter)
+		e.link.offer(control.Account{Wants: []holdings.Want{{Adapter: x.adapter}}}, now)
+	}
+	loaded = ctx.Err() == nil && e.holds(now, x.adapter) && f.endpoints[e.ID] == e
+	f.metrics.loads.Update(now.Sub(began).Seconds())
+	f.log.Info("adapter awaited", slog.String("RequestID", string(x.call.ID)), slog.String("Adapter", x.adapter.String()), slog.String("Endpoint", string(e.ID)),
+		slog.Bool("Loaded", loaded), slog.Int64("DurationMilli", now.Sub(began).Milliseconds()))
+	return loaded
+}
+
+func (e *endpoint) holds(now time.Time, av ident.AdapterVersion) bool {
+	for _, x := range e.resident(now) {
+		if x == av {
+			return true
+		}
+	}
+	return false
+}
+
+// began counts a request at an endpoint; the lock is held.
+func (f *Frontend) began(now time.Time, x *request, e *endpoint, q placement.Query) {
+	f.placement.Sent(now, e.ID, q)
+	e.running++
+	if x.adapter.IsZero() {
+		return
+	}
+	u := e.uses[x.adapter]
+	if u == nil {
+		u = &holdings.Use{Adapter: x.adapter}
+		e.uses[x.adapter] = u
+	}
+	u.Started++
+	u.Running++
+}
+
+// ended takes a request off an endpoint's counts. A stream leaves the prompts that wait when its answer begins, and the rest
+// when it ends.
+func (f *Frontend) ended(x *request, e *endpoint, q placement.Query, started bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if q.Service == "" {
+		f.placement.Started(e.ID)
+	}
+	if started {
+		return
+	}
+	f.left(x, e, q)
+}
+
+// left takes a request off the running ones; the lock is held.
+func (f *Frontend) left(x *request, e *endpoint, q placement.Query) {
+	f.placement.Done(f.clock.Now(), e.ID, q)
+	e.running--
+	if u := e.uses[x.adapter]; u != nil {
+		u.Running--
+	}
+	if e.link == nil && f.endpoints[e.ID] == e {
+		f.observe(e)
+	}
+}
+
+// misdirected corrects the view of an endpoint that does not hold what its agent or discovery said.
+func (f *Frontend) misdirected(x *request, e *endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var kept []ident.AdapterVersion
+	for _, av := range e.Resident {
+		if av != x.adapter {
+			kept = append(kept, av)
+		}
+	}
+	e.Resident = kept
+	if x.route.Kind != routing.Stream {
+		// Another endpoint has the address.
+		e.suspended = f.clock.Now().Add(suspension)
+		f.observe(e)
+	}
+}
--- /dev/null
+++ b/daemon/program/platform.go
@@ -0,0 +1,38 @@
+package program
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/platform/boot"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/transport/timeline"
+)
+
+// Platform is the command that runs a program on the users' platform, whose settings file the environment names.
+type Platform struct {
+	Metrics string `placeholder:"ADDRESS" help:"Address of the metrics, as in ':9464'; none by default."`
+}
+
+// Run loads the settings and runs the program until the first signal; its logs go to standard output without blocking it.
+func (p *Platform) Run(role string, start func(ctx context.Context, s boot.Settings, log *slog.Logger) (err error)) (err error) {
+	path := boot.Path()
+	s, err := boot.Load(path)
+	if err != nil {
+		return err
+	}
+	out := timeline.NewQueue(os.Stdout)
+	defer out.Close()
+	log := timeline.New(out, timeline.Process{ID: ident.NewProcess(role), Role: role, Host: s.Host, Zone: s.Zone}, slog.LevelInfo)
+	ctx, cancel := Context(log.Logger, func() {})
+	defer cancel()
+	go reload(ctx, path, log.Logger)
+	err = start(ctx, s, log.Logger)
+	if err != nil {
+		log.Error("process failed", slog.Any("Error", err))
+	}
+	return eris.Wrap(err, role)
+}
--- /dev/null
+++ b/state/call/doc.go
@@ -0,0 +1,2 @@
+// Package call describes one request of a caller as the direct path needs it.
+package call
--- /dev/null
+++ b/state/inventory/doc.go
@@ -0,0 +1,2 @@
+// Package inventory describes the endpoints of a deployment as discovery reports them.
+package inventory
--- /dev/null
+++ b/state/inventory/inventory.go
@@ -0,0 +1,30 @@
+package inventory
+
+import (
+	"time"
+
+	"shallotring.dev/state/ident"
+)
+
+// Endpoint is one life of an engine or of an instance of a plain service.
+type Endpoint struct {
+	ID      ident.Endpoint
+	Service ident.Service
+	// Address is IP:PORT.
+	Address string
+	Zone    ident.Zone
+	// Slots is the number of requests that run at once.
+	Slots   int
+	Leaving bool
+	// Remaining is the time until a leaving endpoint is gone; 0 if it is not known.
+	Remaining time.Duration
+	// Born is the start of this life in Unix milliseconds; an endpoint may start again under its id and then holds nothing.
+	Born int64
+	// Models lists the base models that it holds; it is empty for plain services.
+	Models []ident.BaseModel
+	// Resident lists the adapters that it holds.
+	Resident []ident.AdapterVersion
+}
+
+// IsEngine reports whether the endpoint runs models.
+func (e Endpoint) IsEngine() bool { return len(e.Models) > 0 }
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -12,7 +12,7 @@
 	scanned = 6
 	// batchCharge is the cost in milliseconds of joining an empty batch.
 	batchCharge = 120.0
-	// affinity is the cost in milliseconds of an endpoint that is not preferred for an absent adapter.
+	// affinity is the default cost in milliseconds of an endpoint that is not preferred for an absent adapter.
 	affinity = 20.0
 	// displaced is the number of loads that one more replica than wanted costs later, because it takes a slot of the tail.
 	displaced = 12.0
@@ -32,6 +32,12 @@
 
 // Choose returns the endpoint with the least cost; ok is false if none can take the request.
 func (t *Table) Choose(now time.Time, q Query) (name ident.Endpoint, ok bool) {
+	name, _, ok = t.Cheapest(now, q)
+	return name, ok
+}
+
+// Cheapest is Choose with the cost in milliseconds of the endpoint it returns.
+func (t *Table) Cheapest(now time.Time, q Query) (name ident.Endpoint, cost float64, ok bool) {
 	c := choice{t: t, q: &q, seconds: t.seconds(now)}
 	if q.Service != "" {
 		c.any(t.pools[poolKey{kind: resource.Service, service: q.Service}])
@@ -39,9 +45,9 @@
 		c.engine(t.pools[poolKey{kind: resource.Engine, base: q.BaseModel}])
 	}
 	if c.best == nil {
-		return "", false
+		return "", 0, false
 	}
-	return c.best.Endpoint, true
+	return c.best.Endpoint, c.cost, true
 }
 
 // any compares two random endpoints, and all of them if neither takes the request.
@@ -63,6 +69,10 @@
 	if p == nil || len(p.members) == 0 {
 		return
 	}
+	if c.q.Adapter.IsZero() {
+		c.base(p)
+		return
+	}
 	a := c.t.adapters[c.q.Adapter]
 	hash := uint64(0)
 	if a != nil {
@@ -80,6 +90,28 @@
 	}
 }
 
+// baseHash stands for the adapter's hash in requests for a base model alone.
+const baseHash = 0x9e3779b97f4a7c15
+
+// base compares endpoints for a request without an adapter, which any of them can run: those that the prompt's beginning
+// prefers and some random ones.
+func (c *choice) base(p *pool) {
+	c.prefix = prefixKey(baseHash, c.q.Prefix)
+	for i, e := range p.rendezvous(mix(c.prefix)) {
+		if e != nil {
+			c.consider(e, c.seconds, float64(i)*batchCharge/10)
+		}
+	}
+	for range scanned {
+		c.consider(p.members[c.t.random.IntN(len(p.members))], c.seconds, batchCharge/5)
+	}
+	if c.best == nil {
+		for _, e := range p.members {
+			c.consider(e, c.seconds, 0)
+		}
+	}
+}
+
 // holders compares the endpoints that have the adapter or are loading it.
 func (c *choice) holders(a *adapter) {
 	if a == nil || len(a.holders) == 0 {
@@ -114,13 +146,13 @@
 	if c.t.has(AffinityTerm) {
 		for i, e := range p.prefer(a, hash) {
 			if e != nil && !holds(e, a) {
-				c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e, hot))+duplicate+float64(i)*affinity)
+				c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e, hot))+duplicate+float64(i)*c.t.affinity)
 			}
 		}
 	}
 	for range 2 {
 		if e := p.members[c.t.random.IntN(len(p.members))]; !holds(e, a) {
-			c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e, hot))+duplicate+2*affinity)
+			c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e, hot))+duplicate+2*c.t.affinity)
 		}
 	}
 }
@@ -132,12 +164,15 @@
 	if !e.takes(*c.q) {
 		return
 	}
-	cost := extra + c.t.queueCost(e)
+	cost := extra + c.t.queueCost(e) + milli(e.Penalty)
 	if e.Kind == resource.Engine {
-		cost += c.t.batchCost(e)
+		cost += c.t.batchCost(e) + c.t.backlogCost(e)
 	} else {
 		cost += c.t.occupancyCost(e)
 	}
+	if c.t.has(ZoneTerm) && e.Zone != c.q.Zone {
+		cost += c.t.zoneCharge
+	}
 	if c.t.has(PrefixTerm) && e.caches(s, c.prefix) {
 		cost -= c.t.prefixGain(c.q)
 	}
@@ -213,6 +248,19 @@
 	return t.weights.BatchEfficiency * batchCharge * float64(free) / float64(e.BatchSize)
 }
 
+// runningCharge is the cost in milliseconds of each running request, which slows the steps of the batch.
+const runningCharge = 0.5
+
+// backlogCost is the expected time until the prompts that are ahead have been read. A report shows the requests of all entries
+// but is late; the entry's own count is not.
+func (t *Table) backlogCost(e *endpoint) float64 {
+	if !t.has(BacklogTerm) {
+		return 0
+	}
+	ahead := max(e.starting, e.Starting+max(e.delta, 0))
+	return float64(ahead)*t.prompt*t.prefill + runningCharge*float64(t.load(e))
+}
+
 // occupancyCost spreads calls over the instances of a plain service, which gain nothing from a full batch. Calls on one
 // instance only would all be lost with its agent.
 func (t *Table) occupancyCost(e *endpoint) float64 {
--- a/state/placement/endpoint.go
+++ b/state/placement/endpoint.go
@@ -64,7 +64,9 @@
 	// known is set once a report is part of the sums over all endpoints.
 	known bool
 	// delta is the difference between the report and what the entry knows to have changed since.
-	delta    int
+	delta int
+	// starting is the number of this entry's own requests whose prompt is not read yet.
+	starting int
 	recent   [recentChanges]change
 	next     int
 	prefixes [prefixes]prefix
--- a/state/placement/options.go
+++ b/state/placement/options.go
@@ -25,6 +25,12 @@
 	CorrectionTerm
 	ReplicaTerm
 	AffinityTerm
+	// BacklogTerm charges for the prompts that an endpoint still has to read, and ZoneTerm for leaving the availability zone.
+	BacklogTerm
+	ZoneTerm
+	// DirectTerms are those of entries that send to endpoints without an agent in the path; a full batch gains nothing there.
+	DirectTerms = StallTerm | QueueTerm | PrefixTerm | CorrectionTerm | ReplicaTerm | AffinityTerm | BacklogTerm | ZoneTerm
+	// AllTerms are those of entries that send through agents.
 	AllTerms = StallTerm | QueueTerm | BatchTerm | PrefixTerm | CorrectionTerm | ReplicaTerm | AffinityTerm
 )
 
@@ -55,7 +61,13 @@
 	return func(t *Table) { t.prefill = milli(perToken) }
 }
 
-// WithTerms selects the terms of the cost; the default is all of them.
+// WithZoneCharge sets the cost of sending to another availability zone.
+func WithZoneCharge(d time.Duration) Option { return func(t *Table) { t.zoneCharge = milli(d) } }
+
+// WithAffinity sets the cost of an endpoint that is not preferred for an absent adapter.
+func WithAffinity(d time.Duration) Option { return func(t *Table) { t.affinity = milli(d) } }
+
+// WithTerms selects the terms of the cost; the default is AllTerms.
 func WithTerms(terms Terms) Option { return func(t *Table) { t.terms = terms } }
 
 func milli(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -38,6 +38,10 @@
 	Loading   []ident.AdapterVersion
 	Failing   []ident.AdapterVersion
 	QueueWait time.Duration
+	// Starting is the number of requests whose prompt is not read yet.
+	Starting int
+	// Penalty is a cost for failures in the recent past.
+	Penalty time.Duration
 }
 
 // Query describes one request to place.
@@ -52,6 +56,8 @@
 	PrefixTokens ident.Tokens
 	// PromptTokens is an estimate.
 	PromptTokens ident.Tokens
+	// Zone is the availability zone of the entry.
+	Zone ident.Zone
 	// Exclude lists endpoints that refused or failed this request before.
 	Exclude []ident.Endpoint
 }
@@ -65,14 +71,18 @@
 	loadsInFlight int
 	loadTime      float64
 	prefill       float64
-	epoch         time.Time
-	names         map[ident.Endpoint]*endpoint
-	pools         map[poolKey]*pool
-	adapters      map[ident.AdapterVersion]*adapter
-	list          []*adapter
-	sweep         int
-	loads         int
-	service       service
+	zoneCharge    float64
+	affinity      float64
+	// prompt is the moving mean of the prompt tokens that an endpoint has to read for one request.
+	prompt   float64
+	epoch    time.Time
+	names    map[ident.Endpoint]*endpoint
+	pools    map[poolKey]*pool
+	adapters map[ident.AdapterVersion]*adapter
+	list     []*adapter
+	sweep    int
+	loads    int
+	service  service
 }
 
 // New returns an empty table.
@@ -80,7 +90,7 @@
 	t := &Table{
 		weights: Weights{LoadStall: 1, BatchEfficiency: 1}, terms: AllTerms,
 		loadRate: defaultLoadsPerSecond, loadsInFlight: defaultLoadsInFlight, loadTime: milli(defaultLoadTime),
-		prefill: milli(defaultPrefill), service: service{assumed: defaultServiceTime.Seconds(), scale: 1},
+		prefill: milli(defaultPrefill), affinity: affinity, service: service{assumed: defaultServiceTime.Seconds(), scale: 1},
 		names: make(map[ident.Endpoint]*endpoint), pools: make(map[poolKey]*pool),
 		adapters: make(map[ident.AdapterVersion]*adapter),
 	}
@@ -222,10 +232,15 @@
 	}
 	e.changed(s, 1)
 	if q.Adapter.IsZero() {
+		if q.Service == "" {
+			t.starts(s, e, baseHash, q)
+			e.remember(s, prefixKey(baseHash, q.Prefix))
+		}
 		return
 	}
 	a := t.adapter(s, q.Adapter)
 	t.demand(s, a, e)
+	t.starts(s, e, a.hash, q)
 	e.remember(s, prefixKey(a.hash, q.Prefix))
 	if e.find(a) == nil {
 		ready := s + t.absentWait(e, t.hot(s, a))/1000
@@ -235,6 +250,26 @@
 	}
 }
 
+// promptStep is the part of the difference by which the mean prompt follows a request.
+const promptStep = 0.02
+
+// starts counts a request whose prompt an endpoint has to read.
+func (t *Table) starts(s float64, e *endpoint, hash uint64, q Query) {
+	e.starting++
+	tokens := float64(q.PromptTokens)
+	if e.caches(s, prefixKey(hash, q.Prefix)) {
+		tokens -= float64(q.PrefixTokens)
+	}
+	t.prompt += (max(tokens, 0) - t.prompt) * promptStep
+}
+
+// Started corrects the view by the first piece of an answer: the prompt has been read.
+func (t *Table) Started(name ident.Endpoint) {
+	if e, ok := t.names[name]; ok {
+		e.starting = max(e.starting-1, 0)
+	}
+}
+
 // Done corrects the view by a try that has ended.
 func (t *Table) Done(now time.Time, name ident.Endpoint, _ Query) {
 	s := t.seconds(now)
