placement: a second copy of an adapter costs one load; prompts ahead are counted in tokens

Change: the charge is an option of the table (one load for the frontend), the backlog is the tokens that engines still have to read.

--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -32,6 +32,9 @@
 	// affinity is the cost of an engine that is not preferred for an absent adapter: an engine that held it lately loads it
 	// in a tenth of the time.
 	affinity = 120 * time.Millisecond
+	// displaced is the number of loads that another copy of an adapter is taken to cost: the tail of the adapters does not fit
+	// into the engines anyway, and a load takes less time than a few prompts.
+	displaced = 1.0
 	// balance is the interval of the accounts to agents and of the checks of what is known of endpoints.
 	balance = 100 * time.Millisecond
 )
@@ -112,7 +115,7 @@
 	}
 	f.placement = placement.New(
 		placement.WithTerms(placement.DirectTerms), placement.WithPrefill(prefill), placement.WithZoneCharge(zoneCharge),
-		placement.WithAffinity(affinity), placement.WithLoadTime(loadTime),
+		placement.WithAffinity(affinity), placement.WithDisplaced(displaced), placement.WithLoadTime(loadTime),
 		placement.WithLoadBudget(transfers/loadTime.Seconds(), transfers), placement.WithRandom(f.random),
 	)
 	return f
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -113,7 +113,7 @@
 
 // began counts a request at an endpoint; the lock is held.
 func (f *Frontend) began(now time.Time, x *request, e *endpoint, q placement.Query) {
-	f.placement.Sent(now, e.ID, q)
+	x.reading = f.placement.Sent(now, e.ID, q)
 	e.running++
 	if x.adapter.IsZero() {
 		return
@@ -133,7 +133,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if q.Service == "" {
-		f.placement.Started(e.ID)
+		f.placement.Started(e.ID, x.reading)
 	}
 	if started {
 		return
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -57,8 +57,10 @@
 	hasBody  bool
 	// excluded are the endpoints that have refused or failed the request.
 	excluded []ident.Endpoint
-	sends    int
-	runs     int
+	// reading is the number of prompt tokens that the current endpoint is expected to read.
+	reading ident.Tokens
+	sends   int
+	runs    int
 }
 
 // ServeHTTP serves one request of a caller.
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -14,7 +14,7 @@
 	batchCharge = 120.0
 	// affinity is the default cost in milliseconds of an endpoint that is not preferred for an absent adapter.
 	affinity = 20.0
-	// displaced is the number of loads that one more replica than wanted costs later, because it takes a slot of the tail.
+	// displaced is the default number of loads that one more replica than wanted costs later, because it takes a slot of the tail.
 	displaced = 12.0
 	// extraReplica is the cost in milliseconds of using a holder beyond the wanted replicas, so that it falls idle.
 	extraReplica = 40.0
@@ -141,7 +141,7 @@
 	hot := c.t.hot(c.seconds, a)
 	duplicate := 0.0
 	if a != nil && len(a.holders) >= a.replicas && c.t.has(ReplicaTerm) {
-		duplicate = displaced * c.t.stall(c.t.absentTime(hot))
+		duplicate = c.t.displaced * c.t.stall(c.t.absentTime(hot))
 	}
 	if c.t.has(AffinityTerm) {
 		for i, e := range p.prefer(a, hash) {
@@ -257,8 +257,8 @@
 	if !t.has(BacklogTerm) {
 		return 0
 	}
-	ahead := max(e.starting, e.Starting+max(e.delta, 0))
-	return float64(ahead)*t.prompt*t.prefill + runningCharge*float64(t.load(e))
+	others := max(e.Starting-e.starting, 0)
+	return (float64(e.reading)+float64(others)*t.prompt)*t.prefill + runningCharge*float64(t.load(e))
 }
 
 // occupancyCost spreads calls over the instances of a plain service, which gain nothing from a full batch. Calls on one
--- a/state/placement/endpoint.go
+++ b/state/placement/endpoint.go
@@ -65,8 +65,9 @@
 	known bool
 	// delta is the difference between the report and what the entry knows to have changed since.
 	delta int
-	// starting is the number of this entry's own requests whose prompt is not read yet.
+	// starting is the number of this entry's own requests whose prompt is not read yet, reading the tokens of these prompts.
 	starting int
+	reading  ident.Tokens
 	recent   [recentChanges]change
 	next     int
 	prefixes [prefixes]prefix
--- a/state/placement/options.go
+++ b/state/placement/options.go
@@ -67,6 +67,9 @@
 // WithAffinity sets the cost of an endpoint that is not preferred for an absent adapter.
 func WithAffinity(d time.Duration) Option { return func(t *Table) { t.affinity = milli(d) } }
 
+// WithDisplaced sets the number of loads that one more replica than wanted is taken to cost later.
+func WithDisplaced(loads float64) Option { return func(t *Table) { t.displaced = loads } }
+
 // WithTerms selects the terms of the cost; the default is AllTerms.
 func WithTerms(terms Terms) Option { return func(t *Table) { t.terms = terms } }
 
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -73,8 +73,10 @@
 	prefill       float64
 	zoneCharge    float64
 	affinity      float64
+	displaced     float64
 	// prompt is the moving mean of the prompt tokens that an endpoint has to read for one request.
 	prompt   float64
+	prompts  int
 	epoch    time.Time
 	names    map[ident.Endpoint]*endpoint
 	pools    map[poolKey]*pool
@@ -90,7 +92,7 @@
 	t := &Table{
 		weights: Weights{LoadStall: 1, BatchEfficiency: 1}, terms: AllTerms,
 		loadRate: defaultLoadsPerSecond, loadsInFlight: defaultLoadsInFlight, loadTime: milli(defaultLoadTime),
-		prefill: milli(defaultPrefill), affinity: affinity, service: service{assumed: defaultServiceTime.Seconds(), scale: 1},
+		prefill: milli(defaultPrefill), affinity: affinity, displaced: displaced, service: service{assumed: defaultServiceTime.Seconds(), scale: 1},
 		names: make(map[ident.Endpoint]*endpoint), pools: make(map[poolKey]*pool),
 		adapters: make(map[ident.AdapterVersion]*adapter),
 	}
@@ -222,25 +224,26 @@
 	p.generation++
 }
 
-// Sent corrects the view by a try that was dispatched after the latest report.
-func (t *Table) Sent(now time.Time, name ident.Endpoint, q Query) {
+// Sent corrects the view by a try that was dispatched after the latest report; it returns the prompt tokens that the endpoint
+// is expected to read for it.
+func (t *Table) Sent(now time.Time, name ident.Endpoint, q Query) (reading ident.Tokens) {
 	s := t.seconds(now)
 	t.service.began(s)
 	e, ok := t.names[name]
 	if !ok {
-		return
+		return 0
 	}
 	e.changed(s, 1)
 	if q.Adapter.IsZero() {
 		if q.Service == "" {
-			t.starts(s, e, baseHash, q)
+			reading = t.starts(s, e, baseHash, q)
 			e.remember(s, prefixKey(baseHash, q.Prefix))
 		}
-		return
+		return reading
 	}
 	a := t.adapter(s, q.Adapter)
 	t.demand(s, a, e)
-	t.starts(s, e, a.hash, q)
+	reading = t.starts(s, e, a.hash, q)
 	e.remember(s, prefixKey(a.hash, q.Prefix))
 	if e.find(a) == nil {
 		ready := s + t.absentWait(e, t.hot(s, a))/1000
@@ -248,25 +251,30 @@
 		e.find(a).own = true
 		t.countLoads(e)
 	}
+	return reading
 }
 
-// promptStep is the part of the difference by which the mean prompt follows a request.
+// promptStep is the least part of the difference by which the mean prompt follows a request.
 const promptStep = 0.02
 
 // starts counts a request whose prompt an endpoint has to read.
-func (t *Table) starts(s float64, e *endpoint, hash uint64, q Query) {
-	e.starting++
-	tokens := float64(q.PromptTokens)
+func (t *Table) starts(s float64, e *endpoint, hash uint64, q Query) (reading ident.Tokens) {
+	reading = q.PromptTokens
 	if e.caches(s, prefixKey(hash, q.Prefix)) {
-		tokens -= float64(q.PrefixTokens)
+		reading -= min(q.PrefixTokens, reading)
 	}
-	t.prompt += (max(tokens, 0) - t.prompt) * promptStep
+	e.starting++
+	e.reading += reading
+	t.prompts++
+	t.prompt += (float64(reading) - t.prompt) * max(promptStep, 1/float64(t.prompts))
+	return reading
 }
 
-// Started corrects the view by the first piece of an answer: the prompt has been read.
-func (t *Table) Started(name ident.Endpoint) {
+// Started corrects the view by the first piece of an answer or the end of a try: its prompt has been read or is not to be.
+func (t *Table) Started(name ident.Endpoint, reading ident.Tokens) {
 	if e, ok := t.names[name]; ok {
 		e.starting = max(e.starting-1, 0)
+		e.reading -= min(reading, e.reading)
 	}
 }
 
