entry: drain without cutting a request that is arriving, and refuse streams that outlive the grace period

A stream taken three seconds after SIGTERM outlived the grace period; and SetKeepAlivesEnabled(false) closed a kept connection on which a request was arriving, which then ran and lost its answer. Change: streams are refused with 503 from 2.9 s on; transport/server.Drainer tracks connections from the first byte of a request.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -20,6 +20,7 @@
 	"shallotring.dev/platform/store"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/admin"
+	"shallotring.dev/transport/server"
 )
 
 const (
@@ -32,6 +33,9 @@
 	// unready is the time for which a stopping entry goes on as before: the platform probes once a second and takes it out of
 	// rotation after two misses.
 	unready = 2500 * time.Millisecond
+	// lastStreams is the time after the signal until which streams are taken: a stream lasts some seconds, and the grace period
+	// has to hold them.
+	lastStreams = 2900 * time.Millisecond
 	// lastReserve is kept back from the grace period for the exit.
 	lastReserve = 500 * time.Millisecond
 	// discoveryReread confirms the list of endpoints although the watch shows no change: requests must not reach an endpoint
@@ -68,11 +72,16 @@
 		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn)}
 	probes := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
+	var drainer *server.Drainer
 	listen := func(s *http.Server, address string) (err error) {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return err
 		}
+		if s == callers {
+			drainer = server.NewDrainer(l)
+			l, s.ConnState = drainer, drainer.State
+		}
 		wg.Go(func() {
 			if err := s.Serve(l); !eris.Is(err, http.ErrServerClosed) {
 				failed <- err
@@ -107,23 +116,24 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.drain(callers)
+	e.drain(drainer)
 	return nil
 }
 
-// drain ends the service without interrupting a request: first the platform sends no new connections, then callers close
-// theirs, then the process waits for what still runs.
-func (e *Entry) drain(callers *http.Server) {
+// drain ends the service without interrupting a request: first the platform sends no new connections, then callers lose the
+// idle ones, then the process waits for what still runs.
+func (e *Entry) drain(callers *server.Drainer) {
 	began := time.Now()
 	e.log.Info("process stopping", slog.Int64("GraceMilli", e.settings.Grace.Milliseconds()))
 	e.front.Drain()
-	time.Sleep(min(unready, e.settings.Grace/2))
+	time.Sleep(min(unready, e.settings.Grace/3))
 	e.front.CloseConnections()
+	callers.CloseIdle()
+	time.Sleep(min(lastStreams-unready, e.settings.Grace/16))
+	e.front.RefuseStreams()
 	time.Sleep(min(time.Second, e.settings.Grace/8))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.settings.Grace-lastReserve))
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	e.log.Info("process stopped", slog.Int64("DurationMilli", time.Since(began).Milliseconds()), slog.Any("Error", err))
+	busy := callers.Wait(began.Add(e.settings.Grace - lastReserve))
+	e.log.Info("process stopped", slog.Int64("DurationMilli", time.Since(began).Milliseconds()), slog.Int("Interrupted", busy))
 }
 
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -68,6 +68,8 @@
 	routes   atomic.Pointer[routing.Table]
 	draining atomic.Bool
 	closing  atomic.Bool
+	// noStreams is set when the process has too little time left for a stream.
+	noStreams atomic.Bool
 
 	mu        sync.Mutex
 	placement *placement.Table
@@ -215,5 +217,8 @@
 // Drain makes the entry report that it is not ready; it goes on serving.
 func (f *Frontend) Drain() { f.draining.Store(true) }
 
-// CloseConnections asks callers to open no further requests on their connections.
+// CloseConnections asks callers to send no further requests on their connections.
 func (f *Frontend) CloseConnections() { f.closing.Store(true) }
+
+// RefuseStreams refuses requests that may run for longer than the process has left.
+func (f *Frontend) RefuseStreams() { f.noStreams.Store(true) }
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -100,6 +100,9 @@
 		return x, http.StatusNotFound, eris.Errorf("no route for %s%s in version %d", host, path, routes.Version)
 	}
 	x.route = route
+	if route.Kind == routing.Stream && f.noStreams.Load() {
+		return x, http.StatusServiceUnavailable, eris.New("the entry is stopping")
+	}
 	limit := routes.Limits.BodyBytes
 	if limit <= 0 {
 		limit = maxBody
--- /dev/null
+++ b/transport/server/drain_test.go
@@ -0,0 +1,96 @@
+package server
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+func startDrained(t *testing.T, h http.Handler) (d *Drainer, address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d = NewDrainer(l)
+	s := &http.Server{Handler: h, ConnState: d.State}
+	go s.Serve(d)
+	t.Cleanup(func() { s.Close() })
+	return d, l.Addr().String()
+}
+
+func get(t *testing.T, r *bufio.Reader) (status int) {
+	t.Helper()
+	a, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("read answer: %v", err)
+	}
+	if _, err = io.Copy(io.Discard, a.Body); err != nil {
+		t.Fatalf("read body: %v", err)
+	}
+	return a.StatusCode
+}
+
+// TestCloseIdleKeepsArrivingRequest guards against cutting a request of which some bytes have arrived on a kept connection:
+// http.Server counts it as idle until it has read the whole header.
+func TestCloseIdleKeepsArrivingRequest(t *testing.T) {
+	d, address := startDrained(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }))
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+	get(t, r)
+	io.WriteString(c, "GET /2 HTTP/1.1\r\n")
+	for busy := false; !busy; time.Sleep(time.Millisecond) {
+		d.mu.Lock()
+		for _, x := range d.conns {
+			busy = busy || x.busy
+		}
+		d.mu.Unlock()
+	}
+	d.CloseIdle()
+	io.WriteString(c, "Host: x\r\n\r\n")
+	if status := get(t, r); status != http.StatusOK {
+		t.Errorf("status = %d, want 200", status)
+	}
+	if busy := d.Wait(time.Now().Add(5 * time.Second)); busy != 0 {
+		t.Errorf("%d requests in progress after the answer, want 0", busy)
+	}
+	if _, err = r.ReadByte(); err != io.EOF {
+		t.Errorf("after the answer: %v, want the connection closed", err)
+	}
+}
+
+// TestCloseIdleDropsCrossingRequest guards against running a request whose connection has been closed under it.
+func TestCloseIdleDropsCrossingRequest(t *testing.T) {
+	ran := make(chan bool, 2)
+	d, address := startDrained(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran <- true }))
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+	get(t, bufio.NewReader(c))
+	<-ran
+	for idle := false; !idle; time.Sleep(time.Millisecond) {
+		d.mu.Lock()
+		for _, x := range d.conns {
+			idle = !x.busy
+		}
+		d.mu.Unlock()
+	}
+	d.CloseIdle()
+	io.WriteString(c, "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+	select {
+	case <-ran:
+		t.Error("a request ran on a closed connection")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
