--- a/state/holdings/keeper.go
+++ b/state/holdings/keeper.go
@@ -19,7 +19,7 @@
 	// wantExpiry drops a want that its entry does not repeat.
 	wantExpiry = 3 * time.Second
 	// backoff is the pause after an order that the engine refused.
-	backoff = 100 * time.Millisecond
+	backoff = 20 * time.Millisecond
 	// aging is the number of waiting requests that a second of waiting counts for, so that a rare adapter is loaded in time.
 	aging = 4.0
 	// freshLoad is the time in which an adapter that was just loaded is not unloaded for another one: its requests come
--- a/state/placement/adapter.go
+++ b/state/placement/adapter.go
@@ -41,6 +41,24 @@
 	replicas   int
 	preferred  [2]*endpoint
 	generation uint32
+	// former are the endpoints that held the adapter lately, the newest first.
+	former [3]former
+}
+
+// former is an endpoint that held an adapter until a time in seconds.
+type former struct {
+	endpoint *endpoint
+	at       float64
+}
+
+// remember notes an endpoint that has dropped the adapter.
+func (a *adapter) remember(e *endpoint, s float64) {
+	i := 0
+	for i < len(a.former)-1 && a.former[i].endpoint != e {
+		i++
+	}
+	copy(a.former[1:i+1], a.former[:i])
+	a.former[0] = former{endpoint: e, at: s}
 }
 
 func adapterHash(av ident.AdapterVersion) uint64 {
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -16,6 +16,10 @@
 	affinity = 20.0
 	// displaced is the default number of loads that one more replica than wanted costs later, because it takes a slot of the tail.
 	displaced = 12.0
+	// formerLoad is the part of the load time that an engine needs which held the adapter lately.
+	formerLoad = 0.1
+	// formerExpiry is the time in seconds for which an engine is taken to keep a copy: it keeps some dozens of adapters.
+	formerExpiry = 60.0
 	// extraReplica is the cost in milliseconds of using a holder beyond the wanted replicas, so that it falls idle.
 	extraReplica = 40.0
 )
@@ -143,6 +147,14 @@
 	if a != nil && len(a.holders) >= a.replicas && c.t.has(ReplicaTerm) {
 		duplicate = c.t.displaced * c.t.stall(c.t.absentTime(hot))
 	}
+	if a != nil && c.t.has(FormerTerm) {
+		for _, f := range a.former {
+			if f.endpoint != nil && c.seconds-f.at < formerExpiry && c.t.names[f.endpoint.Endpoint] == f.endpoint && !holds(f.endpoint, a) {
+				// The copy that the engine keeps loads in a fraction of the time and does not use the weight store.
+				c.consider(f.endpoint, c.seconds, c.t.stall(c.t.absentWait(f.endpoint, hot))*formerLoad+duplicate)
+			}
+		}
+	}
 	if c.t.has(AffinityTerm) {
 		for i, e := range p.prefer(a, hash) {
 			if e != nil && !holds(e, a) {
--- a/state/placement/options.go
+++ b/state/placement/options.go
@@ -28,8 +28,10 @@
 	// BacklogTerm charges for the prompts that an endpoint still has to read, and ZoneTerm for leaving the availability zone.
 	BacklogTerm
 	ZoneTerm
+	// FormerTerm prefers endpoints that held an absent adapter lately.
+	FormerTerm
 	// DirectTerms are those of entries that send to endpoints without an agent in the path; a full batch gains nothing there.
-	DirectTerms = StallTerm | QueueTerm | PrefixTerm | CorrectionTerm | ReplicaTerm | AffinityTerm | BacklogTerm | ZoneTerm
+	DirectTerms = StallTerm | QueueTerm | PrefixTerm | CorrectionTerm | ReplicaTerm | AffinityTerm | BacklogTerm | ZoneTerm | FormerTerm
 	// AllTerms are those of entries that send through agents.
 	AllTerms = StallTerm | QueueTerm | BatchTerm | PrefixTerm | CorrectionTerm | ReplicaTerm | AffinityTerm
 )
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -175,6 +175,11 @@
 	for _, av := range e.Loading {
 		t.hold(e, hold{adapter: t.adapter(s, av), loading: true, since: s, ready: s + readyOf(old, av, s, t.loadTime)})
 	}
+	for _, h := range old {
+		if !h.loading && e.find(h.adapter) == nil {
+			h.adapter.remember(e, s)
+		}
+	}
 	e.spare = old[:0]
 	t.countLoads(e)
 }
