--- /dev/null
+++ b/state/holdings/keeper_test.go
@@ -0,0 +1,195 @@
+package holdings
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"shallotring.dev/state/ident"
+)
+
+func adapter(i int) ident.AdapterVersion {
+	return ident.AdapterVersion{Adapter: ident.Adapter(fmt.Sprint("m/a", i)), Version: "1"}
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+// keeper returns a keeper of an engine with the given adapters.
+func keeper(capacity int, resident ...ident.AdapterVersion) *Keeper {
+	k := New()
+	k.Configure("m", capacity)
+	k.Claim(7)
+	k.Observe(epoch, "i-1", Report{Born: 1, Models: []ident.BaseModel{"m"}, Resident: resident})
+	return k
+}
+
+func TestNextLoadsWhatWaitsMost(t *testing.T) {
+	k := keeper(3)
+	k.Wish(epoch, "e1", Want{Adapter: adapter(1), Waiting: 1})
+	k.Wish(epoch, "e1", Want{Adapter: adapter(2), Waiting: 1})
+	k.Wish(epoch, "e2", Want{Adapter: adapter(2), Waiting: 1})
+	if o, ok := k.Next(epoch); !ok || o.Adapter != adapter(2) || o.Unload || o.Fence != 7 || o.Endpoint != "i-1" {
+		t.Errorf("next = %+v, %v", o, ok)
+	}
+}
+
+// TestNextKeepsUsedAdapters guards against an unload that waits for running requests and holds up all others for the adapter.
+func TestNextKeepsUsedAdapters(t *testing.T) {
+	k := keeper(2, adapter(1), adapter(2))
+	k.Used(at(time.Second), "e1", Use{Adapter: adapter(1), Started: 1, Running: 1})
+	k.Used(at(time.Second), "e1", Use{Adapter: adapter(2), Started: 9})
+	k.Wish(at(time.Second), "e1", Want{Adapter: adapter(3), Waiting: 1})
+	if o, ok := k.Next(at(time.Second)); ok {
+		t.Errorf("next = %+v while both are in use or just were", o)
+	}
+	if !k.Full(at(time.Second)) {
+		t.Error("the engine does not report that it is full")
+	}
+	if o, ok := k.Next(at(2 * time.Second)); !ok || !o.Unload || o.Adapter != adapter(2) {
+		t.Errorf("next = %+v, %v; want the idle adapter unloaded", o, ok)
+	}
+}
+
+// TestNextNeedsReport guards against a second order on a view that the first one has changed: the engine would hold too many.
+func TestNextNeedsReport(t *testing.T) {
+	k := keeper(1)
+	k.Wish(epoch, "e1", Want{Adapter: adapter(1), Waiting: 1})
+	o, _ := k.Next(epoch)
+	k.Sent(epoch, o, Unknown)
+	if _, ok := k.Next(at(time.Second)); ok {
+		t.Error("an order follows without a report")
+	}
+	k.Observe(at(time.Second), "i-1", Report{Born: 1, Models: []ident.BaseModel{"m"}})
+	if again, ok := k.Next(at(time.Second)); !ok || again.Expected != o.Expected {
+		t.Errorf("order after an unknown one = %+v, %v; want the same sequence, so that only one of them holds", again, ok)
+	}
+}
+
+// TestVersionReplacesOnlyIdle guards against two versions of an adapter, and against a replacement under running requests.
+func TestVersionReplacesOnlyIdle(t *testing.T) {
+	newer := ident.AdapterVersion{Adapter: adapter(1).Adapter, Version: "2"}
+	k := keeper(4, adapter(1))
+	k.Used(at(time.Second), "e1", Use{Adapter: adapter(1), Started: 1, Running: 1})
+	k.Wish(at(time.Second), "e1", Want{Adapter: newer, Waiting: 1})
+	if o, ok := k.Next(at(3 * time.Second)); ok {
+		t.Errorf("next = %+v under a running request", o)
+	}
+	k.Used(at(3*time.Second), "e1", Use{Adapter: adapter(1)})
+	k.Wish(at(3*time.Second), "e1", Want{Adapter: newer, Waiting: 1})
+	if o, ok := k.Next(at(4 * time.Second)); !ok || !o.Unload || o.Adapter != adapter(1) {
+		t.Errorf("next = %+v, %v; want the older version unloaded", o, ok)
+	}
+}
+
+// TestEmptyEngineLoadsModel guards against an engine that serves nothing after its restart.
+func TestEmptyEngineLoadsModel(t *testing.T) {
+	k := keeper(2, adapter(1))
+	k.Observe(at(time.Second), "i-1", Report{Born: 2})
+	if o, ok := k.Next(at(time.Second)); !ok || o.Model != "m" || o.Unload {
+		t.Errorf("next = %+v, %v; want the base model", o, ok)
+	}
+	k.Observe(at(time.Second), "i-1", Report{Born: 2, Busy: true})
+	if o, ok := k.Next(at(time.Second)); ok {
+		t.Errorf("next = %+v while the engine is busy", o)
+	}
+}
+
+// engine carries orders out as the users' engines do: late ones only if the sequence still fits.
+type engine struct {
+	t        *testing.T
+	capacity int
+	report   Report
+	late     []Order
+	loading  map[ident.AdapterVersion]int
+}
+
+func (e *engine) apply(o Order) bool {
+	if o.Expected != e.report.Sequence {
+		return false
+	}
+	e.report.Sequence++
+	switch {
+	case o.Model != "":
+		e.report.Models = []ident.BaseModel{o.Model}
+	case o.Unload:
+		if i := slices.Index(e.report.Resident, o.Adapter); i >= 0 {
+			e.report.Resident = slices.Delete(slices.Clone(e.report.Resident), i, i+1)
+		}
+	default:
+		e.report.Loading = append(slices.Clone(e.report.Loading), o.Adapter)
+		e.loading[o.Adapter] = 3
+		if n := len(e.report.Resident) + len(e.report.Loading); n > e.capacity {
+			e.t.Fatalf("%d adapters in %d places after %+v", n, e.capacity, o)
+		}
+	}
+	return true
+}
+
+// TestRandomOrdersNeverOverfill guards against an engine that is ordered to hold more than it can, which ends it, under random
+// wants, uses, lost and late orders and restarts.
+func TestRandomOrdersNeverOverfill(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		e := &engine{t: t, capacity: 3, report: Report{Born: 1}, loading: make(map[ident.AdapterVersion]int)}
+		k := New()
+		k.Configure("m", e.capacity)
+		k.Claim(1)
+		loads := 0
+		for step := range 400 {
+			now := at(time.Duration(step) * 50 * time.Millisecond)
+			switch r.IntN(12) {
+			case 0:
+				k.Used(now, "e1", Use{Adapter: adapter(r.IntN(8)), Started: 1, Running: r.IntN(2)})
+			case 1, 2, 3:
+				k.Wish(now, "e2", Want{Adapter: adapter(r.IntN(8)), Waiting: r.IntN(3)})
+			case 4:
+				if len(e.late) > 0 {
+					e.apply(e.late[0])
+					e.late = e.late[1:]
+				}
+			case 5:
+				if r.IntN(20) == 0 {
+					e.report = Report{Born: e.report.Born + 1}
+					clear(e.loading)
+					e.late = nil
+				}
+			}
+			var still []ident.AdapterVersion
+			for _, av := range e.report.Loading {
+				if e.loading[av]--; e.loading[av] <= 0 {
+					e.report.Resident = append(slices.Clone(e.report.Resident), av)
+					loads++
+					continue
+				}
+				still = append(still, av)
+			}
+			e.report.Loading = still
+			k.Observe(now, "i-1", e.report)
+			o, ok := k.Next(now)
+			if !ok {
+				continue
+			}
+			switch r.IntN(4) {
+			case 0:
+				e.late = append(e.late, o)
+				k.Sent(now, o, Unknown)
+			case 1:
+				e.apply(o)
+				k.Sent(now, o, Unknown)
+			default:
+				result := Conflict
+				if e.apply(o) {
+					result = Accepted
+				}
+				k.Sent(now, o, result)
+			}
+		}
+		if loads == 0 {
+			t.Errorf("seed %d: nothing was loaded", seed)
+		}
+	}
+}
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -276,7 +276,7 @@
 const (
 	// paceWeight is the part of a longer stream's time that counts against a wait for its first piece: streams have seconds
 	// to end, and tens of milliseconds a token only matter to the long ones.
-	paceWeight = 0.15
+	paceWeight = 0.4
 	// maxReading bounds the share of its time that an engine is taken to spend on prompts.
 	maxReading = 0.95
 	// rateMemory is the time in seconds over which an agent averages the rate of prompts.
--- /dev/null
+++ b/state/retry/window_test.go
@@ -0,0 +1,50 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestWindowBound guards against more repeats in some span than the shared budget allows, whatever the times of the requests.
+func TestWindowBound(t *testing.T) {
+	const ratio, extra, peers, length = 0.2, 54, 4, 10 * time.Second
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		w := NewWindow(ratio, extra, length)
+		now := time.Unix(1_800_000_000, 0)
+		var fresh, repeats []time.Time
+		for range 5000 {
+			now = now.Add(time.Duration(r.ExpFloat64() * float64(20*time.Millisecond)))
+			if r.IntN(500) == 0 {
+				now = now.Add(time.Duration(r.IntN(25)) * time.Second)
+			}
+			if r.IntN(3) == 0 {
+				w.Fresh(now)
+				fresh = append(fresh, now)
+			} else if w.Take(now, peers) {
+				repeats = append(repeats, now)
+			}
+		}
+		if len(repeats) == 0 {
+			t.Fatalf("seed %d: no repeat was allowed", seed)
+		}
+		for i, from := range repeats {
+			n, f := 0, 0
+			for _, x := range repeats[i:] {
+				if x.Sub(from) < length {
+					n++
+				}
+			}
+			// First tries count in the same span or the one before.
+			for _, x := range fresh {
+				if d := x.Sub(from); d < length && d > -length {
+					f++
+				}
+			}
+			if float64(n) > ratio*float64(f)+float64(extra)/peers {
+				t.Fatalf("seed %d: %d repeats for %d first tries", seed, n, f)
+			}
+		}
+	}
+}
