holdings: free places for adapters sooner; copies cost more as places run out

Change: an idle adapter is kept for 150 ms and a fresh one for 250 ms; agents report how many places are taken, and another copy costs up to four times as much when none is left.

--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -154,9 +154,7 @@
 			r.Leaving = r.Leaving || s.Leaving || !s.Up
 			r.Running, r.Queued, r.Starting, r.Loading = s.Running, s.Queued, s.Starting, s.Loading
 			r.PromptRate = s.PromptRate
-			if s.Full {
-				r.Pinned = r.Slots
-			}
+			r.Pinned = s.Pinned
 		}
 	}
 	f.placement.Observe(now, r)
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -350,7 +350,7 @@
 	state := control.State{
 		Endpoint: s.endpoint, Born: s.born, Up: s.failures < downAfter && s.endpoint != "", Leaving: r.Leaving, Running: r.Running, Queued: r.Queued, Starting: r.Starting, PromptRate: s.keeper.PromptRate(now),
 		MemoryUsed: r.MemoryUsed, MemoryTotal: r.MemoryTotal, Resident: r.Resident, Loading: r.Loading,
-		Full: s.keeper.Full(now), Entries: s.entries(), Orders: s.keeper.Fence() != 0,
+		Pinned: s.keeper.Pinned(now), Entries: s.entries(), Orders: s.keeper.Fence() != 0,
 	}
 	if now.Sub(s.sentAt) < stateEvery && same(state, s.last) {
 		return
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -45,8 +45,8 @@
 	MemoryTotal float64
 	Resident    []ident.AdapterVersion
 	Loading     []ident.AdapterVersion
-	// Full means that a wanted adapter finds no place.
-	Full bool
+	// Pinned is the number of places for adapters that cannot be emptied now.
+	Pinned int
 	// Entries is the number of entries that are connected to the agent.
 	Entries int
 	// Orders is false while the agent may not order its engine.
--- a/state/holdings/keeper.go
+++ b/state/holdings/keeper.go
@@ -14,8 +14,8 @@
 	// maxTransit is the number of adapters that may be on their way to one engine.
 	maxTransit = 4
 	// settle is the time after the last use for which an adapter stays: uses are reported every 100 ms, and a request that was
-	// sent may still be on its way.
-	settle = 400 * time.Millisecond
+	// sent may still be on its way. Places are scarce under load, so it is not longer than that.
+	settle = 150 * time.Millisecond
 	// wantExpiry drops a want that its entry does not repeat.
 	wantExpiry = 3 * time.Second
 	// backoff is the pause after an order that the engine refused.
@@ -24,7 +24,7 @@
 	aging = 4.0
 	// freshLoad is the time in which an adapter that was just loaded is not unloaded for another one: its requests come
 	// once the entries hear of it.
-	freshLoad = 600 * time.Millisecond
+	freshLoad = 250 * time.Millisecond
 )
 
 // Want is the wish of one entry for an adapter.
@@ -250,13 +250,14 @@
 	}
 }
 
-// Full reports whether a wanted adapter finds no place because all that is resident is in use.
-func (k *Keeper) Full(now time.Time) bool {
-	if k.capacity <= 0 || len(k.report.Resident)+len(k.report.Loading) < k.capacity {
-		return false
+// Pinned returns the number of resident adapters that cannot be unloaded now.
+func (k *Keeper) Pinned(now time.Time) (n int) {
+	for _, av := range k.report.Resident {
+		if !k.idle(now, av) {
+			n++
+		}
 	}
-	_, found := k.victim(now)
-	return !found
+	return n
 }
 
 // ranked lists the wanted adapters, the one with the most waiting work first.
--- a/state/holdings/keeper_test.go
+++ b/state/holdings/keeper_test.go
@@ -46,8 +46,8 @@
 	if o, ok := k.Next(at(time.Second)); ok {
 		t.Errorf("next = %+v while both are in use or just were", o)
 	}
-	if !k.Full(at(time.Second)) {
-		t.Error("the engine does not report that it is full")
+	if n := k.Pinned(at(time.Second)); n != 2 {
+		t.Errorf("pinned = %d, want both places", n)
 	}
 	if o, ok := k.Next(at(2 * time.Second)); !ok || !o.Unload || o.Adapter != adapter(2) {
 		t.Errorf("next = %+v, %v; want the idle adapter unloaded", o, ok)
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -20,6 +20,8 @@
 	formerLoad = 0.1
 	// formerExpiry is the time in seconds for which an engine is taken to keep a copy: it keeps some dozens of adapters.
 	formerExpiry = 60.0
+	// scarcity raises the cost of another copy of an adapter as places run out: another adapter then waits for the place.
+	scarcity = 3.0
 	// extraReplica is the cost in milliseconds of using a holder beyond the wanted replicas, so that it falls idle.
 	extraReplica = 40.0
 )
@@ -145,7 +147,7 @@
 	hot := c.t.hot(c.seconds, a)
 	duplicate := 0.0
 	if a != nil && len(a.holders) >= a.replicas && c.t.has(ReplicaTerm) {
-		duplicate = c.t.displaced * c.t.stall(c.t.absentTime(hot))
+		duplicate = c.t.displaced * c.t.stall(c.t.absentTime(hot)) * (1 + scarcity*c.t.pressure())
 	}
 	if a != nil && c.t.has(FormerTerm) {
 		for _, f := range a.former {
@@ -218,6 +220,14 @@
 	return max(float64(t.loads)-1, 0)/(1+hot)/t.loadRate*1000 + t.loadTime*crowd
 }
 
+// pressure is the share of all places for adapters that are in use or being filled.
+func (t *Table) pressure() float64 {
+	if t.places == 0 || !t.has(FormerTerm) {
+		return 0
+	}
+	return float64(t.pinned+t.loads) / float64(t.places)
+}
+
 // absentWait adds the wait for a slot if all of them are pinned.
 func (t *Table) absentWait(e *endpoint, hot float64) float64 {
 	wait := t.absentTime(hot)
--- a/state/placement/endpoint.go
+++ b/state/placement/endpoint.go
@@ -61,6 +61,9 @@
 	holds []hold
 	spare []hold
 	loads int
+	// slots and pinned are the part of the table's sums that is this endpoint's.
+	slots  int
+	pinned int
 	// known is set once a report is part of the sums over all endpoints.
 	known bool
 	// delta is the difference between the report and what the entry knows to have changed since.
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -89,7 +89,10 @@
 	list     []*adapter
 	sweep    int
 	loads    int
-	service  service
+	// places and pinned are the sums of the slots of all endpoints.
+	places  int
+	pinned  int
+	service service
 }
 
 // New returns an empty table.
@@ -138,6 +141,9 @@
 		e = t.add(r)
 	}
 	t.service.reported(e, r)
+	t.places += r.Slots - e.slots
+	t.pinned += r.Pinned - e.pinned
+	e.slots, e.pinned = r.Slots, r.Pinned
 	e.Report = r
 	e.reported(s)
 	t.replaceHolders(s, e)
@@ -229,6 +235,8 @@
 	e.holds = nil
 	t.countLoads(e)
 	t.service.reported(e, Report{})
+	t.places -= e.slots
+	t.pinned -= e.pinned
 	p := t.pools[keyOf(e.Report)]
 	p.members = slices.DeleteFunc(p.members, func(x *endpoint) bool { return x == e })
 	p.generation++
