frontend: link engines that start empty; hear of base models from agents; true Retry-After

Loaded models were seen a second late. Change: the link is made when the configuration names the service's engines; agents report base models; without an agent an absent adapter is not sent for; refusals name the time at which there is room, at most a third of the caller's time.

--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -59,24 +59,27 @@
 		pool: upstream.New(d.Address, upstream.WithClock(f.clock), upstream.WithLimit(f.connections(d.Service))),
 	}
 	f.endpoints[d.ID] = e
-	if f.isEngine(d) && f.control != 0 {
-		host, _, err := net.SplitHostPort(d.Address)
-		if err != nil {
-			f.log.Warn("endpoint address is not valid", slog.String("Endpoint", string(d.ID)), slog.Any("Error", err))
-			return e
-		}
-		address := net.JoinHostPort(host, strconv.Itoa(f.control))
-		l := f.links[address]
-		if l == nil {
-			l = newLink(f, address)
-			f.links[address] = l
-			f.start(l)
-		}
-		e.link = l
-	}
 	return e
 }
 
+// connect links an engine to its agent. An engine that holds nothing yet is known as one only by the configuration, which may
+// come after it.
+func (f *Frontend) connect(e *endpoint) {
+	host, _, err := net.SplitHostPort(e.Address)
+	if err != nil {
+		f.log.Warn("endpoint address is not valid", slog.String("Endpoint", string(e.ID)), slog.Any("Error", err))
+		return
+	}
+	address := net.JoinHostPort(host, strconv.Itoa(f.control))
+	l := f.links[address]
+	if l == nil {
+		l = newLink(f, address)
+		f.links[address] = l
+		f.start(l)
+	}
+	e.link = l
+}
+
 // connections is this entry's part of the connections that endpoints accept from all callers.
 func (f *Frontend) connections(s ident.Service) int {
 	t := f.routes.Load()
@@ -143,6 +146,9 @@
 	}
 	if f.isEngine(e.Endpoint) {
 		r.Kind = resource.Engine
+		if e.link == nil && f.control != 0 {
+			f.connect(e)
+		}
 		if len(e.Models) > 0 {
 			r.BaseModel = e.Models[0]
 		}
@@ -152,6 +158,10 @@
 		r.Resident = e.resident(now)
 		if s := e.state(now); s != nil {
 			r.Leaving = r.Leaving || s.Leaving || !s.Up
+			// Discovery shows what an engine has loaded a second later.
+			if r.BaseModel = ""; len(s.Models) > 0 {
+				r.BaseModel = s.Models[0]
+			}
 			r.Running, r.Queued, r.Starting, r.Loading = s.Running, s.Queued, s.Starting, s.Loading
 			r.PromptRate = s.PromptRate
 			r.Pinned = s.Pinned
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -17,7 +17,7 @@
 )
 
 // maxMoves bounds the endpoints at which one request waits for its adapter.
-const maxMoves = 4
+const maxMoves = 6
 
 func (f *Frontend) query(x *request) placement.Query {
 	q := placement.Query{Adapter: x.adapter, PromptTokens: x.call.Prompt, Zone: f.zone, Exclude: x.excluded}
@@ -58,17 +58,24 @@
 		e = f.endpoints[name]
 		if !ok || e == nil {
 			f.mu.Unlock()
-			return nil, &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: unavailable, Detail: fmt.Sprintf("of service %s", x.service)}
+			return nil, &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: restart, Detail: fmt.Sprintf("of service %s", x.service)}
 		}
 		if expected := time.Duration(cost * float64(time.Millisecond)); now.Add(expected).After(x.deadline) {
 			f.mu.Unlock()
-			return nil, &outcome.Refusal{Reason: outcome.Deadline, RetryAfter: expected / 2, Detail: fmt.Sprintf("expected wait %d ms", expected.Milliseconds())}
+			return nil, &outcome.Refusal{Reason: outcome.Deadline, RetryAfter: min(max(expected-x.route.Goal/2, unavailable), x.deadline.Sub(now)/3), Detail: fmt.Sprintf("expected wait %d ms", expected.Milliseconds())}
 		}
 		f.began(now, x, e, q)
-		if x.adapter.IsZero() || e.holds(now, x.adapter) || e.link == nil {
+		if x.adapter.IsZero() || e.holds(now, x.adapter) {
 			f.mu.Unlock()
 			return e, nil
 		}
+		if e.state(now) == nil {
+			// Without its agent nobody loads the adapter there.
+			f.mu.Unlock()
+			f.ended(x, e, q, false)
+			x.excluded = append(x.excluded, e.ID)
+			continue
+		}
 		w := e.want(now, x.adapter)
 		e.link.offer(control.Account{Wants: []holdings.Want{{Adapter: x.adapter, Waiting: w.requests}}}, now)
 		f.mu.Unlock()
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -31,6 +31,9 @@
 	// unavailable is the time after which callers may return when nothing can serve them; discovery and load reports change
 	// within it.
 	unavailable = 300 * time.Millisecond
+	// restart is the time after which callers may return when no endpoint is there: engines that started empty need about as
+	// long to load their model.
+	restart = time.Second
 	// maxBody bounds a request body if the configuration names no limit.
 	maxBody = 4 << 20
 )
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -349,7 +349,7 @@
 	r := s.keeper.Report()
 	state := control.State{
 		Endpoint: s.endpoint, Born: s.born, Up: s.failures < downAfter && s.endpoint != "", Leaving: r.Leaving, Running: r.Running, Queued: r.Queued, Starting: r.Starting, PromptRate: s.keeper.PromptRate(now),
-		MemoryUsed: r.MemoryUsed, MemoryTotal: r.MemoryTotal, Resident: r.Resident, Loading: r.Loading,
+		MemoryUsed: r.MemoryUsed, MemoryTotal: r.MemoryTotal, Models: r.Models, Resident: r.Resident, Loading: r.Loading,
 		Pinned: s.keeper.Pinned(now), Entries: s.entries(), Orders: s.keeper.Fence() != 0,
 	}
 	if now.Sub(s.sentAt) < stateEvery && same(state, s.last) {
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -43,6 +43,7 @@
 	PromptRate  float64
 	MemoryUsed  float64
 	MemoryTotal float64
+	Models      []ident.BaseModel
 	Resident    []ident.AdapterVersion
 	Loading     []ident.AdapterVersion
 	// Pinned is the number of places for adapters that cannot be emptied now.
