--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,221 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// maxWait bounds a watch.
+const maxWait = 30 * time.Second
+
+// item is one key of the store in the platform's form.
+type item struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Revision  int64  `json:"revision"`
+	Created   int64  `json:"created,omitempty"`
+	Lease     int64  `json:"lease"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+// Store is an in-memory key-value store with a single revision counter.
+type Store struct {
+	mu       sync.Mutex
+	items    map[string]item
+	history  []item
+	revision int64
+	// kept is the first revision of the history.
+	kept    int64
+	changed chan struct{}
+	down    bool
+	calls   int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{items: make(map[string]item), revision: 1, changed: make(chan struct{})}
+}
+
+// Put writes a key as operators and endpoints do.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value)
+}
+
+func (s *Store) put(key string, value []byte) {
+	s.revision++
+	x := item{Key: key, Value: value, Revision: s.revision, Created: s.revision}
+	if old, ok := s.items[key]; ok {
+		x.Created = old.Created
+	}
+	s.items[key] = x
+	s.note(x)
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	s.revision++
+	s.note(item{Key: key, Revision: s.revision, Tombstone: true})
+}
+
+func (s *Store) note(x item) {
+	s.history = append(s.history, x)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Down makes every call fail until it is called with false.
+func (s *Store) Down(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact drops the history, so that watches from before get 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.kept = nil, s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP serves the calls that the project uses.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	routes := chi.NewRouter()
+	routes.Get("/kv-range", s.list)
+	routes.Get("/kv-watch", s.watch)
+	routes.Post("/kv-txn", s.transaction)
+	routes.ServeHTTP(w, r)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := []item{}
+	for key, x := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, x)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	answer(w, http.StatusOK, map[string]any{"items": items, "truncated": false, "asOf": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, err2 := strconv.ParseInt(q.Get("waitMs"), 10, 64)
+	if err != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
+	defer timeout.Stop()
+	for expired := false; ; {
+		s.mu.Lock()
+		if s.down {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if after < s.kept {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events := []item{}
+		for _, x := range s.history {
+			if x.Revision > after && strings.HasPrefix(x.Key, q.Get("prefix")) {
+				events = append(events, x)
+			}
+		}
+		if len(events) > 0 || expired {
+			answer(w, http.StatusOK, map[string]any{"events": events, "asOf": s.revision})
+			s.mu.Unlock()
+			return
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout.C:
+			expired = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) transaction(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		Expected []struct {
+			Key      string `json:"key"`
+			Revision int64  `json:"revision"`
+		} `json:"expected"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+		} `json:"puts"`
+		Deletes []string `json:"deletes"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range t.Expected {
+		if s.items[e.Key].Revision != e.Revision {
+			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}})
+			return
+		}
+	}
+	for _, p := range t.Puts {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		s.put(p.Key, p.Value)
+	}
+	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
+}
+
+// answer sends JSON; a caller that has left needs none.
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
