--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -41,8 +41,9 @@
 	// discoveryReread confirms the list of endpoints although the watch shows no change: requests must not reach an endpoint
 	// two seconds after it has said that it leaves.
 	discoveryReread = 5 * time.Second
-	// discoveryPause collects the changes of many endpoints.
-	discoveryPause = 200 * time.Millisecond
+	// discoveryPause collects the changes of many endpoints, since each answer of a watch is a call to the store. It is well below
+	// the two seconds after which a leaving endpoint must get nothing.
+	discoveryPause = 700 * time.Millisecond
 )
 
 // Entry is the program on an entry host.
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -29,8 +29,9 @@
 	prefill = 26 * time.Microsecond
 	// step is the time of one token of a batch: 4 to 6 ms on the engines in use.
 	step = 5 * time.Millisecond
-	// zoneCharge is the cost of another availability zone. Traffic between zones is paid for, and worth a few milliseconds.
-	zoneCharge = 8 * time.Millisecond
+	// zoneCharge is the cost of one KiB to another availability zone, where traffic between zones is paid for: a long prompt
+	// costs about as much as it loses by a wait of some tens of milliseconds.
+	zoneCharge = 2 * time.Millisecond
 	// affinity is the cost of an engine that is not preferred for an absent adapter: an engine that held it lately loads it
 	// in a tenth of the time.
 	affinity = 120 * time.Millisecond
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -19,8 +19,11 @@
 // maxMoves bounds the endpoints at which one request waits for its adapter.
 const maxMoves = 6
 
+// headBytes stands for the headers of a request and its answer.
+const headBytes = 1024
+
 func (f *Frontend) query(x *request) placement.Query {
-	q := placement.Query{Adapter: x.adapter, PromptTokens: x.call.Prompt, Zone: f.zone, Exclude: x.excluded}
+	q := placement.Query{Adapter: x.adapter, PromptTokens: x.call.Prompt, Zone: f.zone, Bytes: len(x.body) + headBytes, Exclude: x.excluded}
 	if x.call.Model == "" {
 		q.Service = x.service
 		return q
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -185,7 +185,7 @@
 		cost += c.t.occupancyCost(e)
 	}
 	if c.t.has(ZoneTerm) && e.Zone != c.q.Zone {
-		cost += c.t.zoneCharge
+		cost += c.t.zoneCharge * float64(c.q.Bytes) / 1024
 	}
 	if c.t.has(PrefixTerm) && e.caches(s, c.prefix) {
 		cost -= c.t.prefixGain(c.q)
--- a/state/placement/options.go
+++ b/state/placement/options.go
@@ -66,7 +66,7 @@
 // WithStep sets the time in which a batch produces one token for each request while no prompt is read.
 func WithStep(d time.Duration) Option { return func(t *Table) { t.step = milli(d) } }
 
-// WithZoneCharge sets the cost of sending to another availability zone.
+// WithZoneCharge sets the cost of sending one KiB to another availability zone.
 func WithZoneCharge(d time.Duration) Option { return func(t *Table) { t.zoneCharge = milli(d) } }
 
 // WithAffinity sets the cost of an endpoint that is not preferred for an absent adapter.
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -60,6 +60,8 @@
 	PromptTokens ident.Tokens
 	// OutputTokens is an estimate.
 	OutputTokens ident.Tokens
+	// Bytes is the size of the request.
+	Bytes int
 	// Zone is the availability zone of the entry.
 	Zone ident.Zone
 	// Exclude lists endpoints that refused or failed this request before.
