--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -132,7 +132,7 @@
 // resident lists the adapters that the endpoint holds, by its agent or else by discovery.
 func (e *endpoint) resident(now time.Time) []ident.AdapterVersion {
 	if s := e.state(now); s != nil {
-		return s.Resident
+		return s.Holdings.Resident
 	}
 	return e.Resident
 }
@@ -159,11 +159,11 @@
 		if s := e.state(now); s != nil {
 			r.Leaving = r.Leaving || s.Leaving || !s.Up
 			// Discovery shows what an engine has loaded a second later.
-			if r.BaseModel = ""; len(s.Models) > 0 {
-				r.BaseModel = s.Models[0]
+			if r.BaseModel = ""; len(s.Holdings.Models) > 0 {
+				r.BaseModel = s.Holdings.Models[0]
 			}
-			r.Running, r.Queued, r.Starting, r.Loading = s.Running, s.Queued, s.Starting, s.Loading
-			r.PromptRate = s.PromptRate
+			r.Running, r.Queued, r.Starting, r.Loading = s.Running, s.Queued, s.Starting, s.Holdings.Loading
+			r.PromptRate = float64(s.PromptRate)
 			r.Pinned = s.Pinned
 		}
 	}
--- a/daemon/frontend/frontend_test.go
+++ b/daemon/frontend/frontend_test.go
@@ -269,7 +269,7 @@
 			}
 			go func() {
 				conn := control.NewConn(c)
-				state := control.State{Endpoint: endpoint, Up: true, Orders: true, Models: []ident.BaseModel{"m"}, Entries: 1}
+				state := control.State{Endpoint: endpoint, Up: true, Entries: 1, Holdings: &control.Holdings{Models: []ident.BaseModel{"m"}}}
 				for {
 					if conn.Send(state) != nil {
 						return
@@ -281,7 +281,7 @@
 					for _, w := range a.Wants {
 						if w.Waiting > 0 {
 							wanted <- w.Adapter
-							state.Resident = append(state.Resident, w.Adapter)
+							state.Holdings.Resident = append(state.Holdings.Resident, w.Adapter)
 						}
 					}
 				}
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/ident"
 )
@@ -120,11 +122,18 @@
 			}
 		}
 	}()
+	var holdings *control.Holdings
 	for {
 		var s control.State
 		if err = conn.Receive(&s, linkSilence); err != nil {
 			return connected, err
 		}
+		if s.Holdings == nil {
+			s.Holdings = holdings
+		}
+		if holdings = s.Holdings; holdings == nil {
+			return connected, eris.New("the agent's first message has no holdings")
+		}
 		if !connected {
 			connected = true
 			l.f.log.Info("agent connected", slog.String("Address", l.address), slog.String("Endpoint", string(s.Endpoint)), slog.Bool("Up", s.Up))
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -201,9 +201,16 @@
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
+		var sent *control.Holdings
 		for {
 			select {
 			case state := <-x.states:
+				// Holdings change rarely and are the most of a message, and bytes between zones are paid for.
+				if state.Holdings.Equal(sent) {
+					state.Holdings = nil
+				} else {
+					sent = state.Holdings
+				}
 				if err := x.conn.Send(state); err != nil {
 					x.conn.Close()
 					return
@@ -260,7 +267,9 @@
 	if e.joined {
 		s.links[e.link] = true
 		s.log.Info("entry connected", slog.String("Entry", string(e.link.host)), slog.Int("Entries", len(s.links)))
-		e.link.offer(s.last)
+		if s.last.Holdings != nil {
+			e.link.offer(s.last)
+		}
 	}
 	if e.left {
 		delete(s.links, e.link)
@@ -348,9 +357,9 @@
 	now := s.clock.Now()
 	r := s.keeper.Report()
 	state := control.State{
-		Endpoint: s.endpoint, Born: s.born, Up: s.failures < downAfter && s.endpoint != "", Leaving: r.Leaving, Running: r.Running, Queued: r.Queued, Starting: r.Starting, PromptRate: s.keeper.PromptRate(now),
-		MemoryUsed: r.MemoryUsed, MemoryTotal: r.MemoryTotal, Models: r.Models, Resident: r.Resident, Loading: r.Loading,
-		Pinned: s.keeper.Pinned(now), Entries: s.entries(), Orders: s.keeper.Fence() != 0,
+		Endpoint: s.endpoint, Born: s.born, Up: s.failures < downAfter && s.endpoint != "", Leaving: r.Leaving, Running: r.Running, Queued: r.Queued,
+		Starting: r.Starting, PromptRate: int(s.keeper.PromptRate(now)), Pinned: s.keeper.Pinned(now), Entries: s.entries(),
+		Holdings: &control.Holdings{Models: r.Models, Resident: r.Resident, Loading: r.Loading},
 	}
 	if now.Sub(s.sentAt) < stateEvery && same(state, s.last) {
 		return
--- a/daemon/sidecar/state.go
+++ b/daemon/sidecar/state.go
@@ -1,14 +1,14 @@
 package sidecar
 
-import (
-	"slices"
+import "shallotring.dev/protocol/control"
 
-	"shallotring.dev/protocol/control"
-)
-
-// same reports whether two states tell an entry the same; the load is compared as well, since it changes with each request.
+// same reports whether two states tell an entry the same; the load is compared as well, since it changes with each request. The
+// rate of prompts alone is no reason for a message.
 func same(a, b control.State) bool {
-	return a.Endpoint == b.Endpoint && a.Born == b.Born && a.Up == b.Up && a.Leaving == b.Leaving && a.Pinned == b.Pinned && a.Orders == b.Orders &&
-		a.Running == b.Running && a.Queued == b.Queued && a.Starting == b.Starting && a.Entries == b.Entries &&
-		slices.Equal(a.Models, b.Models) && slices.Equal(a.Resident, b.Resident) && slices.Equal(a.Loading, b.Loading)
+	if !a.Holdings.Equal(b.Holdings) {
+		return false
+	}
+	a.Holdings, b.Holdings = nil, nil
+	a.PromptRate, b.PromptRate = 0, 0
+	return a == b
 }
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,24 +35,31 @@
 	// Born is the start of the engine's life in Unix milliseconds.
 	Born int64
 	// Up is false if the engine does not answer its agent.
-	Up       bool
-	Leaving  bool
-	Running  int
-	Queued   int
-	Starting int
+	Up       bool `json:",omitempty"`
+	Leaving  bool `json:",omitempty"`
+	Running  int  `json:",omitempty"`
+	Queued   int  `json:",omitempty"`
+	Starting int  `json:",omitempty"`
 	// PromptRate is the prompt tokens a second that all entries give the engine.
-	PromptRate  float64
-	MemoryUsed  float64
-	MemoryTotal float64
-	Models      []ident.BaseModel
-	Resident    []ident.AdapterVersion
-	Loading     []ident.AdapterVersion
+	PromptRate int `json:",omitempty"`
 	// Pinned is the number of places for adapters that cannot be emptied now.
-	Pinned int
+	Pinned int `json:",omitempty"`
 	// Entries is the number of entries that are connected to the agent.
-	Entries int
-	// Orders is false while the agent may not order its engine.
-	Orders bool
+	Entries int `json:",omitempty"`
+	// Holdings is nil if it has not changed since the last message on the connection.
+	Holdings *Holdings `json:",omitempty"`
+}
+
+// Holdings is what an engine holds.
+type Holdings struct {
+	Models   []ident.BaseModel
+	Resident []ident.AdapterVersion
+	Loading  []ident.AdapterVersion
+}
+
+// Equal compares two holdings; nil equals nothing.
+func (h *Holdings) Equal(x *Holdings) bool {
+	return h != nil && x != nil && slices.Equal(h.Models, x.Models) && slices.Equal(h.Resident, x.Resident) && slices.Equal(h.Loading, x.Loading)
 }
 
 // Conn sends and receives messages; Send may be called from any goroutine.
