--- a/daemon/direct/agent.go
+++ b/daemon/direct/agent.go
@@ -67,7 +67,7 @@
 		defer h.Close()
 	}
 	wg.Go(func() { operators.Run(ctx) })
-	a.log.Info("process started", slog.String("Engine", a.settings.Engine), slog.Int("PID", os.Getpid()))
+	a.log.Info("process started", slog.String("Engine", a.settings.Engine), slog.Int("Pid", os.Getpid()))
 	err = s.Run(ctx, l)
 	a.log.Info("process stopped", slog.Any("Error", err))
 	return err
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -111,7 +111,7 @@
 	wg.Go(func() { operators.Run(background) })
 	wg.Go(func() { endpoints.Run(background) })
 	wg.Go(func() { e.front.Run(background) })
-	e.log.Info("process started", slog.String("Front", e.settings.Front), slog.String("Ready", e.settings.Ready), slog.Int("PID", os.Getpid()))
+	e.log.Info("process started", slog.String("Front", e.settings.Front), slog.String("Ready", e.settings.Ready), slog.Int("Pid", os.Getpid()))
 	select {
 	case err = <-failed:
 		return err
--- a/daemon/frontend/frontend_test.go
+++ b/daemon/frontend/frontend_test.go
@@ -314,7 +314,7 @@
 	defer s.Close()
 	deadline := time.Now().Add(5 * time.Second)
 	for {
-		r, _ := http.NewRequest("POST", s.URL+"/x", strings.NewReader("prompt"))
+		r, _ := http.NewRequest(http.MethodPost, s.URL+"/x", strings.NewReader("prompt"))
 		r.Host = "x"
 		r.Header = http.Header{"Shallotring-Attempt-Id": {"r1"}, "Shallotring-Model": {"m/a1"}, "Shallotring-Token-Usage": {"100,10"}}
 		a, err := http.DefaultClient.Do(r)
@@ -323,7 +323,7 @@
 		}
 		body, _ := io.ReadAll(a.Body)
 		a.Body.Close()
-		if a.StatusCode == 200 {
+		if a.StatusCode == http.StatusOK {
 			if string(body) != "3 i-0" {
 				t.Errorf("the engine was told %q, want version and instance", body)
 			}
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -153,7 +153,7 @@
 }
 
 // want asks the agent at once for an adapter that requests wait for; the lock is held.
-func (e *endpoint) want(now time.Time, av ident.AdapterVersion) *wait {
+func (e *endpoint) want(av ident.AdapterVersion) *wait {
 	w := e.waits[av]
 	if w == nil {
 		w = &wait{done: make(chan struct{})}
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -68,6 +68,7 @@
 			return nil, &outcome.Refusal{Reason: outcome.Deadline, RetryAfter: min(max(expected-x.route.Goal/2, unavailable), x.deadline.Sub(now)/3), Detail: fmt.Sprintf("expected wait %d ms", expected.Milliseconds())}
 		}
 		f.began(now, x, e, q)
+		f.chosen(now, x, e, cost)
 		if x.adapter.IsZero() || e.holds(now, x.adapter) {
 			f.mu.Unlock()
 			return e, nil
@@ -79,7 +80,7 @@
 			x.excluded = append(x.excluded, e.ID)
 			continue
 		}
-		w := e.want(now, x.adapter)
+		w := e.want(x.adapter)
 		e.link.offer(control.Account{Wants: []holdings.Want{{Adapter: x.adapter, Waiting: w.requests}}}, now)
 		f.mu.Unlock()
 		if f.await(ctx, x, e, w, now) {
@@ -94,6 +95,17 @@
 	return nil, &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: unavailable, Detail: "no engine loaded the adapter"}
 }
 
+// chosen writes the decision with the age of the agent's state, or that of discovery if there is none; the lock is held.
+func (f *Frontend) chosen(now time.Time, x *request, e *endpoint, cost float64) {
+	age, load := int64(-1), 0
+	if s := e.state(now); s != nil {
+		age, load = now.Sub(e.link.heard).Milliseconds(), s.Running
+	}
+	f.log.Info("endpoint chosen", x.id(), slog.String("Endpoint", string(e.ID)), slog.Int64("CostMilli", int64(cost)),
+		slog.Int64("Configuration", x.configuration), slog.String("Adapter", x.adapter.String()), slog.Bool("Held", x.adapter.IsZero() || e.holds(now, x.adapter)),
+		slog.Int64("StateAgeMilli", age), slog.Int("Running", load), slog.Int("Own", e.running))
+}
+
 // await waits until the endpoint holds the adapter. After a third of the time that is left another endpoint is tried.
 func (f *Frontend) await(ctx context.Context, x *request, e *endpoint, w *wait, began time.Time) (loaded bool) {
 	t := f.clock.NewTimer(x.deadline.Sub(began) / 3)
@@ -112,7 +124,7 @@
 	}
 	loaded = ctx.Err() == nil && e.holds(now, x.adapter) && f.endpoints[e.ID] == e
 	f.metrics.loads.Update(now.Sub(began).Seconds())
-	f.log.Info("adapter awaited", slog.String("RequestID", string(x.call.ID)), slog.String("Adapter", x.adapter.String()), slog.String("Endpoint", string(e.ID)),
+	f.log.Info("adapter awaited", x.id(), slog.String("Adapter", x.adapter.String()), slog.String("Endpoint", string(e.ID)),
 		slog.Bool("Loaded", loaded), slog.Int64("DurationMilli", now.Sub(began).Milliseconds()))
 	return loaded
 }
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -38,26 +38,25 @@
 	maxBody = 4 << 20
 )
 
-// errCallerLeft is the cause of an exchange that ended because the caller closed its connection.
-var errCallerLeft = eris.New("caller left")
-
 // errTimeout is the cause of an exchange that ended at the request's deadline.
 var errTimeout = eris.New("deadline of the request")
 
 // request is one request in progress; its handler's goroutine owns it.
 type request struct {
-	call     call.Call
-	route    routing.Route
-	service  ident.Service
-	adapter  ident.AdapterVersion
-	arrived  time.Time
-	deadline time.Time
-	method   string
-	target   string
-	host     string
-	header   http.Header
-	body     []byte
-	hasBody  bool
+	call    call.Call
+	route   routing.Route
+	service ident.Service
+	// configuration is the version that selected the route.
+	configuration int64
+	adapter       ident.AdapterVersion
+	arrived       time.Time
+	deadline      time.Time
+	method        string
+	target        string
+	host          string
+	header        http.Header
+	body          []byte
+	hasBody       bool
 	// excluded are the endpoints that have refused or failed the request.
 	excluded []ident.Endpoint
 	// reading is the number of prompt tokens that the current endpoint is expected to read.
@@ -66,6 +65,11 @@
 	runs    int
 }
 
+// requestKey is the field of the request's id, as in the timeline of the other programs.
+var requestKey = "RequestID"
+
+func (x *request) id() slog.Attr { return slog.String(requestKey, string(x.call.ID)) }
+
 // ServeHTTP serves one request of a caller.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := f.clock.Now()
@@ -81,7 +85,7 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, errTimeout)
 	defer cancel()
 	if err := http.NewResponseController(w).SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
-		f.log.Warn("no write deadline", slog.String("RequestID", string(x.call.ID)), slog.Any("Error", err))
+		f.log.Warn("no write deadline", x.id(), slog.Any("Error", err))
 	}
 	f.run(ctx, w, x)
 }
@@ -102,7 +106,7 @@
 	if !ok {
 		return x, http.StatusNotFound, eris.Errorf("no route for %s%s in version %d", host, path, routes.Version)
 	}
-	x.route = route
+	x.route, x.configuration = route, routes.Version
 	if route.Kind == routing.Stream && f.noStreams.Load() {
 		return x, http.StatusServiceUnavailable, eris.New("the entry is stopping")
 	}
@@ -205,7 +209,7 @@
 // refuse answers with a status that promises that the request has not run, or that it is not allowed.
 func (f *Frontend) refuse(w http.ResponseWriter, x *request, status int, reason string, after time.Duration) {
 	f.metrics.refused.Inc()
-	f.log.Info("request refused", slog.String("RequestID", string(x.call.ID)), slog.Int("Status", status), slog.String("Reason", reason),
+	f.log.Info("request refused", x.id(), slog.Int("Status", status), slog.String("Reason", reason),
 		slog.String("Route", x.route.Name), slog.String("Adapter", x.adapter.String()), slog.Int("Sends", x.sends),
 		slog.Int64("RetryAfterMilli", after.Milliseconds()), slog.Int64("DurationMilli", f.clock.Since(x.arrived).Milliseconds()))
 	h := w.Header()
@@ -226,12 +230,12 @@
 		status = http.StatusGatewayTimeout
 	case ctx.Err() != nil:
 		f.metrics.abandoned.Inc()
-		f.log.Info("request abandoned", slog.String("RequestID", string(x.call.ID)), slog.String("Route", x.route.Name), slog.Int("Sends", x.sends),
+		f.log.Info("request abandoned", x.id(), slog.String("Route", x.route.Name), slog.Int("Sends", x.sends),
 			slog.Int64("DurationMilli", f.clock.Since(x.arrived).Milliseconds()))
 		panic(http.ErrAbortHandler)
 	}
 	f.metrics.unknown.Inc()
-	f.log.Info("request failed", slog.String("RequestID", string(x.call.ID)), slog.Int("Status", status), slog.String("Route", x.route.Name),
+	f.log.Info("request failed", x.id(), slog.Int("Status", status), slog.String("Route", x.route.Name),
 		slog.String("Adapter", x.adapter.String()), slog.Int("Sends", x.sends), slog.Int("Runs", x.runs),
 		slog.Int64("DurationMilli", f.clock.Since(x.arrived).Milliseconds()))
 	h := w.Header()
@@ -258,7 +262,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.budget(x.service).Take(now, f.peers(now)) {
-		f.log.Info("repeat refused by the budget", slog.String("RequestID", string(x.call.ID)), slog.String("Service", string(x.service)))
+		f.log.Info("repeat refused by the budget", x.id(), slog.String("Service", string(x.service)))
 		return false
 	}
 	f.metrics.repeats.Inc()
@@ -290,7 +294,7 @@
 	a, err := e.pool.Do(ctx, upstream.Request{Method: x.method, Target: x.target, Host: x.host, Header: header, Body: x.body, HasBody: x.hasBody})
 	if err != nil {
 		unsent := upstream.Unsent(err)
-		f.log.Info("endpoint gave no answer", slog.String("RequestID", string(x.call.ID)), slog.String("Endpoint", string(e.ID)), slog.Bool("Sent", !unsent),
+		f.log.Info("endpoint gave no answer", x.id(), slog.String("Endpoint", string(e.ID)), slog.Bool("Sent", !unsent),
 			slog.Int64("DurationMilli", f.clock.Since(began).Milliseconds()), slog.Any("Error", err))
 		if ctx.Err() != nil {
 			if !unsent {
@@ -312,7 +316,7 @@
 	broken := (v.ID != "" && v.ID != x.call.ID) || v.Encoded || (a.Status < 300 && !v.Sealed) || a.Status < 200 || (a.Status >= 300 && a.Status < 400)
 	// These statuses promise callers that nothing ran; without the endpoint's own promise they are not passed on.
 	promise := a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests || a.Status == http.StatusRequestTimeout || v.Misdirected
-	f.log.Info("endpoint answered", slog.String("RequestID", string(x.call.ID)), slog.String("Endpoint", string(e.ID)), slog.Int("Status", a.Status),
+	f.log.Info("endpoint answered", x.id(), slog.String("Endpoint", string(e.ID)), slog.Int("Status", a.Status),
 		slog.Bool("NotRun", v.NotRun), slog.Bool("Sealed", v.Sealed), slog.Bool("Broken", broken), slog.Int("Send", x.sends), slog.String("Adapter", x.adapter.String()),
 		slog.Int64("DurationMilli", f.clock.Since(began).Milliseconds()))
 	switch {
--- a/daemon/program/platform.go
+++ b/daemon/program/platform.go
@@ -25,7 +25,7 @@
 		return err
 	}
 	out := timeline.NewQueue(os.Stdout)
-	defer out.Close()
+	defer out.Flush()
 	log := timeline.New(out, timeline.Process{ID: ident.NewProcess(role), Role: role, Host: s.Host, Zone: s.Zone}, slog.LevelInfo)
 	ctx, cancel := Context(log.Logger, func() {})
 	defer cancel()
--- a/standin/platform/engine.go
+++ b/standin/platform/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -233,12 +234,12 @@
 	}()
 	h.Set("Shallotring-Server-Seal", "seal-"+id)
 	if e.model == "" {
-		fmt.Fprintf(w, "%s %s ran", r.Method, r.RequestURI)
+		io.WriteString(w, r.Method+" "+r.RequestURI+" ran")
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
 	for i := range 3 {
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, r.Header.Get("Shallotring-Model"))
+		io.WriteString(w, fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, r.Header.Get("Shallotring-Model")))
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
--- a/transport/server/drain.go
+++ b/transport/server/drain.go
@@ -80,7 +80,7 @@
 func (c *drainedConn) shutdown() {
 	c.shut = true
 	// The read that waits on the connection ends with the close.
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 // CloseIdle closes the connections without a request now, and the others once their answers have ended.
--- a/transport/server/drain_test.go
+++ b/transport/server/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -62,7 +63,7 @@
 	if busy := d.Wait(time.Now().Add(5 * time.Second)); busy != 0 {
 		t.Errorf("%d requests in progress after the answer, want 0", busy)
 	}
-	if _, err = r.ReadByte(); err != io.EOF {
+	if _, err = r.ReadByte(); !errors.Is(err, io.EOF) {
 		t.Errorf("after the answer: %v, want the connection closed", err)
 	}
 }
--- a/transport/timeline/queue.go
+++ b/transport/timeline/queue.go
@@ -27,7 +27,7 @@
 	once    sync.Once
 }
 
-// NewQueue returns a queue in front of a writer; Close writes what is left.
+// NewQueue returns a queue in front of a writer; Flush writes what is left.
 func NewQueue(out io.Writer) *Queue {
 	q := &Queue{out: out, wake: make(chan struct{}, 1), done: make(chan struct{}), stop: make(chan struct{})}
 	go q.run()
@@ -53,11 +53,10 @@
 	return len(line), nil
 }
 
-// Close writes what is left and ends the queue.
-func (q *Queue) Close() (err error) {
+// Flush writes what is left and ends the queue.
+func (q *Queue) Flush() {
 	q.once.Do(func() { close(q.stop) })
 	<-q.done
-	return nil
 }
 
 func (q *Queue) run() {
