--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -131,9 +131,10 @@
 	e.front.CloseConnections()
 	callers.CloseIdle()
 	time.Sleep(min(lastStreams-unready, e.settings.Grace/16))
-	e.front.RefuseStreams()
+	end := began.Add(e.settings.Grace - lastReserve)
+	e.front.RefuseStreams(end)
 	time.Sleep(min(time.Second, e.settings.Grace/8))
-	busy := callers.Wait(began.Add(e.settings.Grace - lastReserve))
+	busy := callers.Wait(end)
 	e.log.Info("process stopped", slog.Int64("DurationMilli", time.Since(began).Milliseconds()), slog.Int("Interrupted", busy))
 }
 
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -71,8 +71,8 @@
 	routes   atomic.Pointer[routing.Table]
 	draining atomic.Bool
 	closing  atomic.Bool
-	// noStreams is set when the process has too little time left for a stream.
-	noStreams atomic.Bool
+	// end is the time at which the process ends, once it has too little time left for a stream.
+	end atomic.Pointer[time.Time]
 
 	mu        sync.Mutex
 	placement *placement.Table
@@ -223,5 +223,6 @@
 // CloseConnections asks callers to send no further requests on their connections.
 func (f *Frontend) CloseConnections() { f.closing.Store(true) }
 
-// RefuseStreams refuses requests that may run for longer than the process has left.
-func (f *Frontend) RefuseStreams() { f.noStreams.Store(true) }
+// RefuseStreams refuses streams, which may run for longer than the process has left, and from now on every request whose time
+// reaches beyond the process's end.
+func (f *Frontend) RefuseStreams(end time.Time) { f.end.Store(&end) }
--- a/daemon/frontend/frontend_test.go
+++ b/daemon/frontend/frontend_test.go
@@ -243,6 +243,23 @@
 	}
 }
 
+// TestStoppingEntryRefuses guards against a request that is cut at the end of the grace period: it must be refused before it is
+// sent, unless it ends in time.
+func TestStoppingEntryRefuses(t *testing.T) {
+	for _, x := range []struct {
+		path string
+		left time.Duration
+		want int
+	}{{"/stream/", 10 * time.Second, 503}, {"/once/", 10 * time.Second, 200}, {"/once/", time.Second, 503}} {
+		b := newBackend(t, serves)
+		f, address := newFrontend(t, b)
+		f.RefuseStreams(time.Now().Add(x.left))
+		if code, _, _, err := ask(t, address, x.path, "r1"); code != x.want || (code == 503 && b.count("r1") > 0) {
+			t.Errorf("%s with %v left: %d %v, want %d", x.path, x.left, code, err, x.want)
+		}
+	}
+}
+
 // TestConfigurationNeverGoesBack guards against an older configuration that comes after a newer one.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	f, address := newFrontend(t, newBackend(t, serves))
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -107,9 +107,6 @@
 		return x, http.StatusNotFound, eris.Errorf("no route for %s%s in version %d", host, path, routes.Version)
 	}
 	x.route, x.configuration = route, routes.Version
-	if route.Kind == routing.Stream && f.noStreams.Load() {
-		return x, http.StatusServiceUnavailable, eris.New("the entry is stopping")
-	}
 	limit := routes.Limits.BodyBytes
 	if limit <= 0 {
 		limit = maxBody
@@ -132,6 +129,9 @@
 		wait = min(wait, x.call.Wait)
 	}
 	x.deadline = now.Add(wait)
+	if end := f.end.Load(); end != nil && (route.Kind == routing.Stream || x.deadline.After(*end)) {
+		return x, http.StatusServiceUnavailable, eris.New("the entry is stopping")
+	}
 	f.mu.Lock()
 	x.service, ok = route.Pick(f.random.Float64())
 	if x.call.Adapter != "" {
