placement: engines whose agent is lost are not chosen for absent adapters

Cause: the log line of a choice showed engines without a state chosen for adapters that they do not hold; with the better candidates excluded the request was then refused for an expected wait of seconds. Test: TestFixedEndpoint.

--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -155,7 +155,7 @@
 		if t := f.routes.Load(); t != nil && t.Services[e.Service].Engine != nil {
 			r.Slots = t.Services[e.Service].Engine.Adapters
 		}
-		r.Resident = e.resident(now)
+		r.Resident, r.Fixed = e.resident(now), e.state(now) == nil
 		if s := e.state(now); s != nil {
 			r.Leaving = r.Leaving || s.Leaving || !s.Up
 			// Discovery shows what an engine has loaded a second later.
--- a/daemon/processes/deployment_test.go
+++ b/daemon/processes/deployment_test.go
@@ -80,7 +80,7 @@
 
 var client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
-// deploy starts all processes in the order of docs/operations.md and waits until the entries serve.
+// deploy starts all processes in the order of docs/OPERATIONS.md and waits until the entries serve.
 func deploy(t *testing.T, p plan) (d *deployment) {
 	t.Helper()
 	p.batch = max(p.batch, 8)
--- a/daemon/processes/serve_test.go
+++ b/daemon/processes/serve_test.go
@@ -49,7 +49,7 @@
 	d.store.stop()
 }
 
-// checkMetrics guards against a metric of docs/operations.md that no process exports.
+// checkMetrics guards against a metric of docs/OPERATIONS.md that no process exports.
 func (d *deployment) checkMetrics(admin string, names ...string) {
 	d.t.Helper()
 	body, _ := fetch("http://" + admin + "/metrics")
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -175,7 +175,7 @@
 
 // consider keeps the endpoint if it is cheaper than the best so far; extra is the part of the cost that depends on the adapter.
 func (c *choice) consider(e *endpoint, s, extra float64) {
-	if !e.takes(*c.q) {
+	if !e.takes(*c.q) || (e.Fixed && c.q.Service == "" && !c.q.Adapter.IsZero() && !holds(e, c.t.adapters[c.q.Adapter])) {
 		return
 	}
 	cost := extra + c.t.queueCost(e) + milli(e.Penalty)
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -42,6 +42,8 @@
 	Starting int
 	// PromptRate is the prompt tokens a second that the endpoint is given to read.
 	PromptRate float64
+	// Fixed means that nobody can change what the endpoint holds now.
+	Fixed bool
 	// Penalty is a cost for failures in the recent past.
 	Penalty time.Duration
 }
--- a/state/placement/table_test.go
+++ b/state/placement/table_test.go
@@ -12,6 +12,24 @@
 
 var start = time.Unix(1_000_000, 0)
 
+// TestFixedEndpoint guards against requests that wait for an adapter at an engine whose agent is lost: nobody loads it there.
+func TestFixedEndpoint(t *testing.T) {
+	table := New(WithTerms(DirectTerms))
+	fixed, other := engine("fixed", 0), engine("other", 50)
+	fixed.Fixed = true
+	fixed.Resident = []ident.AdapterVersion{version("held")}
+	observe(table, 0, fixed)
+	observe(table, 0, other)
+	for range 20 {
+		if name, _ := table.Choose(at(1), query("absent")); name != "other" {
+			t.Fatalf("absent adapter at %q, want the engine that can load it", name)
+		}
+		if name, _ := table.Choose(at(1), query("held")); name != "fixed" {
+			t.Fatalf("held adapter at %q, want the engine that holds it", name)
+		}
+	}
+}
+
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
 func version(name string) ident.AdapterVersion {
