placement: compare eight random engines for an absent adapter

Cause: under load few engines have a free place, and two random ones beside the preferred ones rarely meet them. At 600 engines a decision stays bounded.

--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -38,6 +38,8 @@
 	// displaced is the number of loads that another copy of an adapter is taken to cost: the tail of the adapters does not fit
 	// into the engines anyway, and a load takes less time than a few prompts.
 	displaced = 1.0
+	// samples is the number of random engines that are compared for an absent adapter: few of them have a free place under load.
+	samples = 8
 	// balance is the interval of the accounts to agents and of the checks of what is known of endpoints.
 	balance = 100 * time.Millisecond
 )
@@ -120,7 +122,7 @@
 	}
 	f.placement = placement.New(
 		placement.WithTerms(placement.DirectTerms), placement.WithPrefill(prefill), placement.WithStep(step), placement.WithZoneCharge(zoneCharge),
-		placement.WithAffinity(affinity), placement.WithDisplaced(displaced), placement.WithLoadTime(loadTime),
+		placement.WithAffinity(affinity), placement.WithDisplaced(displaced), placement.WithSamples(samples), placement.WithLoadTime(loadTime),
 		placement.WithLoadBudget(transfers/loadTime.Seconds(), transfers), placement.WithRandom(f.random),
 	)
 	return f
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -22,6 +22,8 @@
 	formerExpiry = 60.0
 	// scarcity raises the cost of another copy of an adapter as places run out: another adapter then waits for the place.
 	scarcity = 3.0
+	// samples is the default number of random endpoints that are compared for an absent adapter.
+	samples = 2
 	// extraReplica is the cost in milliseconds of using a holder beyond the wanted replicas, so that it falls idle.
 	extraReplica = 40.0
 )
@@ -164,7 +166,7 @@
 			}
 		}
 	}
-	for range 2 {
+	for range c.t.samples {
 		if e := p.members[c.t.random.IntN(len(p.members))]; !holds(e, a) {
 			c.consider(e, c.seconds, c.t.stall(c.t.absentWait(e, hot))+duplicate+2*c.t.affinity)
 		}
--- a/state/placement/options.go
+++ b/state/placement/options.go
@@ -72,6 +72,9 @@
 // WithAffinity sets the cost of an endpoint that is not preferred for an absent adapter.
 func WithAffinity(d time.Duration) Option { return func(t *Table) { t.affinity = milli(d) } }
 
+// WithSamples sets the number of random endpoints that are compared for an absent adapter.
+func WithSamples(n int) Option { return func(t *Table) { t.samples = n } }
+
 // WithDisplaced sets the number of loads that one more replica than wanted is taken to cost later.
 func WithDisplaced(loads float64) Option { return func(t *Table) { t.displaced = loads } }
 
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -83,6 +83,7 @@
 	zoneCharge    float64
 	affinity      float64
 	displaced     float64
+	samples       int
 	// prompt is the moving mean of the prompt tokens that an endpoint has to read for one request.
 	prompt   float64
 	prompts  int
@@ -104,7 +105,7 @@
 	t := &Table{
 		weights: Weights{LoadStall: 1, BatchEfficiency: 1}, terms: AllTerms,
 		loadRate: defaultLoadsPerSecond, loadsInFlight: defaultLoadsInFlight, loadTime: milli(defaultLoadTime),
-		prefill: milli(defaultPrefill), affinity: affinity, displaced: displaced, service: service{assumed: defaultServiceTime.Seconds(), scale: 1},
+		prefill: milli(defaultPrefill), affinity: affinity, displaced: displaced, samples: samples, service: service{assumed: defaultServiceTime.Seconds(), scale: 1},
 		names: make(map[ident.Endpoint]*endpoint), pools: make(map[poolKey]*pool),
 		adapters: make(map[ident.AdapterVersion]*adapter),
 	}
