--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # LEAVE_OUT lists kinds of faults, separated by commas, that do not occur.
 LEAVE_OUT ?=
 
-.PHONY: build local test soak bench generate format lint
+.PHONY: build local platform test soak bench generate format lint
 
 build:
 	go build -o bin/ ./cmd/agent ./cmd/bench ./cmd/entry ./cmd/shallotring ./cmd/soak ./cmd/standin
@@ -15,6 +15,9 @@
 local:
 	go run ./cmd/shallotring local
 
+platform:
+	go run ./cmd/shallotring platform
+
 # Four packages at a time: the tests of separate processes start some fifty processes by themselves.
 test:
 	go test -race -p 4 $(PACKAGES)
