--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -41,9 +41,11 @@
 	waits   map[ident.AdapterVersion]*wait
 
 	suspended time.Time
-	failures  float64
-	attempts  float64
-	counted   time.Time
+	// superseded is set once a later life has the address.
+	superseded bool
+	failures   float64
+	attempts   float64
+	counted    time.Time
 }
 
 // wait is shared by the requests that wait for one adapter at one endpoint.
@@ -129,6 +131,11 @@
 	return e.link.state
 }
 
+// displaced reports whether the agent names another life of the engine.
+func (e *endpoint) displaced(now time.Time) bool {
+	return e.link != nil && e.link.state != nil && now.Sub(e.link.heard) <= stateExpiry && e.link.state.Endpoint != "" && e.link.state.Endpoint != e.ID
+}
+
 // resident lists the adapters that the endpoint holds, by its agent or else by discovery.
 func (e *endpoint) resident(now time.Time) []ident.AdapterVersion {
 	if s := e.state(now); s != nil {
@@ -142,7 +149,7 @@
 	now := f.clock.Now()
 	r := placement.Report{
 		Endpoint: e.ID, Service: e.Service, Zone: e.Zone, Kind: resource.Service, BatchSize: e.Slots, Running: e.running,
-		Leaving: e.Leaving || now.Before(e.suspended), Penalty: e.penalty(now),
+		Leaving: e.Leaving || e.superseded || now.Before(e.suspended) || e.displaced(now), Penalty: e.penalty(now),
 	}
 	if f.isEngine(e.Endpoint) {
 		r.Kind = resource.Engine
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -191,9 +191,28 @@
 	// An endpoint that has said it leaves does not come back in the same life.
 	d.Leaving = d.Leaving || e.Leaving
 	e.Endpoint = d
+	f.supersede(e)
 	f.observe(e)
 }
 
+// supersede marks the former lives at an address, whose discovery entries run out later.
+func (f *Frontend) supersede(e *endpoint) {
+	for _, x := range f.endpoints {
+		if x == e || x.Address != e.Address {
+			continue
+		}
+		former := x
+		if e.Born < x.Born {
+			former = e
+		}
+		if !former.superseded {
+			former.superseded = true
+			f.log.Info("endpoint superseded", slog.String("Endpoint", string(former.ID)), slog.String("Address", e.Address), slog.Int64("Born", former.Born))
+			f.observe(former)
+		}
+	}
+}
+
 // Leave removes an endpoint; requests that it runs go on.
 func (f *Frontend) Leave(id ident.Endpoint) {
 	f.mu.Lock()
--- a/daemon/frontend/frontend_test.go
+++ b/daemon/frontend/frontend_test.go
@@ -243,6 +243,31 @@
 	}
 }
 
+// TestFormerLifeGetsNothing guards against requests for a former life of an endpoint, whose discovery entry stays for seconds after
+// the next one has begun at the same address.
+func TestFormerLifeGetsNothing(t *testing.T) {
+	for _, order := range [][]ident.Endpoint{{"i-old", "i-new"}, {"i-new", "i-old"}} {
+		var asked sync.Map
+		b := newBackend(t, func(b *backend, w http.ResponseWriter, r *http.Request) {
+			asked.Store(r.Header.Get("Shallotring-Expect-Instance"), true)
+			serves(b, w, r)
+		})
+		f, address := newFrontend(t)
+		for _, id := range order {
+			born := map[ident.Endpoint]int64{"i-old": 1, "i-new": 2}[id]
+			f.Join(inventory.Endpoint{ID: id, Service: "s", Address: b.Listener.Addr().String(), Zone: "a", Slots: 6, Born: born})
+		}
+		for i := range 20 {
+			if code, _, _, err := ask(t, address, "/once/", fmt.Sprint("r", i)); code != 200 {
+				t.Fatalf("answer = %d, %v", code, err)
+			}
+		}
+		if _, ok := asked.Load("i-old"); ok {
+			t.Error("a request names the former life")
+		}
+	}
+}
+
 // TestStoppingEntryRefuses guards against a request that is cut at the end of the grace period: it must be refused before it is
 // sent, unless it ends in time.
 func TestStoppingEntryRefuses(t *testing.T) {
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -34,7 +34,9 @@
 	sent    time.Time
 	state   *control.State
 	heard   time.Time
-	cancel  context.CancelFunc
+	// named is the life of the engine that the agent named last.
+	named  ident.Endpoint
+	cancel context.CancelFunc
 }
 
 func newLink(f *Frontend, address string) *link {
@@ -150,6 +152,15 @@
 	if e := f.endpoints[s.Endpoint]; e != nil && e.link == l {
 		f.observe(e)
 	}
+	if l.named != s.Endpoint {
+		// What the agent says of one life excludes the others at the address.
+		l.named = s.Endpoint
+		for _, e := range f.endpoints {
+			if e.link == l {
+				f.observe(e)
+			}
+		}
+	}
 }
 
 // want asks the agent at once for an adapter that requests wait for; the lock is held.
--- a/daemon/trial/deployment.go
+++ b/daemon/trial/deployment.go
@@ -25,8 +25,9 @@
 	engines = 2
 	// loadTime is the time in which an engine loads an adapter.
 	loadTime = 20 * time.Millisecond
-	// Host and Model are the names that requests use.
-	Host  = "trial.example"
+	// Host is the host name of all routes.
+	Host = "trial.example"
+	// Model is the base model of the engines.
 	Model = "m"
 )
 
