--- a/daemon/program/platform.go
+++ b/daemon/program/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"runtime/debug"
 
 	"github.com/rotisserie/eris"
 
@@ -12,6 +13,10 @@
 	"shallotring.dev/transport/timeline"
 )
 
+// memoryShare is the part of the process's memory limit from which the garbage collector works harder; the platform ends a
+// process above its limit, and buffers of the kernel count as well.
+const memoryShare = 0.7
+
 // Platform is the command that runs a program on the users' platform, whose settings file the environment names.
 type Platform struct {
 	Metrics string `placeholder:"ADDRESS" help:"Address of the metrics, as in ':9464'; none by default."`
@@ -24,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
+	}
 	out := timeline.NewQueue(os.Stdout)
 	defer out.Flush()
 	log := timeline.New(out, timeline.Process{ID: ident.NewProcess(role), Role: role, Host: s.Host, Zone: s.Zone}, slog.LevelInfo)
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -62,7 +62,9 @@
 	failures int
 	links    map[*link]bool
 	sentAt   time.Time
-	last     control.State
+	// ordered holds the times of the loads that are on their way.
+	ordered map[ident.AdapterVersion]time.Time
+	last    control.State
 
 	orders  *metrics.Counter
 	refused *metrics.Counter
@@ -114,7 +116,7 @@
 func New(engine Engine, claim Claim, options ...Option) *Sidecar {
 	s := &Sidecar{
 		engine: engine, claim: claim, clock: quartz.NewReal(), log: slog.New(slog.DiscardHandler), events: make(chan event, events),
-		keeper: holdings.New(), links: make(map[*link]bool),
+		keeper: holdings.New(), links: make(map[*link]bool), ordered: make(map[ident.AdapterVersion]time.Time),
 	}
 	WithMetrics(metrics.NewSet())(s)
 	for _, o := range options {
@@ -330,8 +332,17 @@
 		}
 		s.log.Info("engine started", slog.String("Endpoint", string(id)), slog.Int64("Born", r.Born), slog.String("Former", string(s.endpoint)))
 		s.endpoint, s.born = id, r.Born
+		clear(s.ordered)
+	}
+	for _, av := range s.keeper.Observe(now, s.endpoint, r) {
+		began, known := s.ordered[av]
+		delete(s.ordered, av)
+		if known {
+			s.loads.Update(now.Sub(began).Seconds())
+		}
+		s.log.Info("adapter loaded", slog.String("Adapter", av.String()), slog.String("Endpoint", string(s.endpoint)), slog.Bool("Ordered", known),
+			slog.Int64("Sequence", r.Sequence), slog.Int("Resident", len(r.Resident)), slog.Int("Loading", len(r.Loading)))
 	}
-	s.keeper.Observe(now, s.endpoint, r)
 	return true
 }
 
@@ -347,6 +358,9 @@
 		s.refused.Inc()
 	}
 	s.keeper.Sent(now, o, result)
+	if result == holdings.Accepted && !o.Unload && o.Model == "" {
+		s.ordered[o.Adapter] = began
+	}
 	s.log.Info("engine ordered", slog.Bool("Unload", o.Unload), slog.String("Model", string(o.Model)), slog.String("Adapter", o.Adapter.String()), slog.String("Endpoint", string(o.Endpoint)),
 		slog.Int64("Expected", o.Expected), slog.Int64("Fence", int64(o.Fence)), slog.String("Result", result.String()),
 		slog.Int64("DurationMilli", now.Sub(began).Milliseconds()), slog.Any("Error", err))
