--- /dev/null
+++ b/state/routing/table_test.go
@@ -0,0 +1,43 @@
+package routing
+
+import (
+	"math"
+	"testing"
+
+	"shallotring.dev/state/ident"
+)
+
+// TestPickFollowsWeights guards against traffic for a service whose weight is 0, and against shares that do not follow the weights.
+func TestPickFollowsWeights(t *testing.T) {
+	r := Route{Targets: []Target{{"zero", 0}, {"one", 90}, {"two", 10}, {"negative", -5}}}
+	counts := make(map[ident.Service]int)
+	const draws = 1000
+	for i := range draws {
+		s, ok := r.Pick(float64(i) / draws)
+		if !ok {
+			t.Fatalf("no service at %d", i)
+		}
+		counts[s]++
+	}
+	if counts["one"] != 900 || counts["two"] != 100 {
+		t.Errorf("counts = %v", counts)
+	}
+	if s, ok := r.Pick(math.Nextafter(1, 0)); !ok || s != "two" {
+		t.Errorf("the last draw gives %q %v", s, ok)
+	}
+	if s, ok := (Route{}).Pick(0.5); ok {
+		t.Errorf("a route without targets gives %q", s)
+	}
+}
+
+// TestMatch guards against a shorter prefix that hides a longer one, and against routes of another host.
+func TestMatch(t *testing.T) {
+	table := New(1, []Route{{Name: "short", Host: "a", Prefix: "/x/"}, {Name: "long", Host: "a", Prefix: "/x/y/"}, {Name: "other", Host: "b", Prefix: "/"}}, nil, Limits{})
+	for _, x := range []struct{ host, path, want string }{
+		{"a", "/x/y/z", "long"}, {"a", "/x/z", "short"}, {"a", "/x", ""}, {"b", "/x/y/z", "other"}, {"c", "/x/", ""},
+	} {
+		if r, _ := table.Match(x.host, x.path); r.Name != x.want {
+			t.Errorf("%s%s = %q, want %q", x.host, x.path, r.Name, x.want)
+		}
+	}
+}
