frontend: read an endpoint's id without the lock only where it does not change

Cause: reading the code as a newcomer: discovery replaces the description of an endpoint under the lock while requests read its id without it. TestDiscoveryWhileServing showed the race under the race detector. Change: the id has a field of its own; the judging of an answer is split from the sending.

--- a/daemon/frontend/answer.go
+++ b/daemon/frontend/answer.go
@@ -42,7 +42,7 @@
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
 	if err != nil {
 		f.metrics.broken.Inc()
-		f.log.Info("answer broke", x.id(), slog.String("Endpoint", string(e.ID)), slog.Int("Bytes", len(b)), slog.Any("Error", err))
+		f.log.Info("answer broke", x.id(), slog.String("Endpoint", string(e.name)), slog.Int("Bytes", len(b)), slog.Any("Error", err))
 		if ctx.Err() != nil {
 			x.runs++
 			return false, false
@@ -125,7 +125,7 @@
 
 // finished writes the line of a request's end.
 func (f *Frontend) finished(x *request, e *endpoint, status, bytes, pieces int, err error) {
-	f.log.Info("request finished", x.id(), slog.String("Endpoint", string(e.ID)), slog.String("Route", x.route.Name),
+	f.log.Info("request finished", x.id(), slog.String("Endpoint", string(e.name)), slog.String("Route", x.route.Name),
 		slog.String("Adapter", x.adapter.String()), slog.Int("Status", status), slog.Int("Bytes", bytes), slog.Int("Pieces", pieces), slog.Int("Sends", x.sends),
 		slog.Int64("DurationMilli", f.clock.Since(x.arrived).Milliseconds()), slog.Any("Error", err))
 }
--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -33,6 +33,8 @@
 // endpoint is what the frontend knows of one life of an endpoint; the frontend's lock guards it.
 type endpoint struct {
 	inventory.Endpoint
+	// name is the id, which does not change and is read without the lock; so is the pool.
+	name ident.Endpoint
 	pool *upstream.Pool
 	link *link
 	// running counts this entry's requests, also by adapter.
@@ -57,7 +59,7 @@
 
 func (f *Frontend) add(d inventory.Endpoint) *endpoint {
 	e := &endpoint{
-		Endpoint: d, uses: make(map[ident.AdapterVersion]*holdings.Use), waits: make(map[ident.AdapterVersion]*wait),
+		Endpoint: d, name: d.ID, uses: make(map[ident.AdapterVersion]*holdings.Use), waits: make(map[ident.AdapterVersion]*wait),
 		pool: upstream.New(d.Address, upstream.WithClock(f.clock), upstream.WithLimit(f.connections(d.Service))),
 	}
 	f.endpoints[d.ID] = e
--- a/daemon/frontend/frontend_test.go
+++ b/daemon/frontend/frontend_test.go
@@ -381,3 +381,26 @@
 		t.Errorf("wanted = %v", av)
 	}
 }
+
+// TestDiscoveryWhileServing guards, with the race detector, against requests that read an endpoint while discovery changes it.
+func TestDiscoveryWhileServing(t *testing.T) {
+	b := newBackend(t, serves)
+	f, address := newFrontend(t, b)
+	d := inventory.Endpoint{ID: "i-0", Service: "s", Address: b.Listener.Addr().String(), Zone: "a", Slots: 6}
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			for n := range 20 {
+				if code, _, _, err := ask(t, address, "/once/", fmt.Sprint("r", i, "-", n)); code != 200 {
+					t.Errorf("answer = %d, %v", code, err)
+				}
+			}
+		})
+	}
+	for i := range 200 {
+		d.Slots = 6 + i%2
+		f.Join(d)
+		time.Sleep(100 * time.Microsecond)
+	}
+	wg.Wait()
+}
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -77,7 +77,7 @@
 			// Without its agent nobody loads the adapter there.
 			f.mu.Unlock()
 			f.ended(x, e, q, false)
-			x.excluded = append(x.excluded, e.ID)
+			x.excluded = append(x.excluded, e.name)
 			continue
 		}
 		w := e.want(x.adapter)
@@ -90,7 +90,7 @@
 		if ctx.Err() != nil {
 			return nil, &outcome.Refusal{Reason: outcome.Deadline, Detail: "adapter was not loaded in time"}
 		}
-		x.excluded = append(x.excluded, e.ID)
+		x.excluded = append(x.excluded, e.name)
 	}
 	return nil, &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: unavailable, Detail: "no engine loaded the adapter"}
 }
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -251,7 +251,7 @@
 
 // again decides about one more endpoint; ran tells whether the last one may have run the request.
 func (f *Frontend) again(x *request, e *endpoint, ran bool) bool {
-	x.excluded = append(x.excluded, e.ID)
+	x.excluded = append(x.excluded, e.name)
 	if ran {
 		x.runs++
 	}
@@ -282,7 +282,7 @@
 	}
 	defer func() { end(false) }()
 	x.sends++
-	dispatch := call.Dispatch{Endpoint: e.ID, Version: x.adapter.Version, Left: x.deadline.Sub(began) - margin, Priority: x.route.Priority}
+	dispatch := call.Dispatch{Endpoint: e.name, Version: x.adapter.Version, Left: x.deadline.Sub(began) - margin, Priority: x.route.Priority}
 	if x.call.Model == "" {
 		dispatch.Priority = -1
 	}
@@ -293,30 +293,41 @@
 	f.headers.Forward(header, dispatch)
 	a, err := e.pool.Do(ctx, upstream.Request{Method: x.method, Target: x.target, Host: x.host, Header: header, Body: x.body, HasBody: x.hasBody})
 	if err != nil {
-		unsent := upstream.Unsent(err)
-		f.log.Info("endpoint gave no answer", x.id(), slog.String("Endpoint", string(e.ID)), slog.Bool("Sent", !unsent),
-			slog.Int64("DurationMilli", f.clock.Since(began).Milliseconds()), slog.Any("Error", err))
-		if ctx.Err() != nil {
-			if !unsent {
-				x.runs++
-			}
-			return false, false
-		}
-		f.count(e, true, unsent && !eris.Is(err, upstream.ErrFull))
-		if unsent {
-			// Nothing arrived, so this is no repeat.
-			x.excluded = append(x.excluded, e.ID)
-			return false, x.sends < maxSends && x.deadline.Sub(f.clock.Now()) > shortest
-		}
-		return false, f.again(x, e, true)
+		return false, f.unanswered(ctx, x, e, began, err)
 	}
 	defer a.Close()
+	return f.answered(ctx, w, x, e, a, began, end)
+}
+
+// unanswered decides after a send without an answer whether another endpoint may be tried.
+func (f *Frontend) unanswered(ctx context.Context, x *request, e *endpoint, began time.Time, err error) (again bool) {
+	unsent := upstream.Unsent(err)
+	f.log.Info("endpoint gave no answer", x.id(), slog.String("Endpoint", string(e.name)), slog.Bool("Sent", !unsent),
+		slog.Int64("DurationMilli", f.clock.Since(began).Milliseconds()), slog.Any("Error", err))
+	if ctx.Err() != nil {
+		if !unsent {
+			x.runs++
+		}
+		return false
+	}
+	f.count(e, true, unsent && !eris.Is(err, upstream.ErrFull))
+	if unsent {
+		// Nothing arrived, so this is no repeat.
+		x.excluded = append(x.excluded, e.name)
+		return x.sends < maxSends && x.deadline.Sub(f.clock.Now()) > shortest
+	}
+	return f.again(x, e, true)
+}
+
+// answered judges the head of an answer and passes the answer on, or decides whether another endpoint may be tried; end takes
+// the request off the endpoint's waiting prompts.
+func (f *Frontend) answered(ctx context.Context, w http.ResponseWriter, x *request, e *endpoint, a *upstream.Answer, began time.Time, end func(started bool)) (done, again bool) {
 	v := f.headers.Verdict(a.Status, a.Header)
 	refused := v.NotRun
 	broken := (v.ID != "" && v.ID != x.call.ID) || v.Encoded || (a.Status < 300 && !v.Sealed) || a.Status < 200 || (a.Status >= 300 && a.Status < 400)
 	// These statuses promise callers that nothing ran; without the endpoint's own promise they are not passed on.
 	promise := a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests || a.Status == http.StatusRequestTimeout || v.Misdirected
-	f.log.Info("endpoint answered", x.id(), slog.String("Endpoint", string(e.ID)), slog.Int("Status", a.Status),
+	f.log.Info("endpoint answered", x.id(), slog.String("Endpoint", string(e.name)), slog.Int("Status", a.Status),
 		slog.Bool("NotRun", v.NotRun), slog.Bool("Sealed", v.Sealed), slog.Bool("Broken", broken), slog.Int("Send", x.sends), slog.String("Adapter", x.adapter.String()),
 		slog.Int64("DurationMilli", f.clock.Since(began).Milliseconds()))
 	switch {
