--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -153,6 +153,7 @@
 		if s := e.state(now); s != nil {
 			r.Leaving = r.Leaving || s.Leaving || !s.Up
 			r.Running, r.Queued, r.Starting, r.Loading = s.Running, s.Queued, s.Starting, s.Loading
+			r.PromptRate = s.PromptRate
 			if s.Full {
 				r.Pinned = r.Slots
 			}
@@ -218,7 +219,7 @@
 		var a control.Account
 		for av, u := range e.uses {
 			a.Uses = append(a.Uses, *u)
-			u.Started = 0
+			u.Started, u.Prompt = 0, 0
 			if u.Running == 0 {
 				delete(e.uses, av)
 			}
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -27,6 +27,8 @@
 	loadTime  = 250 * time.Millisecond
 	// prefill is the time to read one prompt token: about 38 tokens a millisecond on the engines in use.
 	prefill = 26 * time.Microsecond
+	// step is the time of one token of a batch: 4 to 6 ms on the engines in use.
+	step = 5 * time.Millisecond
 	// zoneCharge is the cost of another availability zone. Traffic between zones is paid for, and worth a few milliseconds.
 	zoneCharge = 8 * time.Millisecond
 	// affinity is the cost of an engine that is not preferred for an absent adapter: an engine that held it lately loads it
@@ -116,7 +118,7 @@
 		o(f)
 	}
 	f.placement = placement.New(
-		placement.WithTerms(placement.DirectTerms), placement.WithPrefill(prefill), placement.WithZoneCharge(zoneCharge),
+		placement.WithTerms(placement.DirectTerms), placement.WithPrefill(prefill), placement.WithStep(step), placement.WithZoneCharge(zoneCharge),
 		placement.WithAffinity(affinity), placement.WithDisplaced(displaced), placement.WithLoadTime(loadTime),
 		placement.WithLoadBudget(transfers/loadTime.Seconds(), transfers), placement.WithRandom(f.random),
 	)
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -26,6 +26,11 @@
 		return q
 	}
 	q.BaseModel = x.call.Model
+	q.OutputTokens = x.call.Expected
+	if q.OutputTokens == 0 {
+		// Most answers are far shorter than the most that the caller takes.
+		q.OutputTokens = x.call.Output / 4
+	}
 	q.Prefix, q.PrefixTokens = x.call.Shared()
 	return q
 }
@@ -115,15 +120,17 @@
 func (f *Frontend) began(now time.Time, x *request, e *endpoint, q placement.Query) {
 	x.reading = f.placement.Sent(now, e.ID, q)
 	e.running++
-	if x.adapter.IsZero() {
+	if q.Service != "" {
 		return
 	}
+	// Requests for the base model alone are accounted under the empty adapter.
 	u := e.uses[x.adapter]
 	if u == nil {
 		u = &holdings.Use{Adapter: x.adapter}
 		e.uses[x.adapter] = u
 	}
 	u.Started++
+	u.Prompt += x.reading
 	u.Running++
 }
 
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -275,7 +275,10 @@
 	}
 	defer func() { end(false) }()
 	x.sends++
-	dispatch := call.Dispatch{Endpoint: e.ID, Version: x.adapter.Version, Left: x.deadline.Sub(began) - margin, Priority: -1}
+	dispatch := call.Dispatch{Endpoint: e.ID, Version: x.adapter.Version, Left: x.deadline.Sub(began) - margin, Priority: x.route.Priority}
+	if x.call.Model == "" {
+		dispatch.Priority = -1
+	}
 	header := make(http.Header, len(x.header)+4)
 	for name, values := range x.header {
 		header[name] = values
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -348,7 +348,7 @@
 	now := s.clock.Now()
 	r := s.keeper.Report()
 	state := control.State{
-		Endpoint: s.endpoint, Born: s.born, Up: s.failures < downAfter && s.endpoint != "", Leaving: r.Leaving, Running: r.Running, Queued: r.Queued, Starting: r.Starting,
+		Endpoint: s.endpoint, Born: s.born, Up: s.failures < downAfter && s.endpoint != "", Leaving: r.Leaving, Running: r.Running, Queued: r.Queued, Starting: r.Starting, PromptRate: s.keeper.PromptRate(now),
 		MemoryUsed: r.MemoryUsed, MemoryTotal: r.MemoryTotal, Resident: r.Resident, Loading: r.Loading,
 		Full: s.keeper.Full(now), Entries: s.entries(), Orders: s.keeper.Fence() != 0,
 	}
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -34,11 +34,13 @@
 	// Born is the start of the engine's life in Unix milliseconds.
 	Born int64
 	// Up is false if the engine does not answer its agent.
-	Up          bool
-	Leaving     bool
-	Running     int
-	Queued      int
-	Starting    int
+	Up       bool
+	Leaving  bool
+	Running  int
+	Queued   int
+	Starting int
+	// PromptRate is the prompt tokens a second that all entries give the engine.
+	PromptRate  float64
 	MemoryUsed  float64
 	MemoryTotal float64
 	Resident    []ident.AdapterVersion
--- a/state/call/call.go
+++ b/state/call/call.go
@@ -22,6 +22,8 @@
 	Prompt  ident.Tokens
 	// Output is the most tokens that the caller takes.
 	Output ident.Tokens
+	// Expected is the caller's estimate of the output; 0 if it gives none.
+	Expected ident.Tokens
 	// Parts lists the prompt's parts in order; the last belongs to the request or its session.
 	Parts []Part
 	// Wait is how long the caller waits from now; 0 if it does not say.
--- a/state/holdings/keeper.go
+++ b/state/holdings/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -39,6 +40,8 @@
 	// Started counts the requests since the last account, Running those that have not ended.
 	Started int
 	Running int
+	// Prompt counts the prompt tokens that the engine has to read for those started.
+	Prompt ident.Tokens `json:",omitempty"`
 }
 
 type want struct {
@@ -67,6 +70,9 @@
 	uses    map[ident.AdapterVersion]*usage
 	// history ranks adapters by their decaying demand.
 	history *slots.Slots
+	// reading is the decaying number of prompt tokens that the engine was given.
+	reading   float64
+	readingAt time.Time
 }
 
 // New returns a keeper that orders nothing until it has a fencing number, a capacity and a report.
@@ -140,6 +146,7 @@
 
 // Used takes an entry's account.
 func (k *Keeper) Used(now time.Time, from ident.Host, x Use) {
+	k.read(now, float64(x.Prompt))
 	u := k.usage(x.Adapter)
 	for range min(x.Started, 100) {
 		k.history.Demand(now, x.Adapter)
@@ -152,6 +159,23 @@
 	}
 }
 
+// readingMemory is the time constant of the rate at which prompts arrive: some requests long, and short against a burst.
+const readingMemory = 2.0
+
+func (k *Keeper) read(now time.Time, tokens float64) {
+	if passed := now.Sub(k.readingAt).Seconds(); passed > 0 {
+		k.reading *= math.Exp(-passed / readingMemory)
+		k.readingAt = now
+	}
+	k.reading += tokens
+}
+
+// PromptRate returns the prompt tokens a second that all entries give the engine to read.
+func (k *Keeper) PromptRate(now time.Time) float64 {
+	k.read(now, 0)
+	return k.reading / readingMemory
+}
+
 // Leave forgets an entry whose connection has ended: what it ran may still run, so its uses count as ending now.
 func (k *Keeper) Leave(now time.Time, from ident.Host) {
 	for av, w := range k.wants {
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -166,7 +166,7 @@
 	}
 	cost := extra + c.t.queueCost(e) + milli(e.Penalty)
 	if e.Kind == resource.Engine {
-		cost += c.t.batchCost(e) + c.t.backlogCost(e)
+		cost += c.t.batchCost(e) + c.t.backlogCost(e) + c.t.paceCost(c.q, e)
 	} else {
 		cost += c.t.occupancyCost(e)
 	}
@@ -261,6 +261,29 @@
 	return (float64(e.reading)+float64(others)*t.prompt)*t.prefill + runningCharge*float64(t.load(e))
 }
 
+const (
+	// paceWeight is the part of a longer stream's time that counts against a wait for its first piece: streams have seconds
+	// to end, and tens of milliseconds a token only matter to the long ones.
+	paceWeight = 0.15
+	// maxReading bounds the share of its time that an engine is taken to spend on prompts.
+	maxReading = 0.95
+	// rateMemory is the time in seconds over which an agent averages the rate of prompts.
+	rateMemory = 2.0
+)
+
+// paceCost is what reading prompts costs the running streams. A batch produces no tokens while it reads a prompt: a stream at an
+// engine that reads all the time is many times slower, and a long prompt delays all streams of its engine.
+func (t *Table) paceCost(q *Query, e *endpoint) float64 {
+	if !t.has(BacklogTerm) || t.step == 0 {
+		return 0
+	}
+	rate := e.PromptRate + e.given/rateMemory
+	share := min(rate*t.prefill/1000, maxReading)
+	own := float64(q.OutputTokens) * t.step * share / (1 - share)
+	others := float64(t.load(e)) * float64(q.PromptTokens) * t.prefill
+	return paceWeight * (own + others)
+}
+
 // occupancyCost spreads calls over the instances of a plain service, which gain nothing from a full batch. Calls on one
 // instance only would all be lost with its agent.
 func (t *Table) occupancyCost(e *endpoint) float64 {
--- a/state/placement/endpoint.go
+++ b/state/placement/endpoint.go
@@ -68,6 +68,8 @@
 	// starting is the number of this entry's own requests whose prompt is not read yet, reading the tokens of these prompts.
 	starting int
 	reading  ident.Tokens
+	// given counts the prompt tokens that were sent since the last report.
+	given    float64
 	recent   [recentChanges]change
 	next     int
 	prefixes [prefixes]prefix
@@ -82,6 +84,7 @@
 // reported starts a new correction with the changes that are too late for the report.
 func (e *endpoint) reported(s float64) {
 	e.delta = 0
+	e.given = 0
 	for i := range min(e.next, recentChanges) {
 		if c := e.recent[i]; s-c.at < reportLag {
 			e.delta += int(c.delta)
--- a/state/placement/options.go
+++ b/state/placement/options.go
@@ -61,6 +61,9 @@
 	return func(t *Table) { t.prefill = milli(perToken) }
 }
 
+// WithStep sets the time in which a batch produces one token for each request while no prompt is read.
+func WithStep(d time.Duration) Option { return func(t *Table) { t.step = milli(d) } }
+
 // WithZoneCharge sets the cost of sending to another availability zone.
 func WithZoneCharge(d time.Duration) Option { return func(t *Table) { t.zoneCharge = milli(d) } }
 
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -40,6 +40,8 @@
 	QueueWait time.Duration
 	// Starting is the number of requests whose prompt is not read yet.
 	Starting int
+	// PromptRate is the prompt tokens a second that the endpoint is given to read.
+	PromptRate float64
 	// Penalty is a cost for failures in the recent past.
 	Penalty time.Duration
 }
@@ -56,6 +58,8 @@
 	PrefixTokens ident.Tokens
 	// PromptTokens is an estimate.
 	PromptTokens ident.Tokens
+	// OutputTokens is an estimate.
+	OutputTokens ident.Tokens
 	// Zone is the availability zone of the entry.
 	Zone ident.Zone
 	// Exclude lists endpoints that refused or failed this request before.
@@ -71,6 +75,7 @@
 	loadsInFlight int
 	loadTime      float64
 	prefill       float64
+	step          float64
 	zoneCharge    float64
 	affinity      float64
 	displaced     float64
@@ -265,6 +270,7 @@
 	}
 	e.starting++
 	e.reading += reading
+	e.given += float64(reading)
 	t.prompts++
 	t.prompt += (float64(reading) - t.prompt) * max(promptStep, 1/float64(t.prompts))
 	return reading
