engine: a refused write has no effect, whatever error the transport reports

Cause: when the guard refuses a write, net/http closes the connection, and the read loop of that connection ends as well. Which of the two errors Do returns is a race: beside 8 busy processes TestNoWholeRequestAfterAFailedCheck got "use of closed network connection" after one passed check, and the effect, which looked for the error of the guard, was left open although nothing had been written.

Change: the connection remembers the refusal and refuses all later writes, and the effect is judged by that and by the bytes written. The error that callers see is that of the guard.

--- a/protocol/engine/client.go
+++ b/protocol/engine/client.go
@@ -283,7 +283,7 @@
 	}
 	resp, err = c.commands.Do(trace.attach(r))
 	if err != nil {
-		return nil, &CallError{Effect: trace.effect(err), Err: withoutURL(err)}
+		return nil, &CallError{Effect: trace.effect(err), Err: withoutURL(trace.cause(err))}
 	}
 	c.observed(ident.StartID(resp.Header.Get(HeaderStartID)))
 	if resp.StatusCode == http.StatusPreconditionFailed && resp.Header.Get(HeaderStartID) != "" {
--- a/protocol/engine/client_test.go
+++ b/protocol/engine/client_test.go
@@ -144,7 +144,7 @@
 			want = NoEffect
 		}
 		if EffectOf(err) != want || whole.Load() != 0 {
-			t.Errorf("%d checks passed: effect %v, want %v, %d requests", allowed, EffectOf(err), want, whole.Load())
+			t.Errorf("%d checks passed: effect %v, want %v, %d requests, error %v", allowed, EffectOf(err), want, whole.Load(), err)
 		}
 	}
 }
--- a/protocol/engine/effect.go
+++ b/protocol/engine/effect.go
@@ -84,9 +84,19 @@
 	if !t.connected.Load() || (errors.As(err, &op) && op.Op == "dial") {
 		return NoEffect
 	}
-	var refused *guardError
-	if g := t.conn.Load(); g != nil && errors.As(err, &refused) && g.written.Load() == t.before.Load() {
+	if g := t.conn.Load(); g != nil && g.refused.Load() != nil && g.written.Load() == t.before.Load() {
 		return NoEffect
 	}
 	return MayHaveEffect
 }
+
+// cause returns the guard's error if the guard has refused a write: net/http then closes the connection, and the error of the
+// read that ends by it may come first.
+func (t *connectTrace) cause(err error) error {
+	if g := t.conn.Load(); g != nil {
+		if refused := g.refused.Load(); refused != nil {
+			return refused
+		}
+	}
+	return err
+}
--- a/protocol/engine/guarded.go
+++ b/protocol/engine/guarded.go
@@ -14,6 +14,8 @@
 	guard func() (err error)
 	// written counts the bytes of all requests on the connection.
 	written atomic.Int64
+	// refused is set by the first write that the guard refuses; nothing is written after it.
+	refused atomic.Pointer[guardError]
 }
 
 // guardError is a write that the guard has refused.
@@ -27,7 +29,11 @@
 
 // Write sends the bytes if the guard allows it.
 func (g *guardedConn) Write(p []byte) (n int, err error) {
+	if refused := g.refused.Load(); refused != nil {
+		return 0, refused
+	}
 	if err = g.guard(); err != nil {
+		g.refused.Store(&guardError{err})
 		return 0, &guardError{err}
 	}
 	n, err = g.Conn.Write(p)
--- a/protocol/engine/guarded_test.go
+++ b/protocol/engine/guarded_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
 
@@ -47,3 +48,37 @@
 		}
 	}
 }
+
+// Guards against a refused write whose effect is left open because the transport reports the read that ended with the
+// connection instead.
+func TestRefusedWriteBehindAnotherError(t *testing.T) {
+	g := &guardedConn{guard: func() error { return eris.New("lease") }}
+	if _, err := g.Write([]byte("POST")); err == nil {
+		t.Fatal("the guard's refusal was written")
+	}
+	trace := &connectTrace{}
+	trace.got(httptrace.GotConnInfo{Conn: g})
+	err := trace.cause(&net.OpError{Op: "read", Err: net.ErrClosed})
+	var refused *guardError
+	if e := trace.effect(&net.OpError{Op: "read", Err: net.ErrClosed}); e != NoEffect || !errors.As(err, &refused) {
+		t.Errorf("effect %v, cause %v", e, err)
+	}
+}
+
+// Guards against a write that follows a refused one, after the effect was reported.
+func TestNoWriteAfterARefusedOne(t *testing.T) {
+	var refuse atomic.Bool
+	refuse.Store(true)
+	g := &guardedConn{guard: func() error {
+		if refuse.Load() {
+			return eris.New("lease")
+		}
+		return nil
+	}}
+	for range 2 {
+		if _, err := g.Write([]byte("POST")); err == nil {
+			t.Fatal("written")
+		}
+		refuse.Store(false)
+	}
+}
