processes: TestDrain loads more than one engine takes

Cause: entries fill the batch of one engine before they use another, and 8 streams fit into the batch of one engine. Whether the endpoint whose agent was started again got work depended on the adapters that it held before: its tries would have cost a load and a copy more.

Change: 24 streams, three batches, so that one engine cannot carry them. The condition and its bound stay.

--- a/daemon/processes/drain_test.go
+++ b/daemon/processes/drain_test.go
@@ -37,7 +37,8 @@
 func drain(t *testing.T, leave func(d *deployment, e *endpoint), again bool) {
 	d := deploy(t, plan{entries: 2, engines: []bool{true, true}})
 	e := d.endpoints[0]
-	l := streams(t, 8, 100, d.balancer())
+	// Three batches at once: entries fill one engine's batch before they use another, so less may stay at one engine.
+	l := streams(t, 3*d.plan.batch, 100, d.balancer())
 	l.more(16)
 	leave(d, e)
 	until(t, "the agent is leaving", func() bool { return !ready(e.admin) || !e.agent.running() })
