program: a hangup no longer ends a process that is stopping

Cause: the handler of SIGHUP was removed when the process began to stop, so a SIGHUP during the drain ended the process with all requests that it still served. A SIGHUP in the first moments of a process had the same effect.

Change: the handler is installed before the settings are read and stays until the process ends.

Test: TestHangupWhileStopping ended with "signal: hangup" before and passes now.

--- a/daemon/program/platform.go
+++ b/daemon/program/platform.go
@@ -24,6 +24,7 @@
 
 // Run loads the settings and runs the program until the first signal; its logs go to standard output without blocking it.
 func (p *Platform) Run(role string, start func(ctx context.Context, s boot.Settings, log *slog.Logger) (err error)) (err error) {
+	hangups := notifyHangups()
 	path := boot.Path()
 	s, err := boot.Load(path)
 	if err != nil {
@@ -37,7 +38,7 @@
 	log := timeline.New(out, timeline.Process{ID: ident.NewProcess(role), Role: role, Host: s.Host, Zone: s.Zone}, slog.LevelInfo)
 	ctx, cancel := Context(log.Logger, func() {})
 	defer cancel()
-	go reload(ctx, path, log.Logger)
+	go reload(ctx, hangups, path, log.Logger)
 	err = start(ctx, s, log.Logger)
 	if err != nil {
 		log.Error("process failed", slog.Any("Error", err))
--- /dev/null
+++ b/daemon/program/platform_test.go
@@ -0,0 +1,46 @@
+package program
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"shallotring.dev/platform/boot"
+	"shallotring.dev/standin/platform"
+)
+
+// Guards against a change of the settings that ends a stopping process, with the requests that it still serves: SIGHUP ends a
+// process that does not handle it.
+func TestHangupWhileStopping(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings")
+	s := platform.Settings{Host: "h", Zone: "a", IP: "127.0.0.1", Store: "127.0.0.1:1", Control: 1, Grace: time.Second, Engine: "127.0.0.1:2", Service: "s"}
+	if err := os.WriteFile(file, s.Encode(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(boot.Variable, file)
+	hangUp := func() {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Error(err)
+		}
+	}
+	p := Platform{}
+	err := p.Run("agent", func(ctx context.Context, _ boot.Settings, _ *slog.Logger) error {
+		hangUp()
+		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		for range 20 {
+			hangUp()
+			time.Sleep(5 * time.Millisecond)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/daemon/program/reload.go
+++ b/daemon/program/reload.go
@@ -15,12 +15,17 @@
 // settingsEvery is the interval at which the settings file is looked at: it may change without a signal.
 const settingsEvery = 5 * time.Second
 
-// reload checks the settings file when it changes. Addresses and bounds are fixed for the life of a process, so a change is
-// checked and logged, and the values that the process started with stay in force.
-func reload(ctx context.Context, path string, log *slog.Logger) {
+// notifyHangups handles SIGHUP for the rest of the process's life: it ends a process that does not handle it, also one that has
+// just started or is stopping.
+func notifyHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+// reload checks the settings file when it changes. Addresses and bounds are fixed for the life of a process, so a change is
+// checked and logged, and the values that the process started with stay in force.
+func reload(ctx context.Context, hangups <-chan os.Signal, path string, log *slog.Logger) {
 	last, err := os.ReadFile(path)
 	if err != nil {
 		log.Warn("settings file not read", slog.Any("Error", err))
