soak: the programs as separate processes under faults from outside

soak/live runs entries and agents of the platform form as processes against standin/platform, with a loopback proxy (standin/link) on every way, and checks by what callers and endpoints see: runs, refusals, answers, order, routes, versions, configuration, leaving endpoints, planned stops, repeats, orders, memory and the end of processes. Faults come from outside: kills, pauses, restarts, hangups, cuts, delays, one-way silence, resets, outages and lost answers of the store, crashes and clock steps of endpoints, wrong or broken answers, late orders, releases and entries of other writers, several at once, with calm times between.

--- /dev/null
+++ b/soak/live/soak_test.go
@@ -0,0 +1,27 @@
+package live
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against programs that break a guarantee under faults from outside, with the race detector; longer runs and other seeds
+// are for `make soak-processes`.
+func TestShortRun(t *testing.T) {
+	programs := t.TempDir()
+	const root = "shallotring.dev/cmd/"
+	c := exec.Command("go", "build", "-race", "-o", programs+string(os.PathSeparator), root+"agent", root+"entry")
+	if b, err := c.CombinedOutput(); err != nil {
+		t.Fatalf("build the programs: %v\n%s", err, b)
+	}
+	var out strings.Builder
+	r, err := Run(t.Context(), Options{
+		Seed: 7, Duration: 8 * time.Second, Engines: 4, Entries: 2, Callers: 4, Overlap: 6, Programs: programs, Dir: t.TempDir(), Events: true,
+	}, &out)
+	if err != nil || r.Violations > 0 || r.Faults == 0 || r.Counts["served"] == 0 {
+		t.Errorf("%d faults, counts %v, %d violations, %v:\n%s", r.Faults, r.Counts, r.Violations, err, out.String())
+	}
+}
--- /dev/null
+++ b/standin/platform/operator.go
@@ -0,0 +1,107 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Route is a route of a configuration.
+type Route struct {
+	Host    string
+	Prefix  string
+	Kind    string
+	Service string
+	Timeout time.Duration
+	Goal    time.Duration
+	// Engines is the largest number of engines that one request may be sent to.
+	Engines int
+}
+
+// Service is a service of a configuration; it has model engines if it has a model.
+type Service struct {
+	Name   string
+	Model  string
+	Places int
+}
+
+// Configure writes a configuration as operators do.
+func (s *Store) Configure(version int64, routes []Route, services []Service) {
+	type object = map[string]any
+	list := []object{}
+	for _, r := range routes {
+		list = append(list, object{"name": strings.Trim(r.Prefix, "/"), "host": r.Host, "prefix": r.Prefix, "kind": r.Kind, "service": r.Service,
+			"timeoutMs": r.Timeout.Milliseconds(), "latencyGoalMs": r.Goal.Milliseconds(), "maxAttempts": r.Engines})
+	}
+	offered := []object{}
+	for _, v := range services {
+		x := object{"name": v.Name, "maxConns": 100}
+		if v.Model != "" {
+			x["engine"] = object{"maxAdapters": v.Places, "slots": 64, "models": []object{{"name": v.Model}}}
+		}
+		offered = append(offered, x)
+	}
+	s.Put("op/config", encode(object{"version": version, "routes": list, "services": offered, "limits": object{"maxBodyBytes": 1 << 20}}))
+}
+
+// Declare writes the version of an adapter as operators do.
+func (s *Store) Declare(model, adapter string, version int) {
+	s.Put("op/version/"+model+"."+adapter, encode(map[string]any{"model": model, "adapter": adapter, "version": version}))
+}
+
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		// The values are built here, of types that can be encoded.
+		panic(err)
+	}
+	return b
+}
+
+// Settings is the settings file of one process.
+type Settings struct {
+	Host  string
+	Zone  string
+	IP    string
+	Store string
+	// Control is the port between the project's processes.
+	Control int
+	Grace   time.Duration
+	// Front and Ready are set on entry hosts, Engine and Service beside an engine.
+	Front   string
+	Ready   string
+	Engine  string
+	Service string
+}
+
+// Encode returns the file.
+func (s Settings) Encode() []byte {
+	var b strings.Builder
+	line := func(key string, value any) {
+		if text := fmt.Sprint(value); text != "" {
+			fmt.Fprintf(&b, "%s=%s\n", key, text)
+		}
+	}
+	line("node", s.Host)
+	line("zone", s.Zone)
+	line("ip", s.IP)
+	line("platform.address", s.Store)
+	line("portRange", fmt.Sprintf("%d,%d", s.Control, s.Control))
+	line("bounds.graceS", s.Grace.Seconds())
+	line("bounds.budgetRatio", RepeatRatio)
+	line("bounds.budgetWindowS", RepeatWindow.Seconds())
+	line("bounds.budgetExtra", RepeatExtra)
+	line("listen.front", s.Front)
+	line("listen.ready", s.Ready)
+	line("app", s.Engine)
+	line("service", s.Service)
+	return []byte(b.String())
+}
+
+// Bounds of repeated sends to one service, over all entries.
+const (
+	RepeatRatio  = 0.2
+	RepeatExtra  = 50
+	RepeatWindow = 10 * time.Second
+)
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -35,7 +35,9 @@
 	kept    int64
 	changed chan struct{}
 	down    bool
-	calls   int
+	// lose makes the store carry out calls and lose their answers.
+	lose  bool
+	calls int
 }
 
 // NewStore returns an empty store.
@@ -87,6 +89,13 @@
 	s.changed = make(chan struct{})
 }
 
+// Lose makes the store carry out all calls and lose their answers until it is called with false.
+func (s *Store) Lose(lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = lose
+}
+
 // Compact drops the history, so that watches from before get 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -107,8 +116,12 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	down := s.down
+	down, lose := s.down, s.lose
 	s.mu.Unlock()
+	if lose {
+		w = lost{w}
+		defer panic(http.ErrAbortHandler)
+	}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -120,6 +133,15 @@
 	routes.ServeHTTP(w, r)
 }
 
+// lost is an answer that does not arrive.
+type lost struct{ http.ResponseWriter }
+
+// Write drops the bytes.
+func (lost) Write(b []byte) (n int, err error) { return len(b), nil }
+
+// WriteHeader drops the status.
+func (lost) WriteHeader(int) {}
+
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
 	s.mu.Lock()
