--- a/daemon/frontend/answer.go
+++ b/daemon/frontend/answer.go
@@ -71,6 +71,7 @@
 // stream passes the pieces of an answer on as they arrive. One that breaks ends the caller's connection, so that it does not
 // look complete.
 func (f *Frontend) stream(ctx context.Context, w http.ResponseWriter, x *request, e *endpoint, a *upstream.Answer) (done bool) {
+	p := pace{began: x.arrived, last: x.arrived}
 	defer func() {
 		f.mu.Lock()
 		f.left(x, e, f.query(x))
@@ -83,6 +84,7 @@
 	for {
 		n, err := a.Body.Read(*b)
 		if n > 0 {
+			p.piece(f.clock.Now())
 			if !opened {
 				opened = true
 				head(w, a)
@@ -106,11 +108,11 @@
 				head(w, a)
 				w.WriteHeader(a.Status)
 			}
-			f.finished(x, e, a.Status, total, count, nil)
+			f.finished(x, e, a.Status, total, count, nil, p.attributes()...)
 			return true
 		}
 		f.metrics.broken.Inc()
-		f.finished(x, e, a.Status, total, count, errors.Join(err, context.Cause(ctx)))
+		f.finished(x, e, a.Status, total, count, errors.Join(err, context.Cause(ctx)), p.attributes()...)
 		if ctx.Err() == nil {
 			f.count(e, true, false)
 		}
@@ -123,9 +125,30 @@
 	}
 }
 
+// pace is what a caller sees of a stream: the time to the first piece and the longest pause after it.
+type pace struct {
+	began time.Time
+	last  time.Time
+	first time.Duration
+	pause time.Duration
+}
+
+func (p *pace) piece(now time.Time) {
+	if p.first == 0 {
+		p.first = now.Sub(p.began)
+	} else {
+		p.pause = max(p.pause, now.Sub(p.last))
+	}
+	p.last = now
+}
+
+func (p *pace) attributes() []slog.Attr {
+	return []slog.Attr{slog.Int64("FirstMilli", p.first.Milliseconds()), slog.Int64("PauseMilli", p.pause.Milliseconds())}
+}
+
 // finished writes the line of a request's end.
-func (f *Frontend) finished(x *request, e *endpoint, status, bytes, pieces int, err error) {
-	f.log.Info("request finished", x.id(), slog.String("Endpoint", string(e.name)), slog.String("Route", x.route.Name),
+func (f *Frontend) finished(x *request, e *endpoint, status, bytes, pieces int, err error, more ...slog.Attr) {
+	f.log.LogAttrs(context.Background(), slog.LevelInfo, "request finished", append(more, x.id(), slog.String("Endpoint", string(e.name)), slog.String("Route", x.route.Name),
 		slog.String("Adapter", x.adapter.String()), slog.Int("Status", status), slog.Int("Bytes", bytes), slog.Int("Pieces", pieces), slog.Int("Sends", x.sends),
-		slog.Int64("DurationMilli", f.clock.Since(x.arrived).Milliseconds()), slog.Any("Error", err))
+		slog.Int64("DurationMilli", f.clock.Since(x.arrived).Milliseconds()), slog.Any("Error", err))...)
 }
--- a/soak/live/fault.go
+++ b/soak/live/fault.go
@@ -192,11 +192,10 @@
 }
 
 func (d *deployment) reload(p *process) {
-	// The file is written anew, at times with a value that cannot be used.
 	if err := p.write(); err != nil {
 		d.judge.violate("processes", "%v", err)
 	}
-	p.signal(syscall.SIGHUP, false)
+	p.hangUp()
 }
 
 func freeze(p *process, r *rand.Rand) {
--- a/soak/live/process.go
+++ b/soak/live/process.go
@@ -29,6 +29,8 @@
 	ended  chan struct{}
 	wanted bool
 	life   int
+	// began is the start of the running process.
+	began time.Time
 }
 
 func (p *process) file(kind string) string { return filepath.Join(p.dir, p.host+"."+kind) }
@@ -65,7 +67,7 @@
 		return err
 	}
 	ended := make(chan struct{})
-	p.cmd, p.ended, p.wanted = c, ended, false
+	p.cmd, p.ended, p.wanted, p.began = c, ended, false, time.Now()
 	p.life++
 	go p.wait(c, ended)
 	return nil
@@ -118,6 +120,20 @@
 	}
 }
 
+// handlerTime is the time after which a new process handles its signals.
+const handlerTime = 500 * time.Millisecond
+
+// hangUp says that the settings have changed. A process that has not installed its handlers yet would end by it (seeds 109 and
+// 111), as the system decides before the program's first instruction.
+func (p *process) hangUp() {
+	p.mu.Lock()
+	young := p.cmd == nil || time.Since(p.began) < handlerTime
+	p.mu.Unlock()
+	if !young {
+		p.signal(syscall.SIGHUP, false)
+	}
+}
+
 // running returns the number of the process's life and whether it runs.
 func (p *process) running() (life int, ok bool) {
 	p.mu.Lock()
