--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -140,6 +140,12 @@
 
 // began counts a request at an endpoint; the lock is held.
 func (f *Frontend) began(now time.Time, x *request, e *endpoint, q placement.Query) {
+	x.source = ""
+	if source, ok := f.placement.Source(now, e.ID, q); ok {
+		if other := f.endpoints[source]; other != nil && other.state(now) != nil {
+			x.source = other.Address
+		}
+	}
 	x.reading = f.placement.Sent(now, e.ID, q)
 	e.running++
 	if q.Service != "" {
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -61,8 +61,10 @@
 	excluded []ident.Endpoint
 	// reading is the number of prompt tokens that the current endpoint is expected to read.
 	reading ident.Tokens
-	sends   int
-	runs    int
+	// source is the address of an engine that has read the beginning of the prompt.
+	source string
+	sends  int
+	runs   int
 }
 
 // requestKey is the field of the request's id, as in the timeline of the other programs.
@@ -286,6 +288,7 @@
 	if x.call.Model == "" {
 		dispatch.Priority = -1
 	}
+	dispatch.Source = x.source
 	header := make(http.Header, len(x.header)+4)
 	for name, values := range x.header {
 		header[name] = values
--- a/state/call/call.go
+++ b/state/call/call.go
@@ -51,6 +51,8 @@
 	Priority int
 	// Resume is the last event that the caller has; empty for a first run.
 	Resume string
+	// Source is the address of an engine that has read the beginning of the prompt; empty if the endpoint reads it itself.
+	Source string
 }
 
 // Verdict is what the headers of an answer promise.
