placement: any other holder of the adapter is asked for the beginning of a prompt

Cause: an entry knows only what it has sent itself, one part in eleven on these sites, so it named a source for 60 of some 500 requests whose shared parts were read again.

Change: if no reader is known, the first other endpoint that holds the adapter is named; one that keeps nothing of the prompt gives nothing, which costs a call.

--- a/state/placement/source.go
+++ b/state/placement/source.go
@@ -26,5 +26,18 @@
 			source, newest, ok = x.Endpoint, x.prefixes[key%prefixes].at, true
 		}
 	}
-	return source, ok
+	if ok {
+		return source, true
+	}
+	// Each entry sees a part of the requests; another holder has most likely read what requests for the adapter share.
+	a := t.adapters[q.Adapter]
+	if a == nil {
+		return "", false
+	}
+	for _, x := range a.holders {
+		if h := x.find(a); x != e && !x.Leaving && h != nil && !h.loading {
+			return x.Endpoint, true
+		}
+	}
+	return "", false
 }
