placement: tests of the source of a prompt, by the load of a hot adapter with a long manual

The decision line names the source. The stand-in reports it, and the soak judges that it is an engine: its callers send a source of their own with each eighth request.

--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -103,7 +103,8 @@
 	}
 	f.log.Info("endpoint chosen", x.id(), slog.String("Endpoint", string(e.ID)), slog.Int64("CostMilli", int64(cost)),
 		slog.Int64("Configuration", x.configuration), slog.String("Adapter", x.adapter.String()), slog.Bool("Held", x.adapter.IsZero() || e.holds(now, x.adapter)),
-		slog.Int64("StateAgeMilli", age), slog.Int("Running", load), slog.Int("Own", e.running))
+		slog.Int64("StateAgeMilli", age), slog.Int("Running", load), slog.Int("Own", e.running),
+		slog.String("Source", x.source))
 }
 
 // await waits until the endpoint holds the adapter. After a third of the time that is left another endpoint is tried.
--- a/soak/live/caller.go
+++ b/soak/live/caller.go
@@ -111,8 +111,12 @@
 	j.sent(x)
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nShallotring-Attempt-Id: %s\r\nShallotring-Deadline-Ms: %d\r\n", x.method, x.target, hostName, x.id, x.timeout.Milliseconds())
+	if c.random.IntN(8) == 0 {
+		// Only the system may name a source.
+		b.WriteString("Kv-Fetch: 192.0.2.1:1\r\n")
+	}
 	if x.kind == generation {
-		fmt.Fprintf(&b, "Shallotring-Model: %s\r\nShallotring-Token-Usage: 600,80\r\nShallotring-Prompt-Prefix: %x:200,%x:400\r\n", x.model, len(x.model), c.count)
+		fmt.Fprintf(&b, "Shallotring-Model: %s\r\nShallotring-Token-Usage: 1600,80\r\nShallotring-Prompt-Prefix: %x:1200,%x:400\r\n", x.model, len(x.model), c.count)
 	}
 	switch {
 	case x.method == http.MethodGet:
--- a/soak/live/deployment.go
+++ b/soak/live/deployment.go
@@ -157,6 +157,7 @@
 		return e.begin(false)
 	}
 	d.engines = append(d.engines, e)
+	d.judge.engines[join(outer, endpointPort)] = true
 	if e.control, err = d.link(join(outer, controlPort), join(inner, controlPort)); err != nil {
 		return err
 	}
--- a/soak/live/judge.go
+++ b/soak/live/judge.go
@@ -111,6 +111,9 @@
 	// events says whether faults are printed.
 	events bool
 
+	// engines holds the addresses of all engines.
+	engines map[string]bool
+
 	mu         sync.Mutex
 	calls      map[string]*call
 	violations int
@@ -132,7 +135,7 @@
 
 func newJudge(out io.Writer) *judge {
 	return &judge{
-		out: out, calls: make(map[string]*call), counts: make(map[string]int), stopping: make(map[life]time.Time), leaving: make(map[string]time.Time),
+		out: out, engines: make(map[string]bool), calls: make(map[string]*call), counts: make(map[string]int), stopping: make(map[life]time.Time), leaving: make(map[string]time.Time),
 		adapters: make(map[string][]declared), proven: make(map[life]declared), arrivals: make(map[string][]arrival), requests: make(map[string][]time.Time),
 		calm: time.Now(),
 	}
@@ -287,6 +290,9 @@
 	if a.Method != c.method || a.Target != c.target || a.Body != c.body || a.Model != c.model {
 		j.breach("unasked", "%+v is not what the caller sent: %s", a, c)
 	}
+	if a.Source != "" && !j.engines[a.Source] {
+		j.breach("unasked", "%+v names a source that is no engine: %s", a, c)
+	}
 	if a.Service != c.service() && a.Ran {
 		j.breach("route", "%+v ran at another service: %s", a, c)
 	}
--- a/standin/platform/run.go
+++ b/standin/platform/run.go
@@ -23,7 +23,9 @@
 	// Model is the model or adapter that the request names, Version the version of the adapter that it runs on.
 	Model   string
 	Version string
-	Ran     bool
+	// Source is the address that the engine is told to fetch the beginning of the prompt from.
+	Source string
+	Ran    bool
 }
 
 // Fault says how an engine misbehaves, most of it as shares of its requests; the zero value is an engine in good order.
@@ -78,7 +80,7 @@
 	}
 	a := Arrival{
 		Service: e.service, ID: r.Header.Get("Shallotring-Attempt-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body),
-		Model: r.Header.Get("Shallotring-Model"),
+		Model: r.Header.Get("Shallotring-Model"), Source: r.Header.Get("Kv-Fetch"),
 	}
 	h := w.Header()
 	h.Set("Shallotring-Attempt-Id", a.ID)
