entry: the guarantees are asserted where a request is sent, refused or a configuration comes into force

A second send of a request that runs once (G5), a refusal of one that may have run (G4) and an older configuration (G8) are withheld, counted in shallotring_invariant_violations_total and written as "invariant violated", as in the programs of the product. TestInvariants tries each step against the decision; the soak of processes reads the line as a violation.

--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -152,6 +152,9 @@
 // Configure puts a configuration in force; an older one is ignored.
 func (f *Frontend) Configure(t *routing.Table) {
 	if old := f.routes.Load(); old != nil && t.Version <= old.Version {
+		if t.Version < old.Version {
+			f.violated("G8", "an older configuration would be put in force", slog.Int64("Version", t.Version), slog.Int64("InForce", old.Version))
+		}
 		return
 	}
 	f.routes.Store(t)
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -210,6 +210,10 @@
 
 // refuse answers with a status that promises that the request has not run, or that it is not allowed.
 func (f *Frontend) refuse(w http.ResponseWriter, x *request, status int, reason string, after time.Duration) {
+	if !f.mayRefuse(x, status) {
+		f.fail(context.Background(), w, x)
+		return
+	}
 	f.metrics.refused.Inc()
 	f.log.Info("request refused", x.id(), slog.Int("Status", status), slog.String("Reason", reason),
 		slog.String("Route", x.route.Name), slog.String("Adapter", x.adapter.String()), slog.Int("Sends", x.sends),
@@ -273,6 +277,9 @@
 
 // offer sends the request to one endpoint; done means that the caller has its answer, again that another one may be tried.
 func (f *Frontend) offer(ctx context.Context, w http.ResponseWriter, x *request, e *endpoint) (done, again bool) {
+	if !f.maySend(x) {
+		return false, false
+	}
 	q := f.query(x)
 	began := f.clock.Now()
 	ended := false
@@ -329,7 +336,7 @@
 	refused := v.NotRun
 	broken := (v.ID != "" && v.ID != x.call.ID) || v.Encoded || (a.Status < 300 && !v.Sealed) || a.Status < 200 || (a.Status >= 300 && a.Status < 400)
 	// These statuses promise callers that nothing ran; without the endpoint's own promise they are not passed on.
-	promise := a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests || a.Status == http.StatusRequestTimeout || v.Misdirected
+	promise := promises(a.Status)
 	f.log.Info("endpoint answered", x.id(), slog.String("Endpoint", string(e.name)), slog.Int("Status", a.Status),
 		slog.Bool("NotRun", v.NotRun), slog.Bool("Sealed", v.Sealed), slog.Bool("Broken", broken), slog.Int("Send", x.sends), slog.String("Adapter", x.adapter.String()),
 		slog.Int64("DurationMilli", f.clock.Since(began).Milliseconds()))
