entry: another copy of an adapter costs 0.3 loads

Cause: the price of a copy stood for the places that the tail of the adapters lacks and for prompts that are read again. Since engines fetch what others have read, the second part is gone, and requests queued at the one holder while others were free.

--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -37,7 +37,7 @@
 	affinity = 120 * time.Millisecond
 	// displaced is the number of loads that another copy of an adapter is taken to cost: the tail of the adapters does not fit
 	// into the engines anyway, and a load takes less time than a few prompts.
-	displaced = 1.0
+	displaced = 0.3
 	// samples is the number of random engines that are compared for an absent adapter: few of them have a free place under load.
 	samples = 8
 	// balance is the interval of the accounts to agents and of the checks of what is known of endpoints.
