entry: a request leaves an engine that does not begin to load its adapter

Cause: half of the wishes for adapters are ordered within 67 ms, but one in ten after 1.2 s and one in thirty after 3.2 s: all places of that engine are in use by running streams. The request waited there for a third of its time.

The decision is holdings.Wait, a pure module.

--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"shallotring.dev/state/holdings"
@@ -107,14 +108,23 @@
 		slog.String("Source", x.source))
 }
 
-// await waits until the endpoint holds the adapter. After a third of the time that is left another endpoint is tried.
+// await waits until the endpoint holds the adapter, or until another endpoint is to be tried.
 func (f *Frontend) await(ctx context.Context, x *request, e *endpoint, w *wait, began time.Time) (loaded bool) {
-	t := f.clock.NewTimer(x.deadline.Sub(began) / 3)
+	limit := holdings.Wait{Began: began, Deadline: x.deadline}
+	again, leave := limit.Next(began, false)
+	t := f.clock.NewTimer(again)
 	defer t.Stop()
-	select {
-	case <-w.done:
-	case <-t.C:
-	case <-ctx.Done():
+	for !leave {
+		select {
+		case <-w.done:
+			leave = true
+		case <-ctx.Done():
+			leave = true
+		case <-t.C:
+			if again, leave = limit.Next(f.clock.Now(), f.loading(e, x.adapter)); !leave {
+				t.Reset(again)
+			}
+		}
 	}
 	now := f.clock.Now()
 	f.mu.Lock()
@@ -130,6 +140,14 @@
 	return loaded
 }
 
+// loading reports whether the agent has said that the adapter is on its way.
+func (f *Frontend) loading(e *endpoint, av ident.AdapterVersion) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := e.state(f.clock.Now())
+	return s != nil && slices.Contains(s.Holdings.Loading, av)
+}
+
 func (e *endpoint) holds(now time.Time, av ident.AdapterVersion) bool {
 	for _, x := range e.resident(now) {
 		if x == av {
