soak: faults are named after what they do

Cause: names such as hold, freeze and revive had to be looked up. Change: impair, suspend, killAndStart, killAll, stopAndStart, and links in place of ways.

--- a/soak/live/deployment.go
+++ b/soak/live/deployment.go
@@ -37,13 +37,14 @@
 // endpoint is a stand-in on a host of its own; engines have an agent beside them.
 type endpoint struct {
 	*platform.Engine
-	name  string
+	name string
+	// inner is the address that the endpoint itself listens on, behind its links.
 	inner string
-	// calls is the way of entries to the endpoint, control their way to its agent.
+	// calls leads from entries to the endpoint, control from entries to its agent.
 	calls   *link.Link
 	control *link.Link
 	agent   *process
-	// lost is the agent's way to the store.
+	// store leads from the agent to the store.
 	store *link.Link
 
 	mu     sync.Mutex
@@ -53,7 +54,7 @@
 	silent bool
 }
 
-// entry is an entry process with the ways to it and from it.
+// entry is an entry process with the links to it and from it.
 type entry struct {
 	*process
 	url   string
@@ -123,7 +124,7 @@
 	return d, nil
 }
 
-// link opens a way that closes with the deployment.
+// link opens a link that closes with the deployment.
 func (d *deployment) link(listen, target string) (l *link.Link, err error) {
 	if l, err = link.New(listen, target); err == nil {
 		d.links = append(d.links, l)
@@ -131,8 +132,8 @@
 	return l, err
 }
 
-// way opens a process's own way to the store.
-func (d *deployment) way(host int) (l *link.Link, at string, err error) {
+// storeLink opens a process's own link to the store.
+func (d *deployment) storeLink(host int) (l *link.Link, at string, err error) {
 	at = join(d.address(5, host), storePort)
 	l, err = d.link(at, join(d.address(0, 0), storePort))
 	return l, at, err
@@ -161,11 +162,11 @@
 	if e.control, err = d.link(join(outer, controlPort), join(inner, controlPort)); err != nil {
 		return err
 	}
-	way, at, err := d.way(host)
+	toStore, at, err := d.storeLink(host)
 	if err != nil {
 		return err
 	}
-	e.store = way
+	e.store = toStore
 	e.agent = &process{host: "side-" + name, program: filepath.Join(d.options.Programs, "agent"), dir: d.options.Dir, judge: d.judge, settings: platform.Settings{
 		Host: "side-" + name, Zone: "a", IP: inner, Store: at, Control: controlPort, Grace: grace, Engine: e.inner, Service: service,
 	}}
@@ -179,12 +180,12 @@
 }
 
 func (d *deployment) addEntry(i int) (err error) {
-	way, at, err := d.way(d.options.Engines + plainServices + i)
+	toStore, at, err := d.storeLink(d.options.Engines + plainServices + i)
 	if err != nil {
 		return err
 	}
 	inner, outer := d.address(3, i), d.address(4, i)
-	e := &entry{url: join(outer, frontPort), store: way, process: &process{
+	e := &entry{url: join(outer, frontPort), store: toStore, process: &process{
 		host: fmt.Sprint("edge-", i), program: filepath.Join(d.options.Programs, "entry"), dir: d.options.Dir, judge: d.judge, settings: platform.Settings{
 			Host: fmt.Sprint("edge-", i), Zone: "a", IP: inner, Store: at, Control: controlPort, Grace: grace,
 			Front: join(inner, frontPort), Ready: join(inner, readyPort),
--- a/soak/live/fault.go
+++ b/soak/live/fault.go
@@ -23,8 +23,8 @@
 
 // faults lists all kinds; planned ones occur at any time, the others only in storms.
 var faults = []fault{
-	{"entry stopped", true, 3, func(d *deployment, r *rand.Rand) { d.restart(d.anyEntry(r).process, r) }},
-	{"agent stopped", true, 1, func(d *deployment, r *rand.Rand) { d.restart(d.anyEngine(r).agent, r) }},
+	{"entry stopped", true, 3, func(d *deployment, r *rand.Rand) { d.stopAndStart(d.anyEntry(r).process, r) }},
+	{"agent stopped", true, 1, func(d *deployment, r *rand.Rand) { d.stopAndStart(d.anyEngine(r).agent, r) }},
 	{"settings changed", true, 1, func(d *deployment, r *rand.Rand) { d.reload(d.anyEntry(r).process) }},
 	{"configuration", true, 1, func(d *deployment, _ *rand.Rand) { d.configure() }},
 	{"configurations", true, 1, func(d *deployment, r *rand.Rand) {
@@ -37,12 +37,16 @@
 	{"release", true, 3, func(d *deployment, r *rand.Rand) { d.release(d.anyEndpoint(r), r, true) }},
 	{"silent release", false, 1, func(d *deployment, r *rand.Rand) { d.release(d.anyEndpoint(r), r, false) }},
 	{"foreign entry", false, 1, func(d *deployment, r *rand.Rand) { d.foreign(r) }},
-	{"entry killed", false, 2, func(d *deployment, r *rand.Rand) { d.revive(d.anyEntry(r).process, r) }},
-	{"agent killed", false, 2, func(d *deployment, r *rand.Rand) { d.revive(d.anyEngine(r).agent, r) }},
-	{"entries killed", false, 1, func(d *deployment, r *rand.Rand) { d.all(func(p *process) bool { return p.settings.Front != "" }, r) }},
-	{"agents killed", false, 1, func(d *deployment, r *rand.Rand) { d.all(func(p *process) bool { return p.settings.Front == "" }, r) }},
-	{"entry paused", false, 1, func(d *deployment, r *rand.Rand) { freeze(d.anyEntry(r).process, r) }},
-	{"agent paused", false, 1, func(d *deployment, r *rand.Rand) { freeze(d.anyEngine(r).agent, r) }},
+	{"entry killed", false, 2, func(d *deployment, r *rand.Rand) { d.killAndStart(d.anyEntry(r).process, r) }},
+	{"agent killed", false, 2, func(d *deployment, r *rand.Rand) { d.killAndStart(d.anyEngine(r).agent, r) }},
+	{"entries killed", false, 1, func(d *deployment, r *rand.Rand) {
+		d.killAll(func(p *process) bool { return p.settings.Front != "" }, r)
+	}},
+	{"agents killed", false, 1, func(d *deployment, r *rand.Rand) {
+		d.killAll(func(p *process) bool { return p.settings.Front == "" }, r)
+	}},
+	{"entry paused", false, 1, func(d *deployment, r *rand.Rand) { suspend(d.anyEntry(r).process, r) }},
+	{"agent paused", false, 1, func(d *deployment, r *rand.Rand) { suspend(d.anyEngine(r).agent, r) }},
 	{"endpoint crashed", false, 3, func(d *deployment, r *rand.Rand) { d.crash(d.anyEndpoint(r), r) }},
 	{"endpoint misbehaves", false, 6, func(d *deployment, r *rand.Rand) { misbehave(d.anyEndpoint(r), r) }},
 	{"orders late", false, 1, func(d *deployment, r *rand.Rand) {
@@ -62,17 +66,17 @@
 		d.store.Lose(false)
 	}},
 	{"store forgets", false, 1, func(d *deployment, _ *rand.Rand) { d.store.Compact() }},
-	{"ways to the store", false, 1, func(d *deployment, r *rand.Rand) {
-		f := disturbed(r)
-		for _, l := range d.ways(r) {
+	{"links to the store", false, 1, func(d *deployment, r *rand.Rand) {
+		f := linkFault(r)
+		for _, l := range d.storeLinks(r) {
 			l.Set(f)
 			defer l.Set(link.Fault{})
 		}
 		time.Sleep(span(r, 200, 5000))
 	}},
-	{"way to an endpoint", false, 3, func(d *deployment, r *rand.Rand) { hold(d.anyEndpoint(r).calls, r) }},
-	{"way to an agent", false, 1, func(d *deployment, r *rand.Rand) { hold(d.anyEngine(r).control, r) }},
-	{"way to an entry", false, 1, func(d *deployment, r *rand.Rand) { hold(d.anyEntry(r).front, r) }},
+	{"link to an endpoint", false, 3, func(d *deployment, r *rand.Rand) { impair(d.anyEndpoint(r).calls, r) }},
+	{"link to an agent", false, 1, func(d *deployment, r *rand.Rand) { impair(d.anyEngine(r).control, r) }},
+	{"link to an entry", false, 1, func(d *deployment, r *rand.Rand) { impair(d.anyEntry(r).front, r) }},
 	{"connections reset", false, 2, func(d *deployment, r *rand.Rand) {
 		for _, l := range []*link.Link{d.anyEndpoint(r).calls, d.anyEngine(r).control, d.anyEntry(r).front, d.anyEntry(r).store} {
 			l.Reset()
@@ -112,8 +116,8 @@
 	return d.anyEngine(r)
 }
 
-// ways returns some of the ways to the store: that of one process or those of all.
-func (d *deployment) ways(r *rand.Rand) (list []*link.Link) {
+// storeLinks returns some of the links to the store: that of one process or those of all.
+func (d *deployment) storeLinks(r *rand.Rand) (list []*link.Link) {
 	switch r.IntN(3) {
 	case 0:
 		return append(list, d.anyEntry(r).store)
@@ -129,8 +133,8 @@
 	return list
 }
 
-// disturbed returns one way in which a link misbehaves.
-func disturbed(r *rand.Rand) link.Fault {
+// linkFault returns one way in which a link misbehaves.
+func linkFault(r *rand.Rand) link.Fault {
 	switch r.IntN(5) {
 	case 0:
 		return link.Fault{Cut: true}
@@ -144,8 +148,9 @@
 	return link.Fault{Delay: span(r, 20, 600)}
 }
 
-func hold(l *link.Link, r *rand.Rand) {
-	l.Set(disturbed(r))
+// impair gives a link a fault for a while.
+func impair(l *link.Link, r *rand.Rand) {
+	l.Set(linkFault(r))
 	time.Sleep(span(r, 100, 4000))
 	l.Set(link.Fault{})
 }
@@ -157,8 +162,8 @@
 	}
 }
 
-// restart stops a process as the platform does for planned work.
-func (d *deployment) restart(p *process, r *rand.Rand) {
+// stopAndStart stops a process as the platform does for planned work.
+func (d *deployment) stopAndStart(p *process, r *rand.Rand) {
 	if number, ok := p.running(); ok {
 		d.judge.stops(life{p.host, number})
 	}
@@ -167,13 +172,15 @@
 	d.start(p)
 }
 
-func (d *deployment) revive(p *process, r *rand.Rand) {
+// killAndStart kills a process and starts it again after a while.
+func (d *deployment) killAndStart(p *process, r *rand.Rand) {
 	p.kill()
 	time.Sleep(span(r, 50, 3000))
 	d.start(p)
 }
 
-func (d *deployment) all(of func(p *process) bool, r *rand.Rand) {
+// killAll kills all processes of a kind at the same moment.
+func (d *deployment) killAll(of func(p *process) bool, r *rand.Rand) {
 	var list []*process
 	for _, e := range d.entries {
 		list = append(list, e.process)
@@ -191,6 +198,7 @@
 	time.Sleep(wait)
 }
 
+// reload writes the settings anew and tells the process.
 func (d *deployment) reload(p *process) {
 	if err := p.write(); err != nil {
 		d.judge.violate("processes", "%v", err)
@@ -198,7 +206,8 @@
 	p.hangUp()
 }
 
-func freeze(p *process, r *rand.Rand) {
+// suspend stops a process from running for a while without ending it.
+func suspend(p *process, r *rand.Rand) {
 	p.signal(syscall.SIGSTOP, false)
 	time.Sleep(span(r, 100, 5000))
 	p.signal(syscall.SIGCONT, false)
@@ -224,6 +233,7 @@
 	d.begin(e, r.IntN(2) == 0)
 }
 
+// begin starts the next life of an endpoint.
 func (d *deployment) begin(e *endpoint, renamed bool) {
 	if renamed {
 		e.Remove()
