soak: a process that does not get a processor counts as slowed

Change: the soak reads how long the threads of each process, and its own, wait for a processor. A process whose threads wait as long as the interval is slow, and the bounds on time start anew after it, as the platform does for a slow host; what must hold at any time is judged as before.

--- a/soak/live/judge.go
+++ b/soak/live/judge.go
@@ -121,6 +121,8 @@
 	// active is the number of unplanned faults now, calm the end of the last one.
 	active int
 	calm   time.Time
+	// starvedAt is the last time at which a process lacked a processor.
+	starvedAt time.Time
 	// stopping holds the times at which entry processes were told to stop.
 	stopping       map[life]time.Time
 	leaving        map[string]time.Time
--- a/soak/live/judge_test.go
+++ b/soak/live/judge_test.go
@@ -65,6 +65,12 @@
 			j.stops(life{"edge-0", 1})
 			j.answered(c, answer{err: errors.New("reset")})
 		}, ""},
+		{"late on a busy machine", func(j *judge, c *call) {
+			c.sent = c.sent.Add(-2 * time.Second)
+			j.starved()
+			j.answered(c, refusal)
+		}, ""},
+		{"runs twice on a busy machine", func(j *judge, _ *call) { j.starved(); j.arrived(nil, run); j.arrived(nil, run) }, "once"},
 		{"no route", func(j *judge, c *call) { j.answered(c, answer{status: http.StatusNotFound, complete: true}) }, "denied"},
 		{"late", func(j *judge, c *call) { c.sent = c.sent.Add(-2 * time.Second); j.answered(c, refusal) }, "time"},
 		{"runs at an endpoint that has left", func(j *judge, _ *call) {
--- a/soak/live/process.go
+++ b/soak/live/process.go
@@ -102,6 +102,7 @@
 
 // stop ends the process by SIGTERM, and by SIGKILL after the grace period, which is a fault of the process.
 func (p *process) stop() {
+	began := time.Now()
 	ended := p.signal(syscall.SIGTERM, true)
 	if ended == nil {
 		return
@@ -109,7 +110,9 @@
 	select {
 	case <-ended:
 	case <-time.After(p.settings.Grace):
-		p.judge.violate("drain", "%s runs on %s after SIGTERM", p.host, p.settings.Grace)
+		if !p.judge.starvedSince(began) {
+			p.judge.violate("drain", "%s runs on %s after SIGTERM", p.host, p.settings.Grace)
+		}
 		p.kill()
 	}
 }
--- a/soak/live/soak.go
+++ b/soak/live/soak.go
@@ -59,6 +59,7 @@
 	for _, e := range d.entries {
 		wg.Go(func() { e.probe(done) })
 	}
+	wg.Go(func() { d.watchStarvation(done) })
 	d.configure()
 	if err = d.ready(ctx); err == nil {
 		work, stop := context.WithCancel(ctx)
