standin/platform: callers of the platform form are written in one place

The soak and the help of `shallotring platform` wrote the headers of requests themselves. They describe a request now, and the stand-in encodes it, so that the names of the platform stay in platform/ and its stand-in.

--- a/cmd/shallotring/platform.go
+++ b/cmd/shallotring/platform.go
@@ -25,9 +25,9 @@
 	}
 	fmt.Printf(`The platform form serves on http://%[1]s
 Try:
-  curl -N http://%[1]s/g/1 -H 'Host: %[2]s' -H 'Shallotring-Attempt-Id: a1' -H 'Shallotring-Model: %[3]s/a1' -H 'Shallotring-Token-Usage: 100,20' -d 'prompt'
-  curl http://%[1]s/o/1 -H 'Host: %[2]s' -H 'Shallotring-Attempt-Id: a2' -d 'order'
+  %[2]s
+  %[3]s
   curl -i http://%[4]s/ready
-`, d.Front, trial.Host, trial.Model, d.Ready)
+`, d.Front, d.Generation("a1").Command(d.Front), d.Order("a2").Command(d.Front), d.Ready)
 	return d.Wait()
 }
--- a/daemon/trial/deployment.go
+++ b/daemon/trial/deployment.go
@@ -101,6 +101,19 @@
 	}, []platform.Service{{Name: "llm", Model: Model, Places: Places}, {Name: "plain"}})
 }
 
+// Generation is an example of a request to a model.
+func (d *Deployment) Generation(id string) platform.Call {
+	return platform.Call{
+		ID: id, Method: http.MethodPost, Target: "/g/1", Host: Host, Body: "prompt", Model: Model + "/a1",
+		Shared: platform.Part{ID: 1, Tokens: 80}, Own: platform.Part{ID: 2, Tokens: 20}, Output: 20,
+	}
+}
+
+// Order is an example of a request to the plain service.
+func (d *Deployment) Order(id string) platform.Call {
+	return platform.Call{ID: id, Method: http.MethodPost, Target: "/o/1", Host: Host, Body: "order"}
+}
+
 // Wait waits until the programs have ended and closes the stand-ins; it returns the programs' errors.
 func (d *Deployment) Wait() (err error) {
 	d.programs.Wait()
--- a/soak/live/caller.go
+++ b/soak/live/caller.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"shallotring.dev/standin/platform"
 )
 
 const (
@@ -109,26 +111,12 @@
 func (c *caller) call(x *call) (kept bool, after time.Duration) {
 	j := c.d.judge
 	j.sent(x)
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nShallotring-Attempt-Id: %s\r\nShallotring-Deadline-Ms: %d\r\n", x.method, x.target, hostName, x.id, x.timeout.Milliseconds())
-	if c.random.IntN(8) == 0 {
-		// Only the system may name a source.
-		b.WriteString("Kv-Fetch: 192.0.2.1:1\r\n")
-	}
-	if x.kind == generation {
-		fmt.Fprintf(&b, "Shallotring-Model: %s\r\nShallotring-Token-Usage: 1600,80\r\nShallotring-Prompt-Prefix: %x:1200,%x:400\r\n", x.model, len(x.model), c.count)
+	request := platform.Call{
+		ID: x.id, Method: x.method, Target: x.target, Host: hostName, Body: x.body, Chunked: c.random.IntN(4) == 0, Timeout: x.timeout, Model: x.model,
+		Shared: platform.Part{ID: uint64(len(x.model)), Tokens: 1200}, Own: platform.Part{ID: uint64(c.count), Tokens: 400}, Output: 80,
 	}
-	switch {
-	case x.method == http.MethodGet:
-		b.WriteString("\r\n")
-	case c.random.IntN(4) == 0:
-		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n")
-		if x.body != "" {
-			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(x.body), x.body)
-		}
-		b.WriteString("0\r\n\r\n")
-	default:
-		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(x.body), x.body)
+	if c.random.IntN(8) == 0 {
+		request.Source = "192.0.2.1:1"
 	}
 	if c.random.Float64() < leaveShare {
 		conn := c.conn
@@ -138,7 +126,7 @@
 		})
 		defer leave.Stop()
 	}
-	a := c.exchange(b.String(), x)
+	a := c.exchange(request.Encode(), x)
 	if j.hasLeft(x) {
 		return false, 0
 	}
--- a/soak/live/fault.go
+++ b/soak/live/fault.go
@@ -274,10 +274,10 @@
 		"", "{", "[]", `{"service":"llm"}`, `{"service":7,"address":"127.0.0.1:9","slots":4,"state":"ready","born":1}`, "\xff\xfe",
 		`{"service":"plain-0","address":"127.0.0.1:9","slots":4,"state":"asleep","born":1}`, `{"service":"plain-0","address":"nowhere","slots":4,"state":"ready"}`,
 	}
-	key := fmt.Sprint("servers/foreign-", r.IntN(4))
-	d.store.Put(key, []byte(values[r.IntN(len(values))]))
+	key := fmt.Sprint("foreign-", r.IntN(4))
+	d.store.Intrude(key, []byte(values[r.IntN(len(values))]))
 	time.Sleep(span(r, 100, 3000))
-	d.store.Delete(key)
+	d.store.Intrude(key, nil)
 }
 
 // configure writes the next configuration: it adds one route and removes the oldest of three.
--- a/soak/live/judge.go
+++ b/soak/live/judge.go
@@ -348,7 +348,7 @@
 		return
 	case a.status < 300:
 		j.counts["served"]++
-		if a.header.Get("Shallotring-Server-Seal") != "seal-"+c.id || a.header.Get("Shallotring-Attempt-Id") != c.id || a.body != c.expected() {
+		if !platform.Certified(a.header, c.id) || a.body != c.expected() {
 			j.breach("answers", "status %d, header %v, body %.200q: %s", a.status, a.header, a.body, c)
 		}
 		j.proves(c, now)
--- a/soak/live/judge_test.go
+++ b/soak/live/judge_test.go
@@ -26,7 +26,9 @@
 	elsewhere.Service = "plain-1"
 	refusal := answer{status: http.StatusServiceUnavailable, complete: true, header: http.Header{"Retry-After": {"1"}}}
 	success := func(c *call) answer {
-		return answer{status: http.StatusOK, complete: true, body: c.expected(), header: http.Header{"Shallotring-Server-Seal": {"seal-" + id}, "Shallotring-Attempt-Id": {id}}}
+		a := answer{status: http.StatusOK, complete: true, body: c.expected(), header: http.Header{}}
+		platform.Certify(a.header, id)
+		return a
 	}
 	for _, c := range []struct {
 		name string
--- /dev/null
+++ b/standin/platform/caller.go
@@ -0,0 +1,108 @@
+package platform
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Call is a request of a caller.
+type Call struct {
+	ID     string
+	Method string
+	Target string
+	Host   string
+	Body   string
+	// Chunked sends the body in chunks instead of with its length.
+	Chunked bool
+	Timeout time.Duration
+	// Model is empty for plain services; an adapter follows the base model after a slash.
+	Model string
+	// Shared and Own are the prompt's parts, the second of them the request's own.
+	Shared, Own Part
+	// Output is the largest number of output tokens.
+	Output int
+	// Source is a header that only the system may set.
+	Source string
+}
+
+// Part is a part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// headers lists the headers of the request, each with its value.
+func (c Call) headers() (list [][2]string) {
+	add := func(name, value string) { list = append(list, [2]string{name, value}) }
+	add("Host", c.Host)
+	add("Shallotring-Attempt-Id", c.ID)
+	if c.Timeout > 0 {
+		add("Shallotring-Deadline-Ms", fmt.Sprint(c.Timeout.Milliseconds()))
+	}
+	if c.Source != "" {
+		add("Kv-Fetch", c.Source)
+	}
+	if c.Model != "" {
+		add("Shallotring-Model", c.Model)
+		add("Shallotring-Token-Usage", fmt.Sprintf("%d,%d", c.Shared.Tokens+c.Own.Tokens, c.Output))
+		add("Shallotring-Prompt-Prefix", fmt.Sprintf("%x:%d,%x:%d", c.Shared.ID, c.Shared.Tokens, c.Own.ID, c.Own.Tokens))
+	}
+	return list
+}
+
+// Encode returns the bytes of the request.
+func (c Call) Encode() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\n", c.Method, c.Target)
+	for _, h := range c.headers() {
+		fmt.Fprintf(&b, "%s: %s\r\n", h[0], h[1])
+	}
+	switch {
+	case c.Method == http.MethodGet:
+		b.WriteString("\r\n")
+	case c.Chunked:
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		if c.Body != "" {
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(c.Body), c.Body)
+		}
+		b.WriteString("0\r\n\r\n")
+	default:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(c.Body), c.Body)
+	}
+	return b.String()
+}
+
+// Command returns a shell command that sends the request to an entry.
+func (c Call) Command(entry string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "curl -N http://%s%s", entry, c.Target)
+	for _, h := range c.headers() {
+		fmt.Fprintf(&b, " -H '%s: %s'", h[0], h[1])
+	}
+	if c.Body != "" {
+		fmt.Fprintf(&b, " -d '%s'", c.Body)
+	}
+	return b.String()
+}
+
+// Certified reports whether the head of an answer is an engine's and belongs to the request.
+func Certified(h http.Header, id string) bool {
+	return h.Get("Shallotring-Server-Seal") == "seal-"+id && h.Get("Shallotring-Attempt-Id") == id
+}
+
+// Certify sets the headers of an engine's answer to a request.
+func Certify(h http.Header, id string) {
+	h.Set("Shallotring-Server-Seal", "seal-"+id)
+	h.Set("Shallotring-Attempt-Id", id)
+}
+
+// Intrude writes a discovery entry of another writer, or removes it if the value is nil.
+func (s *Store) Intrude(name string, value []byte) {
+	if value == nil {
+		s.Delete("servers/" + name)
+		return
+	}
+	s.Put("servers/"+name, value)
+}
--- a/standin/platform/run.go
+++ b/standin/platform/run.go
@@ -109,7 +109,7 @@
 	case chance(f.Garble):
 		hijack(w, "\x00\x01 these bytes are no answer\r\n\r\n")
 	case chance(f.Fail):
-		h.Set("Shallotring-Server-Seal", "seal-"+a.ID)
+		Certify(h, a.ID)
 		w.WriteHeader(http.StatusInternalServerError)
 	case e.model != "":
 		e.stream(w, r, a, f)
@@ -145,14 +145,14 @@
 	case chance(f.Trail):
 		hijack(w, head+text+strings.Replace(head, a.ID, "another", 1)+text)
 	default:
-		w.Header().Set("Shallotring-Server-Seal", "seal-"+a.ID)
+		Certify(w.Header(), a.ID)
 		// A caller that has left needs no answer.
 		_, _ = io.WriteString(w, text)
 	}
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, a Arrival, f Fault) {
-	w.Header().Set("Shallotring-Server-Seal", "seal-"+a.ID)
+	Certify(w.Header(), a.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	last := e.events
 	broken := chance(f.Break)
