platform: the stand-in moves beside the adapter

Cause: the names of the platform stood in two folders, platform/ and standin/platform.

Change: standin/platform is platform/standin now, with the same code; nothing outside platform/ writes the names of the platform in Go. Checked by go vet, the linter, and the tests of daemon/direct, daemon/program, platform and soak/live that use it.

--- a/daemon/program/platform_test.go
+++ b/daemon/program/platform_test.go
@@ -10,14 +10,14 @@
 	"time"
 
 	"shallotring.dev/platform/boot"
-	"shallotring.dev/standin/platform"
+	"shallotring.dev/platform/standin"
 )
 
 // Guards against a change of the settings that ends a stopping process, with the requests that it still serves: SIGHUP ends a
 // process that does not handle it.
 func TestHangupWhileStopping(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "settings")
-	s := platform.Settings{Host: "h", Zone: "a", IP: "127.0.0.1", Store: "127.0.0.1:1", Control: 1, Grace: time.Second, Engine: "127.0.0.1:2", Service: "s"}
+	s := standin.Settings{Host: "h", Zone: "a", IP: "127.0.0.1", Store: "127.0.0.1:1", Control: 1, Grace: time.Second, Engine: "127.0.0.1:2", Service: "s"}
 	if err := os.WriteFile(file, s.Encode(), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/trial/deployment.go
+++ b/daemon/trial/deployment.go
@@ -14,7 +14,7 @@
 
 	"shallotring.dev/daemon/direct"
 	"shallotring.dev/platform/boot"
-	"shallotring.dev/standin/platform"
+	"shallotring.dev/platform/standin"
 )
 
 const (
@@ -32,9 +32,9 @@
 
 // Deployment is one entry, two engines with their agents and one plain service.
 type Deployment struct {
-	Store   *platform.Store
-	Engines []*platform.Engine
-	Service *platform.Engine
+	Store   *standin.Store
+	Engines []*standin.Engine
+	Service *standin.Engine
 	// Front and Ready are the entry's addresses.
 	Front string
 	Ready string
@@ -48,7 +48,7 @@
 // Start starts all parts; the programs drain when the context ends, and Wait waits for them.
 func Start(ctx context.Context, log *slog.Logger) (d *Deployment, err error) {
 	defer func() { err = eris.Wrap(err, "start trial") }()
-	d = &Deployment{Store: platform.NewStore()}
+	d = &Deployment{Store: standin.NewStore()}
 	store, err := d.serve("127.0.0.1", d.Store)
 	if err != nil {
 		return nil, err
@@ -57,10 +57,10 @@
 	if err != nil {
 		return nil, err
 	}
-	settings := platform.Settings{Zone: "a", Control: port, Store: store, Grace: 2 * time.Second}
+	settings := standin.Settings{Zone: "a", Control: port, Store: store, Grace: 2 * time.Second}
 	for i := range engines {
 		ip := fmt.Sprintf("127.0.0.%d", i+2)
-		e, address, err := d.engine(ip, fmt.Sprint("i-", i), "llm", platform.WithModel(Model, Places, loadTime))
+		e, address, err := d.engine(ip, fmt.Sprint("i-", i), "llm", standin.WithModel(Model, Places, loadTime))
 		if err != nil {
 			return nil, err
 		}
@@ -95,23 +95,23 @@
 
 // Configure writes a configuration with the routes /g/ for generations and /o/ for orders.
 func (d *Deployment) Configure(version int64) {
-	d.Store.Configure(version, []platform.Route{
+	d.Store.Configure(version, []standin.Route{
 		{Host: Host, Prefix: "/g/", Kind: "streaming", Timeout: 5 * time.Second, Goal: time.Second, Engines: 1, Service: "llm"},
 		{Host: Host, Prefix: "/o/", Kind: "non_idempotent", Timeout: 2 * time.Second, Goal: 150 * time.Millisecond, Engines: 1, Service: "plain"},
-	}, []platform.Service{{Name: "llm", Model: Model, Places: Places}, {Name: "plain"}})
+	}, []standin.Service{{Name: "llm", Model: Model, Places: Places}, {Name: "plain"}})
 }
 
 // Generation is an example of a request to a model.
-func (d *Deployment) Generation(id string) platform.Call {
-	return platform.Call{
+func (d *Deployment) Generation(id string) standin.Call {
+	return standin.Call{
 		ID: id, Method: http.MethodPost, Target: "/g/1", Host: Host, Body: "prompt", Model: Model + "/a1",
-		Shared: platform.Part{ID: 1, Tokens: 80}, Own: platform.Part{ID: 2, Tokens: 20}, Output: 20,
+		Shared: standin.Part{ID: 1, Tokens: 80}, Own: standin.Part{ID: 2, Tokens: 20}, Output: 20,
 	}
 }
 
 // Order is an example of a request to the plain service.
-func (d *Deployment) Order(id string) platform.Call {
-	return platform.Call{ID: id, Method: http.MethodPost, Target: "/o/1", Host: Host, Body: "order"}
+func (d *Deployment) Order(id string) standin.Call {
+	return standin.Call{ID: id, Method: http.MethodPost, Target: "/o/1", Host: Host, Body: "order"}
 }
 
 // Wait waits until the programs have ended and closes the stand-ins; it returns the programs' errors.
@@ -147,13 +147,13 @@
 	d.err = errors.Join(d.err, err)
 }
 
-func (d *Deployment) engine(ip, id, service string, options ...platform.EngineOption) (e *platform.Engine, address string, err error) {
+func (d *Deployment) engine(ip, id, service string, options ...standin.EngineOption) (e *standin.Engine, address string, err error) {
 	// The address is known only once the listener is open, and the engine needs it.
 	var handler http.Handler
 	if address, err = d.serve(ip, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) })); err != nil {
 		return nil, "", err
 	}
-	e = platform.NewEngine(d.Store, id, service, address, "a", options...)
+	e = standin.NewEngine(d.Store, id, service, address, "a", options...)
 	handler = e
 	e.Start()
 	return e, address, nil
--- a/soak/live/caller.go
+++ b/soak/live/caller.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"shallotring.dev/standin/platform"
+	"shallotring.dev/platform/standin"
 )
 
 const (
@@ -111,9 +111,9 @@
 func (c *caller) call(x *call) (kept bool, after time.Duration) {
 	j := c.d.judge
 	j.sent(x)
-	request := platform.Call{
+	request := standin.Call{
 		ID: x.id, Method: x.method, Target: x.target, Host: hostName, Body: x.body, Chunked: c.random.IntN(4) == 0, Timeout: x.timeout, Model: x.model,
-		Shared: platform.Part{ID: uint64(len(x.model)), Tokens: 1200}, Own: platform.Part{ID: uint64(c.count), Tokens: 400}, Output: 80,
+		Shared: standin.Part{ID: uint64(len(x.model)), Tokens: 1200}, Own: standin.Part{ID: uint64(c.count), Tokens: 400}, Output: 80,
 	}
 	if c.random.IntN(8) == 0 {
 		request.Source = "192.0.2.1:1"
--- a/soak/live/deployment.go
+++ b/soak/live/deployment.go
@@ -12,8 +12,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/platform/standin"
 	"shallotring.dev/standin/link"
-	"shallotring.dev/standin/platform"
 )
 
 const (
@@ -36,7 +36,7 @@
 
 // endpoint is a stand-in on a host of its own; engines have an agent beside them.
 type endpoint struct {
-	*platform.Engine
+	*standin.Engine
 	name string
 	// inner is the address that the endpoint itself listens on, behind its links.
 	inner string
@@ -70,7 +70,7 @@
 	judge   *judge
 	// network is the second byte of all addresses.
 	network  int
-	store    *platform.Store
+	store    *standin.Store
 	listener *http.Server
 	engines  []*endpoint
 	plain    []*endpoint
@@ -102,7 +102,7 @@
 // open starts the stand-ins and the programs of a deployment.
 func open(o Options, j *judge) (d *deployment, err error) {
 	defer func() { err = eris.Wrap(err, "open deployment") }()
-	d = &deployment{options: o, judge: j, store: platform.NewStore()}
+	d = &deployment{options: o, judge: j, store: standin.NewStore()}
 	if err = d.listen(); err != nil {
 		return nil, err
 	}
@@ -142,14 +142,14 @@
 func (d *deployment) addEndpoint(name string, host int, service string) (err error) {
 	inner, outer := d.address(1, host), d.address(2, host)
 	e := &endpoint{name: name, inner: join(inner, endpointPort)}
-	options := []platform.EngineOption{
-		platform.WithJournal(func(a platform.Arrival) { d.judge.arrived(e, a) }),
-		platform.WithPace(events, 10*time.Millisecond),
+	options := []standin.EngineOption{
+		standin.WithJournal(func(a standin.Arrival) { d.judge.arrived(e, a) }),
+		standin.WithPace(events, 10*time.Millisecond),
 	}
 	if service == "llm" {
-		options = append(options, platform.WithModel(modelName, places, loadTime))
+		options = append(options, standin.WithModel(modelName, places, loadTime))
 	}
-	e.Engine = platform.NewEngine(d.store, name+"-1", service, join(outer, endpointPort), "a", options...)
+	e.Engine = standin.NewEngine(d.store, name+"-1", service, join(outer, endpointPort), "a", options...)
 	if e.calls, err = d.link(join(outer, endpointPort), e.inner); err != nil {
 		return err
 	}
@@ -167,7 +167,7 @@
 		return err
 	}
 	e.store = toStore
-	e.agent = &process{host: "side-" + name, program: filepath.Join(d.options.Programs, "agent"), dir: d.options.Dir, judge: d.judge, settings: platform.Settings{
+	e.agent = &process{host: "side-" + name, program: filepath.Join(d.options.Programs, "agent"), dir: d.options.Dir, judge: d.judge, settings: standin.Settings{
 		Host: "side-" + name, Zone: "a", IP: inner, Store: at, Control: controlPort, Grace: grace, Engine: e.inner, Service: service,
 	}}
 	if err = e.agent.write(); err != nil {
@@ -186,7 +186,7 @@
 	}
 	inner, outer := d.address(3, i), d.address(4, i)
 	e := &entry{url: join(outer, frontPort), store: toStore, process: &process{
-		host: fmt.Sprint("edge-", i), program: filepath.Join(d.options.Programs, "entry"), dir: d.options.Dir, judge: d.judge, settings: platform.Settings{
+		host: fmt.Sprint("edge-", i), program: filepath.Join(d.options.Programs, "entry"), dir: d.options.Dir, judge: d.judge, settings: standin.Settings{
 			Host: fmt.Sprint("edge-", i), Zone: "a", IP: inner, Store: at, Control: controlPort, Grace: grace,
 			Front: join(inner, frontPort), Ready: join(inner, readyPort),
 		}}}
--- a/soak/live/fault.go
+++ b/soak/live/fault.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"time"
 
+	"shallotring.dev/platform/standin"
 	"shallotring.dev/standin/link"
-	"shallotring.dev/standin/platform"
 )
 
 // fault is one kind of trouble; run lasts until the trouble has ended.
@@ -51,9 +51,9 @@
 	{"endpoint misbehaves", false, 6, func(d *deployment, r *rand.Rand) { misbehave(d.anyEndpoint(r), r) }},
 	{"orders late", false, 1, func(d *deployment, r *rand.Rand) {
 		e := d.anyEngine(r)
-		e.Misbehave(platform.Fault{OrderDelay: span(r, 200, 2500)})
+		e.Misbehave(standin.Fault{OrderDelay: span(r, 200, 2500)})
 		time.Sleep(span(r, 500, 4000))
-		e.Misbehave(platform.Fault{})
+		e.Misbehave(standin.Fault{})
 	}},
 	{"store down", false, 1, func(d *deployment, r *rand.Rand) {
 		d.store.Down(true)
@@ -217,12 +217,12 @@
 func misbehave(e *endpoint, r *rand.Rand) {
 	for range 1 + r.IntN(3) {
 		share := 0.1 + 0.7*r.Float64()
-		e.Misbehave([]platform.Fault{
+		e.Misbehave([]standin.Fault{
 			{Full: share}, {Fail: share}, {Lose: share}, {Break: share}, {Garble: share}, {Trail: share}, {Slow: span(r, 20, 300)},
 		}[r.IntN(7)])
 		time.Sleep(span(r, 300, 3000))
 	}
-	e.Misbehave(platform.Fault{})
+	e.Misbehave(standin.Fault{})
 }
 
 // crash ends an endpoint without notice; it comes back with a clock that may have been set back, under a new id or its old one.
@@ -286,20 +286,20 @@
 	defer d.writing.Unlock()
 	version := d.version.Load() + 1
 	confirmed := d.judge.configured(version)
-	routes := []platform.Route{
+	routes := []standin.Route{
 		{Prefix: "/g/", Kind: "streaming", Timeout: 5 * time.Second, Goal: time.Second, Engines: 1, Service: "llm"},
 		{Prefix: "/o/", Kind: "non_idempotent", Timeout: 2 * time.Second, Goal: 150 * time.Millisecond, Engines: 1, Service: "plain-0"},
 		{Prefix: "/r/", Kind: "idempotent", Timeout: 2 * time.Second, Goal: 150 * time.Millisecond, Engines: 3, Service: "plain-0"},
 	}
 	for v := max(1, version-1); v <= version; v++ {
-		routes = append(routes, platform.Route{
+		routes = append(routes, standin.Route{
 			Prefix: fmt.Sprintf("/v%d/", v), Kind: "non_idempotent", Timeout: 2 * time.Second, Goal: 150 * time.Millisecond, Engines: 1, Service: fmt.Sprint("plain-", v%2),
 		})
 	}
 	for i := range routes {
 		routes[i].Host = hostName
 	}
-	d.store.Configure(version, routes, []platform.Service{{Name: "llm", Model: modelName, Places: places}, {Name: "plain-0"}, {Name: "plain-1"}})
+	d.store.Configure(version, routes, []standin.Service{{Name: "llm", Model: modelName, Places: places}, {Name: "plain-0"}, {Name: "plain-1"}})
 	d.version.Store(version)
 	confirmed()
 }
--- a/soak/live/judge.go
+++ b/soak/live/judge.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"shallotring.dev/standin/platform"
+	"shallotring.dev/platform/standin"
 )
 
 // The bounds are those that the platform's operators state for their deployments.
@@ -66,7 +66,7 @@
 	left     time.Time
 	refused  bool
 	arrivals int
-	ran      []platform.Arrival
+	ran      []standin.Arrival
 }
 
 func (c *call) String() string {
@@ -278,7 +278,7 @@
 }
 
 // arrived checks a request that has reached an endpoint.
-func (j *judge) arrived(_ *endpoint, a platform.Arrival) {
+func (j *judge) arrived(_ *endpoint, a standin.Arrival) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := time.Now()
@@ -348,7 +348,7 @@
 		return
 	case a.status < 300:
 		j.counts["served"]++
-		if !platform.Certified(a.header, c.id) || a.body != c.expected() {
+		if !standin.Certified(a.header, c.id) || a.body != c.expected() {
 			j.breach("answers", "status %d, header %v, body %.200q: %s", a.status, a.header, a.body, c)
 		}
 		j.proves(c, now)
@@ -399,12 +399,12 @@
 
 // expected is the whole body of a successful answer.
 func (c *call) expected() (text string) {
-	a := platform.Arrival{ID: c.id, Method: c.method, Target: c.target, Body: c.body, Model: c.model}
+	a := standin.Arrival{ID: c.id, Method: c.method, Target: c.target, Body: c.body, Model: c.model}
 	if c.kind != generation {
-		return platform.Answer(a)
+		return standin.Answer(a)
 	}
 	for n := range events {
-		text += platform.Event(a, n+1)
+		text += standin.Event(a, n+1)
 	}
 	return text
 }
@@ -450,14 +450,14 @@
 			if a.repeat {
 				repeats++
 			}
-			for ; a.at.Sub(list[first].at) > platform.RepeatWindow; first++ {
+			for ; a.at.Sub(list[first].at) > standin.RepeatWindow; first++ {
 				if list[first].repeat {
 					repeats--
 				}
 			}
-			allowed := platform.RepeatExtra + platform.RepeatRatio*float64(max(
-				between(j.requests[service], a.at, platform.RepeatWindow), between(j.requests[service], a.at.Add(-platform.RepeatWindow/2), platform.RepeatWindow),
-				between(j.requests[service], a.at.Add(-platform.RepeatWindow), platform.RepeatWindow)))
+			allowed := standin.RepeatExtra + standin.RepeatRatio*float64(max(
+				between(j.requests[service], a.at, standin.RepeatWindow), between(j.requests[service], a.at.Add(-standin.RepeatWindow/2), standin.RepeatWindow),
+				between(j.requests[service], a.at.Add(-standin.RepeatWindow), standin.RepeatWindow)))
 			if float64(repeats) > allowed && repeats > worst {
 				worst = repeats
 				j.breach("repeats", "%d repeats at %s, %.0f allowed", repeats, service, allowed)
--- a/soak/live/judge_test.go
+++ b/soak/live/judge_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"shallotring.dev/standin/platform"
+	"shallotring.dev/platform/standin"
 )
 
 // Guards against a judge that does not see a violation, or sees one in what is allowed: each case is one request of a caller.
@@ -19,7 +19,7 @@
 		j.sent(c)
 		return c
 	}
-	run := platform.Arrival{Engine: "plain-0-1", Service: "plain-0", ID: id, Method: http.MethodPost, Target: "/o/order", Ran: true}
+	run := standin.Arrival{Engine: "plain-0-1", Service: "plain-0", ID: id, Method: http.MethodPost, Target: "/o/order", Ran: true}
 	other := run
 	other.Body = "smuggled"
 	elsewhere := run
@@ -27,7 +27,7 @@
 	refusal := answer{status: http.StatusServiceUnavailable, complete: true, header: http.Header{"Retry-After": {"1"}}}
 	success := func(c *call) answer {
 		a := answer{status: http.StatusOK, complete: true, body: c.expected(), header: http.Header{}}
-		platform.Certify(a.header, id)
+		standin.Certify(a.header, id)
 		return a
 	}
 	for _, c := range []struct {
@@ -122,7 +122,7 @@
 	t.Parallel()
 	for _, c := range []struct {
 		repeats, violations int
-	}{{platform.RepeatExtra + 19, 0}, {platform.RepeatExtra + 21, 1}} {
+	}{{standin.RepeatExtra + 19, 0}, {standin.RepeatExtra + 21, 1}} {
 		var out strings.Builder
 		j := newJudge(&out)
 		at := time.Now()
--- a/soak/live/process.go
+++ b/soak/live/process.go
@@ -13,14 +13,14 @@
 
 	"github.com/rotisserie/eris"
 
-	"shallotring.dev/standin/platform"
+	"shallotring.dev/platform/standin"
 )
 
 // process is one program of the system on its host; it is started again and again with the same settings.
 type process struct {
 	host     string
 	program  string
-	settings platform.Settings
+	settings standin.Settings
 	dir      string
 	judge    *judge
 
--- a/standin/platform/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package platform stands in for the users' platform in tests and trials: its store, and engines and plain services that take
-// requests directly. It keeps everything in memory and can misbehave on request.
-package platform
