A store that is restored from an older copy is followed, and nothing goes back

Cause: mirrors compared bare revisions, so after a restoration every full read was rejected as older until the revision had caught up, and a watch went on from a revision that had been assigned again. Fencing numbers were bare revisions and could fall or repeat. An agent went on with a number that its engine had refused.

The first full read of an era is marked as restored: configurations and adapter versions in it do not replace newer ones, entries of departed endpoints do not count until they are written again or outlive a lease. Keys that the store lost stay for the usual grace. Fencing numbers combine era and revision; a refused one is replaced.

--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -15,6 +15,9 @@
 // ErrCompacted means that the store no longer has the history that a watch requests.
 var ErrCompacted = eris.New("the store has discarded the history that the watch requests")
 
+// errRestored means that the store has been restored from an older copy since the last full read.
+var errRestored = eris.New("the store has been restored from an older copy")
+
 const (
 	// DefaultWatchTimeout limits the duration of one watch.
 	DefaultWatchTimeout = 10 * time.Second
@@ -28,7 +31,7 @@
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 800 * time.Millisecond
 	// DefaultRecoveryGrace is the time after the store's recovery in which keys that expired during the outage are not reported
-	// as deleted, because their owners may write them again.
+	// as deleted, because their owners may write them again. The same holds after the store has been restored.
 	DefaultRecoveryGrace = 2500 * time.Millisecond
 )
 
@@ -38,12 +41,14 @@
 	Value    []byte
 	Revision ident.Revision
 	Deleted  bool
+	// Restored is set in the first full read of a new era: the record may be older than what the mirror has reported before.
+	Restored bool
 }
 
 // Store is the part of a key-value store that a mirror needs.
 type Store interface {
-	List(ctx context.Context, prefix string) (list []Record, at ident.Revision, err error)
-	Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) (list []Record, at ident.Revision, err error)
+	List(ctx context.Context, prefix string) (list []Record, at ident.Position, err error)
+	Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) (list []Record, at ident.Position, err error)
 }
 
 // Mirror follows one prefix. It is not safe for concurrent use: the goroutine of Run also calls the handler.
@@ -58,12 +63,13 @@
 	fullReadInterval time.Duration
 	recoveryGrace    time.Duration
 
-	// revisions has the revision of each present key, revision that of the store up to which all changes are applied.
-	revisions map[string]ident.Revision
-	revision  ident.Revision
+	// positions has the position of the last write of each present key, position that of the store up to which all changes are
+	// applied.
+	positions map[string]ident.Position
+	position  ident.Position
 	// unavailable is set after a call to the store has failed (other than with ErrCompacted), until the next successful full read.
 	unavailable bool
-	// lastFullRead is the time of the last full read, recoveredAt that of the store's last recovery.
+	// lastFullRead is the time of the last full read, recoveredAt that of the store's last recovery or restoration.
 	lastFullRead time.Time
 	recoveredAt  time.Time
 }
@@ -88,7 +94,7 @@
 	m := &Mirror{
 		store: store, prefix: prefix, handle: handle, clock: quartz.NewReal(), log: slog.New(slog.DiscardHandler),
 		watchTimeout: DefaultWatchTimeout, watchPause: DefaultWatchPause, fullReadInterval: DefaultFullReadInterval,
-		recoveryGrace: DefaultRecoveryGrace, revisions: make(map[string]ident.Revision),
+		recoveryGrace: DefaultRecoveryGrace, positions: make(map[string]ident.Position),
 	}
 	for _, o := range options {
 		o(m)
@@ -105,13 +111,13 @@
 		case err == nil:
 			pause = minRetryPause
 			m.sleep(ctx, m.watchPause)
-		case errors.Is(err, ErrCompacted):
+		case errors.Is(err, ErrCompacted) || errors.Is(err, errRestored):
 			m.lastFullRead = time.Time{}
 		case ctx.Err() == nil:
 			if !m.unavailable {
 				m.unavailable = true
 				m.log.Warn("store is not reachable; the copy may be stale until it recovers",
-					slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.revision)), slog.Any("Error", err))
+					slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)), slog.Any("Error", err))
 			}
 			m.sleep(ctx, pause)
 			pause = min(2*pause, maxRetryPause)
@@ -124,51 +130,65 @@
 	if m.lastFullRead.IsZero() || now.Sub(m.lastFullRead) >= m.fullReadInterval || m.unavailable {
 		return m.readAll(ctx, now)
 	}
-	list, at, err := m.store.Watch(ctx, m.prefix, m.revision,
+	list, at, err := m.store.Watch(ctx, m.prefix, m.position.Revision,
 		min(m.watchTimeout, max(m.fullReadInterval-now.Sub(m.lastFullRead), time.Millisecond)))
 	if err != nil {
 		return err
 	}
-	m.apply(list)
-	m.revision = max(m.revision, at)
+	if at.Era != m.position.Era {
+		// The changes follow a revision of another era, so they do not connect to what the mirror has.
+		return errRestored
+	}
+	m.apply(list, at.Era)
+	if at.Compare(m.position) > 0 {
+		m.position = at
+	}
 	return nil
 }
 
 // readAll reads the whole prefix. It rejects a read that is older than the mirror. A missing key counts as deleted, except
-// during the grace period after an outage, in which keys that expired during the outage may be written again.
+// during the grace period after an outage or a restoration, in which keys that expired or were lost may be written again.
 func (m *Mirror) readAll(ctx context.Context, now time.Time) (err error) {
 	list, at, err := m.store.List(ctx, m.prefix)
 	if err != nil {
 		return err
 	}
-	if at < m.revision {
-		return eris.Errorf("full read is at revision %d, older than revision %d of the mirror", at, m.revision)
+	if at.Compare(m.position) < 0 {
+		return eris.Errorf("full read is at revision %d of era %d, older than revision %d of era %d of the mirror", at.Revision, at.Era, m.position.Revision, m.position.Era)
+	}
+	if m.position.Revision > 0 && at.Era > m.position.Era {
+		m.recoveredAt = m.clock.Now()
+		m.log.Warn("store was restored from an older copy; newer values are kept until they are written again", slog.String("Prefix", m.prefix),
+			slog.Int64("Era", int64(at.Era)), slog.Int64("FormerEra", int64(m.position.Era)), slog.Int64("Revision", int64(at.Revision)), slog.Int64("FormerRevision", int64(m.position.Revision)))
+		for i := range list {
+			list[i].Restored = true
+		}
 	}
 	if m.unavailable {
 		m.unavailable = false
 		m.recoveredAt = m.clock.Now()
-		m.log.Info("store is reachable again", slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(at)))
+		m.log.Info("store is reachable again", slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(at.Revision)))
 	}
 	seen := make(map[string]bool, len(list))
 	for _, r := range list {
 		seen[r.Key] = true
 	}
 	missing := 0
-	for key := range m.revisions {
+	for key := range m.positions {
 		if !seen[key] {
 			missing++
 		}
 	}
 	graceOver := m.recoveredAt.IsZero() || m.clock.Now().Sub(m.recoveredAt) >= m.recoveryGrace
 	if graceOver {
-		for key := range m.revisions {
+		for key := range m.positions {
 			if !seen[key] {
-				list = append(list, Record{Key: key, Revision: at, Deleted: true})
+				list = append(list, Record{Key: key, Revision: at.Revision, Deleted: true})
 			}
 		}
 	}
-	m.apply(list)
-	m.revision = at
+	m.apply(list, at.Era)
+	m.position = at
 	m.lastFullRead = now
 	if missing > 0 && !graceOver {
 		// The next full read is due at the end of the grace period, when the owners that still run have written their keys again.
@@ -177,15 +197,16 @@
 	return nil
 }
 
-func (m *Mirror) apply(list []Record) {
+func (m *Mirror) apply(list []Record, era ident.Era) {
 	newer := list[:0]
 	for _, r := range list {
-		if r.Revision <= m.revisions[r.Key] {
+		at := ident.Position{Era: era, Revision: r.Revision}
+		if at.Compare(m.positions[r.Key]) <= 0 {
 			continue
 		}
-		m.revisions[r.Key] = r.Revision
+		m.positions[r.Key] = at
 		if r.Deleted {
-			delete(m.revisions, r.Key)
+			delete(m.positions, r.Key)
 		}
 		newer = append(newer, r)
 	}
--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -15,18 +15,19 @@
 type fakeStore struct {
 	items  []Record
 	at     ident.Revision
+	era    ident.Era
 	events []Record
 	err    error
 	lists  int
 }
 
-func (s *fakeStore) List(context.Context, string) (list []Record, at ident.Revision, err error) {
+func (s *fakeStore) List(context.Context, string) (list []Record, at ident.Position, err error) {
 	s.lists++
-	return append([]Record(nil), s.items...), s.at, s.err
+	return append([]Record(nil), s.items...), ident.Position{Era: s.era, Revision: s.at}, s.err
 }
 
-func (s *fakeStore) Watch(context.Context, string, ident.Revision, time.Duration) (list []Record, at ident.Revision, err error) {
-	return append([]Record(nil), s.events...), s.at, s.err
+func (s *fakeStore) Watch(context.Context, string, ident.Revision, time.Duration) (list []Record, at ident.Position, err error) {
+	return append([]Record(nil), s.events...), ident.Position{Era: s.era, Revision: s.at}, s.err
 }
 
 type contents map[string]Record
--- a/daemon/direct/agent.go
+++ b/daemon/direct/agent.go
@@ -22,7 +22,7 @@
 	"shallotring.dev/transport/admin"
 )
 
-// claimPrefix is the prefix of the claim keys, one for each host; the revision of the last write of a key is the fencing number of the
+// claimPrefix is the prefix of the claim keys, one for each host; the position of the last write of a key is the fencing number of the
 // agent on that host.
 const claimPrefix = "shallotring/agents/"
 
@@ -30,6 +30,8 @@
 type Agent struct {
 	settings boot.Settings
 	log      *slog.Logger
+	// configuration is the version of the configuration in force; only the mirror's goroutine uses it.
+	configuration int64
 }
 
 // NewAgent returns an agent for the settings.
@@ -41,8 +43,8 @@
 	set := metrics.NewSet()
 	client := store.New(a.settings.Store)
 	claim := func(ctx context.Context) (fencingNumber ident.Incarnation, err error) {
-		revision, err := client.Put(ctx, claimPrefix+string(a.settings.Host), []byte(strconv.Itoa(os.Getpid())))
-		return ident.Incarnation(revision), err
+		at, err := client.Put(ctx, claimPrefix+string(a.settings.Host), []byte(strconv.Itoa(os.Getpid())))
+		return at.FencingNumber(), err
 	}
 	s := sidecar.New(engine.New(a.settings.Engine, a.settings.Host), claim, sidecar.WithLog(a.log), sidecar.WithMetrics(set))
 	operators := mirror.New(client, catalog.ConfigurationKey, func(list []mirror.Record) { a.configure(s, list) }, mirror.WithLog(a.log))
@@ -74,6 +76,7 @@
 	return err
 }
 
+// configure applies the newest configuration; a store that was restored from an older copy may list an older one.
 func (a *Agent) configure(s *sidecar.Sidecar, list []mirror.Record) {
 	for _, r := range list {
 		if r.Key != catalog.ConfigurationKey || r.Deleted {
@@ -84,6 +87,11 @@
 			a.log.Error("configuration is invalid; the previous one stays in force", slog.Int64("Revision", int64(r.Revision)), slog.Any("Error", err))
 			continue
 		}
+		if t.Version < a.configuration {
+			a.log.Warn("configuration is older than the one in force; it is ignored", slog.Int64("Version", t.Version), slog.Int64("InForce", a.configuration), slog.Bool("Restored", r.Restored))
+			continue
+		}
+		a.configuration = t.Version
 		e := t.Services[a.settings.Service].Engine
 		if e == nil || len(e.Models) == 0 {
 			a.log.Warn("configuration has no base model for the engine; it is not applied", slog.Int64("Version", t.Version), slog.String("Service", string(a.settings.Service)))
--- a/daemon/direct/direct_test.go
+++ b/daemon/direct/direct_test.go
@@ -21,12 +21,36 @@
 	*trial.Deployment
 	t    *testing.T
 	stop context.CancelFunc
+	log  *recorder
+}
+
+// recorder is a log that counts its lines by message.
+type recorder struct {
+	slog.Handler
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (r *recorder) Enabled(context.Context, slog.Level) bool { return true }
+
+func (r *recorder) Handle(_ context.Context, x slog.Record) (err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[x.Message]++
+	return nil
+}
+
+func (r *recorder) count(message string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts[message]
 }
 
 func deploy(t *testing.T) *deployment {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	x, err := trial.Start(ctx, slog.New(slog.DiscardHandler))
+	log := &recorder{Handler: slog.DiscardHandler, counts: make(map[string]int)}
+	x, err := trial.Start(ctx, slog.New(log))
 	if err != nil {
 		cancel()
 		t.Fatal(err)
@@ -40,7 +64,7 @@
 			t.Error(violations)
 		}
 	})
-	return &deployment{Deployment: x, t: t, stop: cancel}
+	return &deployment{Deployment: x, t: t, stop: cancel, log: log}
 }
 
 // send sends one request on a connection of its own.
@@ -143,6 +167,53 @@
 	}
 }
 
+// TestRestoredStore guards against an entry or an agent that goes back to an older configuration, adapter version or endpoint, or stops
+// following the store, after the store was restored from an older copy; and against orders with a fencing number that was used before.
+func TestRestoredStore(t *testing.T) {
+	d := deploy(t)
+	d.sendUntilServed("/g/1", "before", "m/a1")
+	copied := d.Store.Snapshot()
+	d.Store.Put("op/version/m.a1", []byte(`{"model":"m","adapter":"a1","version":2}`))
+	d.Configure(7)
+	d.Engines[0].Remove()
+	waitFor(t, "version 2 is loaded at the engine that remains", func() bool {
+		d.sendUntilServed("/g/1", "second", "m/a1")
+		return d.Engines[1].Holds("a1@2")
+	})
+	waitFor(t, "the entry knows of the removal", func() bool { return d.log.count("endpoint removed") > 0 })
+	d.Store.Restore(copied)
+	for i := range 20 {
+		if status, _, err := d.send("/g/1", fmt.Sprint("restored-", i), "m/a1"); status != http.StatusOK {
+			t.Errorf("request %d after the restoration: %d %v", i, status, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for i := range 20 {
+		if d.Engines[0].Runs(fmt.Sprint("restored-", i)) > 0 {
+			t.Errorf("request %d ran on an engine that had been removed from discovery", i)
+		}
+	}
+	if d.Engines[1].Holds("a1@1") {
+		t.Error("the older version of the adapter was loaded again")
+	}
+	// Later writes count although their revisions were assigned before the restoration too.
+	d.Store.Put("op/version/m.a1", []byte(`{"model":"m","adapter":"a1","version":3}`))
+	waitFor(t, "version 3 is loaded", func() bool {
+		d.sendUntilServed("/g/1", "third", "m/a1")
+		return d.Engines[1].Holds("a1@3")
+	})
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
 // TestEngineRestart guards against an engine that gets no requests any more after it has restarted under the same id without adapters.
 func TestEngineRestart(t *testing.T) {
 	d := deploy(t)
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -158,14 +158,22 @@
 				e.log.Error("configuration is invalid; the previous one stays in force", slog.Int64("Revision", int64(r.Revision)), slog.Any("Error", err))
 				continue
 			}
-			e.frontend.Configure(t)
+			if r.Restored {
+				e.frontend.RestoreConfiguration(t)
+			} else {
+				e.frontend.Configure(t)
+			}
 		case len(r.Key) > len(catalog.VersionPrefix) && r.Key[:len(catalog.VersionPrefix)] == catalog.VersionPrefix:
 			model, av, err := catalog.DecodeVersion(r.Value)
 			if err != nil || av.IsZero() {
 				e.log.Error("declared adapter version is invalid; it is ignored", slog.String("Key", r.Key), slog.String("Model", string(model)), slog.Int64("Revision", int64(r.Revision)), slog.Any("Error", err))
 				continue
 			}
-			e.frontend.DeclareVersion(av)
+			if r.Restored {
+				e.frontend.RestoreVersion(av)
+			} else {
+				e.frontend.DeclareVersion(av)
+			}
 		}
 	}
 }
@@ -183,6 +191,10 @@
 			e.frontend.RemoveEndpoint(id)
 			continue
 		}
-		e.frontend.UpdateEndpoint(d)
+		if r.Restored {
+			e.frontend.RestoreEndpoint(d)
+		} else {
+			e.frontend.UpdateEndpoint(d)
+		}
 	}
 }
--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -226,6 +226,7 @@
 func (f *Frontend) refreshEndpoints() {
 	f.mu.Lock()
 	now := f.clock.Now()
+	f.applyRestoredEndpoints(now)
 	for _, e := range f.endpoints {
 		e.decayFailures(now)
 		if e.link == nil {
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -80,6 +80,7 @@
 	mu           sync.Mutex
 	placement    *placement.Table
 	endpoints    map[ident.Endpoint]*endpoint
+	departures   departures
 	versions     map[ident.Adapter]ident.Version
 	retryBudgets map[ident.Service]*retry.Window
 	random       *rand.Rand
@@ -114,7 +115,7 @@
 	f := &Frontend{
 		headers: headers, host: host, zone: zone, clock: quartz.NewReal(), log: slog.New(slog.DiscardHandler),
 		metrics: newInstruments(metrics.NewSet()), retryLimit: RetryLimit{Ratio: 0.1, Extra: 10, Window: 10 * time.Second},
-		endpoints: make(map[ident.Endpoint]*endpoint), versions: make(map[ident.Adapter]ident.Version),
+		endpoints: make(map[ident.Endpoint]*endpoint), departures: newDepartures(), versions: make(map[ident.Adapter]ident.Version),
 		retryBudgets: make(map[ident.Service]*retry.Window), links: make(map[string]*agentLink),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -180,6 +181,12 @@
 func (f *Frontend) UpdateEndpoint(d inventory.Endpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.departures.cancel(d.ID)
+	f.updateEndpoint(d)
+}
+
+// updateEndpoint is UpdateEndpoint with the lock held.
+func (f *Frontend) updateEndpoint(d inventory.Endpoint) {
 	e := f.endpoints[d.ID]
 	if e != nil && (e.StartMilli != d.StartMilli || e.Address != d.Address || e.Service != d.Service) {
 		f.removeEndpoint(e, "restarted")
@@ -221,7 +228,9 @@
 func (f *Frontend) RemoveEndpoint(id ident.Endpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.departures.cancel(id)
 	if e := f.endpoints[id]; e != nil {
+		f.departures.record(f.clock.Now(), e.Endpoint)
 		f.removeEndpoint(e, "removed from discovery")
 	}
 }
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -53,7 +53,9 @@
 	clock  quartz.Clock
 	log    *slog.Logger
 
-	events        chan event
+	events chan event
+	// reclaim asks for another fencing number.
+	reclaim       chan struct{}
 	configuration atomic.Pointer[engineConfiguration]
 
 	// Only controlEngine and the methods that it calls use the fields below.
@@ -118,7 +120,7 @@
 // New returns a sidecar for an engine.
 func New(engine Engine, claim Claim, options ...Option) *Sidecar {
 	s := &Sidecar{
-		engine: engine, claim: claim, clock: quartz.NewReal(), log: slog.New(slog.DiscardHandler), events: make(chan event, maxQueuedEvents),
+		engine: engine, claim: claim, clock: quartz.NewReal(), log: slog.New(slog.DiscardHandler), events: make(chan event, maxQueuedEvents), reclaim: make(chan struct{}, 1),
 		keeper: holdings.New(), links: make(map[*entryLink]bool), loadOrderedAt: make(map[ident.AdapterVersion]time.Time),
 	}
 	WithMetrics(metrics.NewSet())(s)
@@ -157,18 +159,23 @@
 	}
 }
 
-// acquireFencingNumber gets the fencing number of this process and retries until it succeeds; later processes on this host get higher
-// ones.
+// acquireFencingNumber gets the fencing number of this process, retries until it succeeds, and gets another one after the engine has
+// refused it; later processes on this host get higher ones.
 func (s *Sidecar) acquireFencingNumber(ctx context.Context) {
 	logged := false
 	for ctx.Err() == nil {
 		fencingNumber, err := s.claim(ctx)
 		if err == nil {
+			logged = false
 			s.log.Info("fencing number acquired", slog.Int64("Fence", int64(fencingNumber)))
 			s.emit(ctx, event{fencingNumber: fencingNumber})
-			return
+			select {
+			case <-s.reclaim:
+			case <-ctx.Done():
+				return
+			}
 		}
-		if !logged {
+		if err != nil && !logged {
 			logged = true
 			s.log.Warn("no fencing number yet; the engine gets no orders until the claim succeeds", slog.Any("Error", err))
 		}
@@ -363,6 +370,11 @@
 		s.refusedOrders.Inc()
 	}
 	s.keeper.Sent(now, o, result)
+	if result == holdings.Fenced {
+		// The engine has seen a higher number, so it refuses every order with this one.
+		s.keeper.SetFencingNumber(0)
+		s.reclaim <- struct{}{}
+	}
 	if result == holdings.Accepted && !o.Unload && o.Model == "" {
 		s.loadOrderedAt[o.Adapter] = start
 	}
