Endpoints that announce in a response that they leave, or that they want no requests for a time

Cause: Server-Leaving and an engine's Retry-After were read nowhere; an endpoint that discovery still listed as ready got requests, and one that asked for time was tried again at once. The leaving state of an agent's report ended with its connection.

Waiting requests are placed anew. The agent reads the announcement from its engine's reports and stops its calls for the time that the engine wants.

Metrics: endpoints_leaving_total, endpoint_pauses_total.

--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -44,6 +44,8 @@
 	waits   map[ident.AdapterVersion]*loadWait
 
 	suspendedUntil time.Time
+	// pausedUntil is the time until which the endpoint has asked this host to send nothing.
+	pausedUntil time.Time
 	// superseded is set once a later incarnation uses the address.
 	superseded bool
 	// recentFailures and recentSends count requests with an exponential decay, which was applied last at decayedAt.
@@ -153,7 +155,7 @@
 	now := f.clock.Now()
 	report := placement.Report{
 		Endpoint: e.ID, Service: e.Service, Zone: e.Zone, Kind: resource.Service, BatchSize: e.BatchSize, Running: e.running,
-		Leaving: e.Leaving || e.superseded || now.Before(e.suspendedUntil) || e.replaced(now), Penalty: e.failurePenalty(now),
+		Leaving: e.Leaving || e.superseded || now.Before(e.suspendedUntil) || now.Before(e.pausedUntil) || e.replaced(now), Penalty: e.failurePenalty(now),
 	}
 	if f.isEngine(e.Endpoint) {
 		report.Kind = resource.Engine
--- a/daemon/frontend/instrument.go
+++ b/daemon/frontend/instrument.go
@@ -13,7 +13,11 @@
 	abandonedRequests    *metrics.Counter
 	// unverifiedResponses counts responses that are not forwarded because their status or headers do not confirm that they
 	// belong to the request.
-	unverifiedResponses  *metrics.Counter
+	unverifiedResponses *metrics.Counter
+	// leavingEndpoints counts endpoints that announced in a response or to their agent that they are leaving, pauses the responses
+	// that ask for time without requests.
+	leavingEndpoints     *metrics.Counter
+	pauses               *metrics.Counter
 	firstByte            *metrics.Histogram
 	loadWaits            *metrics.Histogram
 	configurationVersion *metrics.Gauge
@@ -29,6 +33,8 @@
 		interruptedResponses: set.GetOrCreateCounter("shallotring_frontend_broken_answers_total"),
 		abandonedRequests:    set.GetOrCreateCounter("shallotring_frontend_abandoned_total"),
 		unverifiedResponses:  set.GetOrCreateCounter("shallotring_frontend_foreign_answers_total"),
+		leavingEndpoints:     set.GetOrCreateCounter("shallotring_frontend_endpoints_leaving_total"),
+		pauses:               set.GetOrCreateCounter("shallotring_frontend_endpoint_pauses_total"),
 		firstByte:            set.GetOrCreateHistogram("shallotring_frontend_first_byte_seconds"),
 		loadWaits:            set.GetOrCreateHistogram("shallotring_frontend_load_wait_seconds"),
 		configurationVersion: set.GetOrCreateGauge("shallotring_frontend_configuration_version", nil),
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -152,6 +152,9 @@
 	defer f.mu.Unlock()
 	l.state, l.stateAt = &s, f.clock.Now()
 	if e := f.endpoints[s.Endpoint]; e != nil && e.link == l {
+		if s.Leaving {
+			f.markLeaving(e, "agent")
+		}
 		f.updatePlacement(e)
 	}
 	if l.lastEndpoint != s.Endpoint {
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -61,8 +61,12 @@
 		name, cost, ok := f.placement.Cheapest(now, q)
 		e = f.endpoints[name]
 		if !ok || e == nil {
+			retryAfter := restartRetryAfter
+			if d := f.resumeDelay(now, x.service); d > 0 {
+				retryAfter = max(d, unavailableRetryAfter)
+			}
 			f.mu.Unlock()
-			return nil, &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: restartRetryAfter, Detail: fmt.Sprintf("for service %s", x.service)}
+			return nil, &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: retryAfter, Detail: fmt.Sprintf("for service %s", x.service)}
 		}
 		if expected := time.Duration(cost * float64(time.Millisecond)); now.Add(expected).After(x.deadline) {
 			f.mu.Unlock()
@@ -133,7 +137,7 @@
 		delete(e.waits, x.adapter)
 		e.link.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter}}}, now)
 	}
-	loaded = ctx.Err() == nil && e.holds(now, x.adapter) && f.endpoints[e.ID] == e
+	loaded = ctx.Err() == nil && e.holds(now, x.adapter) && f.endpoints[e.ID] == e && !e.closed(now)
 	f.metrics.loadWaits.Update(now.Sub(start).Seconds())
 	f.log.Info("wait for the adapter ended", x.id(), slog.String("Adapter", x.adapter.String()), slog.String("Endpoint", string(e.ID)),
 		slog.Bool("Loaded", loaded), slog.Int64("DurationMilli", now.Sub(start).Milliseconds()))
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"sync"
@@ -63,6 +64,8 @@
 	endpoint    ident.Endpoint
 	startMilli  int64
 	failedPolls int
+	// pausedUntil is the time until which the engine has asked for no calls.
+	pausedUntil time.Time
 	links       map[*entryLink]bool
 	publishedAt time.Time
 	// loadOrderedAt holds the times at which the loads in flight were ordered.
@@ -310,7 +313,7 @@
 	}
 	// Each order changes the report that the next one depends on. Eight orders are enough for all that one call can need.
 	for range 8 {
-		if !s.pollEngine(ctx) {
+		if s.clock.Now().Before(s.pausedUntil) || !s.pollEngine(ctx) {
 			break
 		}
 		o, ok := s.keeper.Next(s.clock.Now())
@@ -326,6 +329,9 @@
 func (s *Sidecar) pollEngine(ctx context.Context) (ok bool) {
 	r, err := s.engine.Report(ctx)
 	now := s.clock.Now()
+	if s.recordPause(now, err) {
+		return false
+	}
 	if err != nil {
 		if s.failedPolls++; s.failedPolls == maxFailedPolls {
 			s.log.Warn("engine does not respond; it counts as down", slog.String("Endpoint", string(s.endpoint)), slog.Any("Error", err))
@@ -370,6 +376,7 @@
 		s.refusedOrders.Inc()
 	}
 	s.keeper.Sent(now, o, result)
+	s.recordPause(now, err)
 	if result == holdings.Fenced {
 		// The engine has seen a higher number, so it refuses every order with this one.
 		s.keeper.SetFencingNumber(0)
@@ -383,6 +390,17 @@
 		slog.Int64("DurationMilli", now.Sub(start).Milliseconds()), slog.Any("Error", err))
 }
 
+// recordPause reports whether the engine has asked for time without calls, and stops the calls for that time.
+func (s *Sidecar) recordPause(now time.Time, err error) (paused bool) {
+	var busy *holdings.BusyError
+	if !errors.As(err, &busy) {
+		return false
+	}
+	s.pausedUntil = now.Add(busy.RetryAfter)
+	s.log.Warn("engine wants no calls for a time", slog.String("Endpoint", string(s.endpoint)), slog.Int64("RetryAfterMilli", busy.RetryAfter.Milliseconds()))
+	return true
+}
+
 // publish sends the state to the entries if it has changed or maxStateInterval has passed.
 func (s *Sidecar) publish() {
 	now := s.clock.Now()
--- a/daemon/sidecar/sidecar_test.go
+++ b/daemon/sidecar/sidecar_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"shallotring.dev/state/holdings"
 	"shallotring.dev/state/ident"
 )
@@ -95,3 +97,33 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestNoCallsWhileEngineAsksForTime guards against polls and orders during the time for which the engine wants no calls.
+func TestNoCallsWhileEngineAsksForTime(t *testing.T) {
+	const pause = 600 * time.Millisecond
+	e := &fakeEngine{err: eris.Wrap(&holdings.BusyError{RetryAfter: pause}, "read engine report")}
+	run(t, e)
+	count := func() int {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.calls
+	}
+	for deadline := time.Now().Add(10 * time.Second); count() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the engine is not polled")
+		}
+	}
+	e.mu.Lock()
+	e.err = nil
+	e.mu.Unlock()
+	start := time.Now()
+	for count() == 1 {
+		if time.Since(start) > 10*time.Second {
+			t.Fatal("the engine is not polled after the pause")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if passed := time.Since(start); passed < pause-50*time.Millisecond {
+		t.Errorf("the engine was polled %v after it asked for %v", passed, pause)
+	}
+}
--- a/state/call/call.go
+++ b/state/call/call.go
@@ -68,6 +68,10 @@
 	Misdirected bool
 	// Sealed is true if the endpoint has certified the response.
 	Sealed bool
+	// Leaving is true if the endpoint has announced that it is leaving.
+	Leaving bool
+	// RetryAfter is the time for which the endpoint wants no requests from this host; 0 if it states none.
+	RetryAfter time.Duration
 	// Encoded is true if the body has a content encoding and so is not the endpoint's original bytes.
 	Encoded bool
 }
--- a/state/holdings/order.go
+++ b/state/holdings/order.go
@@ -45,6 +45,14 @@
 	FencingNumber ident.Incarnation
 }
 
+// BusyError is the error of a call that an engine refused with a time for which it wants no further ones.
+type BusyError struct {
+	RetryAfter time.Duration
+}
+
+// Error describes the refusal.
+func (e *BusyError) Error() string { return "engine wants no calls for " + e.RetryAfter.String() }
+
 // Result is the result of an order.
 type Result int
 
