Responses and request bodies without end are cut off

Cause: net/http reads a head of any size, so a server that sends header lines without end filled the entry's memory until the deadline; a body without end used the host's bandwidth until the deadline; a caller that never completed its body kept its connection for ever.

Change: the head of a response, with the informational responses before it, is limited to 64 KiB; a forwarded response to 16 MiB; the body of a request must be complete at the request's deadline (408, which is true: nothing was sent). Time was bounded by the request's deadline already. Chunk extensions and trailers without end are cut off by net/http.

--- a/daemon/frontend/response.go
+++ b/daemon/frontend/response.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"shallotring.dev/protocol/upstream"
 )
 
@@ -17,12 +19,18 @@
 	// maxBufferedBytes is the maximum size of a response that is read completely before any of it is forwarded: if reading it
 	// fails, the request can still be retried, or the caller gets an error status.
 	maxBufferedBytes = 256 << 10
+	// maxForwardedBytes is the maximum size of a response. An endpoint in trouble may send bytes without end, which would use up the
+	// bandwidth of the host until the deadline.
+	maxForwardedBytes = 16 << 20
 	// streamBufferBytes is the size of the buffer of a stream; an event has a few hundred bytes.
 	streamBufferBytes = 8 << 10
 	// writeGracePeriod is the time after the deadline at which the connection of a caller that does not read is closed.
 	writeGracePeriod = 2 * time.Second
 )
 
+// errResponseTooLarge means that a response is longer than maxForwardedBytes.
+var errResponseTooLarge = eris.New("the response is too large")
+
 var streamBuffers = sync.Pool{New: func() any { b := make([]byte, streamBufferBytes); return &b }}
 
 // copyHeader copies the end-to-end headers of a response; the following WriteHeader sends them.
@@ -59,7 +67,7 @@
 	} else {
 		w.WriteHeader(response.Status)
 		if _, err = w.Write(b); err == nil {
-			_, err = io.Copy(w, response.Body)
+			err = copyRest(w, response.Body, int64(maxForwardedBytes-len(b)))
 		}
 	}
 	f.logFinished(x, e, response.Status, len(b), 0, err)
@@ -69,6 +77,15 @@
 	return true, false
 }
 
+// copyRest copies the rest of a response that may have at most limit further bytes.
+func copyRest(w io.Writer, body io.Reader, limit int64) (err error) {
+	n, err := io.Copy(w, io.LimitReader(body, limit+1))
+	if err == nil && n > limit {
+		return errResponseTooLarge
+	}
+	return err
+}
+
 // forwardStream forwards the chunks of a response as they arrive. If the stream fails, it aborts the caller's connection, so that
 // the response does not look complete.
 func (f *Frontend) forwardStream(ctx context.Context, w http.ResponseWriter, x *request, e *endpoint, response *upstream.Response) (done bool) {
@@ -99,6 +116,8 @@
 			}
 			if writeErr != nil {
 				err = writeErr
+			} else if total > maxForwardedBytes {
+				err = errResponseTooLarge
 			}
 		}
 		if err == nil {
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -111,20 +112,6 @@
 		return x, http.StatusNotFound, eris.Errorf("no route for %s%s in configuration version %d", host, path, routes.Version)
 	}
 	x.route, x.configuration = route, routes.Version
-	limit := routes.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	x.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return x, http.StatusRequestEntityTooLarge, err
-	case err != nil:
-		return x, http.StatusBadRequest, eris.Wrap(err, "read request body")
-	}
-	x.hasBody = len(x.body) > 0 || r.ContentLength == 0 && r.Method != http.MethodGet && r.Method != http.MethodHead
-	x.header = endToEndHeaders(r.Header)
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
 		timeout = route.Timeout
@@ -133,6 +120,22 @@
 		timeout = min(timeout, x.call.Timeout)
 	}
 	x.deadline = now.Add(timeout)
+	limit := routes.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if x.body, err = f.readBody(w, r, x, limit); err != nil {
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.As(err, &tooLarge):
+			return x, http.StatusRequestEntityTooLarge, err
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return x, http.StatusRequestTimeout, err
+		}
+		return x, http.StatusBadRequest, err
+	}
+	x.hasBody = len(x.body) > 0 || r.ContentLength == 0 && r.Method != http.MethodGet && r.Method != http.MethodHead
+	x.header = endToEndHeaders(r.Header)
 	if end := f.endTime.Load(); end != nil && (route.Kind == routing.Stream || x.deadline.After(*end)) {
 		return x, http.StatusServiceUnavailable, eris.New("the entry is stopping")
 	}
@@ -149,6 +152,22 @@
 	return x, 0, nil
 }
 
+// readBody reads the body of a request, which must be complete at the request's deadline.
+func (f *Frontend) readBody(w http.ResponseWriter, r *http.Request, x *request, limit int64) (body []byte, err error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	if err = control.SetReadDeadline(x.deadline); err != nil {
+		f.log.Warn("setting the read deadline failed; a caller that does not send its body is not disconnected", x.id(), slog.Any("Error", err))
+	}
+	if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit)); err != nil {
+		return nil, eris.Wrap(err, "read request body")
+	}
+	// The server watches the connection while the request is served, which must not end at the deadline of the body.
+	return body, eris.Wrap(control.SetReadDeadline(time.Time{}), "reset the read deadline")
+}
+
 // defaultVersion is the version of an adapter for which no version has been declared.
 const defaultVersion = "1"
 
--- a/protocol/upstream/exchange.go
+++ b/protocol/upstream/exchange.go
@@ -19,6 +19,12 @@
 // respond before it has read the whole body.
 const largeBodyBytes = 16 << 10
 
+// maxHeadBytes limits the status line and headers of a response together with the informational responses before it.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLarge means that a response has more status lines and headers than maxHeadBytes.
+var errHeadTooLarge = eris.New("head of the response is too large")
+
 // Request is sent as given: neither target nor headers are changed.
 type Request struct {
 	Method string
@@ -68,9 +74,27 @@
 type connection struct {
 	conn        net.Conn
 	reader      *bufio.Reader
+	head        *headLimit
 	usableUntil time.Time
 }
 
+// headLimit fails reads after a number of bytes while the head of a response is being read: net/http reads heads of any size.
+type headLimit struct {
+	io.Reader
+	active    bool
+	remaining int
+}
+
+// Read reads from the connection.
+func (l *headLimit) Read(p []byte) (n int, err error) {
+	if l.active && l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err = l.Reader.Read(p)
+	l.remaining -= n
+	return n, err
+}
+
 // abort resets the connection, which drops data that is not acknowledged yet. Otherwise, after a network partition, that data
 // would reach the server seconds after the request has been abandoned.
 func (c *connection) abort() {
@@ -82,7 +106,8 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	head := &headLimit{Reader: conn}
+	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // Do sends a request and returns once the headers of the response have arrived. When the context ends before the response is
@@ -132,6 +157,9 @@
 }
 
 func (a *Response) readHead(method string) (_ *Response, err error) {
+	limit := a.connection.head
+	limit.active, limit.remaining = true, maxHeadBytes
+	defer func() { limit.active = false }()
 	for {
 		r, err := http.ReadResponse(a.connection.reader, &http.Request{Method: method})
 		if err != nil {
