Agents send entries the changes of an engine's state

Change: an entry announces in its first message that it understands deltas; the agent then sends added and removed adapters, and omits the incarnation while it is unchanged. Programs of earlier builds still get and send full states.

--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -6,8 +6,6 @@
 	"net"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/ident"
 )
@@ -108,7 +106,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	if err = conn.Send(control.UsageReport{Host: l.f.host}); err != nil {
+	if err = conn.Send(control.UsageReport{Host: l.f.host, Deltas: true}); err != nil {
 		return false, err
 	}
 	done := make(chan struct{})
@@ -126,17 +124,14 @@
 			}
 		}
 	}()
-	var holdings *control.Holdings
+	var states control.StateReader
 	for {
 		var s control.State
 		if err = conn.Receive(&s, agentSilenceTimeout); err != nil {
 			return connected, err
 		}
-		if s.Holdings == nil {
-			s.Holdings = holdings
-		}
-		if holdings = s.Holdings; holdings == nil {
-			return connected, eris.New("first message of the agent has no holdings")
+		if s, err = states.State(s); err != nil {
+			return connected, err
 		}
 		if !connected {
 			connected = true
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -217,17 +217,12 @@
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
-		var sent *control.Holdings
+		// Traffic between availability zones is paid for, and most of a state is unchanged.
+		w := control.StateWriter{Deltas: first.Deltas}
 		for {
 			select {
 			case state := <-link.states:
-				// Holdings change rarely and make up most of a message, and traffic between zones is paid for.
-				if state.Holdings.Equal(sent) {
-					state.Holdings = nil
-				} else {
-					sent = state.Holdings
-				}
-				if err := link.conn.Send(state); err != nil {
+				if err := link.conn.Send(w.Message(state)); err != nil {
 					link.conn.Close()
 					return
 				}
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -25,16 +25,18 @@
 type UsageReport struct {
 	// Host is the entry's host; it is set in the first message on a connection.
 	Host ident.Host `json:",omitempty"`
+	// Deltas is set in the first message if the entry understands states that omit what is unchanged.
+	Deltas bool `json:",omitempty"`
 	// Wants are the adapters for which the entry has waiting requests; Uses report the requests that it sent to the engine.
 	Wants []holdings.Demand `json:",omitempty"`
 	Uses  []holdings.Use    `json:",omitempty"`
 }
 
-// State is the message of an agent to an entry: the state of its engine.
+// State is the message of an agent to an entry: the state of its engine. StateWriter and StateReader omit and restore what is unchanged.
 type State struct {
-	Endpoint ident.Endpoint
+	Endpoint ident.Endpoint `json:",omitempty"`
 	// Born is the start time of the engine's incarnation in Unix milliseconds.
-	Born int64
+	Born int64 `json:",omitempty"`
 	// Up is false if the engine does not respond to its agent.
 	Up       bool `json:",omitempty"`
 	Leaving  bool `json:",omitempty"`
@@ -47,8 +49,9 @@
 	Pinned int `json:",omitempty"`
 	// Entries is the number of entries that are connected to the agent.
 	Entries int `json:",omitempty"`
-	// Holdings is nil if it is unchanged since the previous message on the connection.
+	// Holdings is nil in a message if it is unchanged since the previous one or described by Changes.
 	Holdings *Holdings `json:",omitempty"`
+	Changes  *Changes  `json:",omitempty"`
 }
 
 // Holdings are the models and adapters that an engine has loaded or is loading.
