placement: cold adapters, plain requests and previous holders stay in the entry's zone

Cause: 75 % of all requests crossed zones, as many as by chance: the preferred engines of an adapter were the same for all entries, plain instances were drawn at random, and a crossing cost 2 ms per KiB where a request in progress cost 20. An adapter that an entry had seen dropped was forgotten unless the entry had had requests for it, so it was brought from the weight store a second time.

Change: preferred and sampled engines come from the entry's zone first; one instance of the zone is always compared, and occupied places cost with the square of their share; all holders in the zone are compared; dropped adapters are remembered for the minute in which engines cache them.

--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -30,8 +30,8 @@
 	// stepTime is the time in which a batch produces one token per request: 4 to 6 ms on the engines in use.
 	stepTime = 5 * time.Millisecond
 	// zoneCostPerKiB is the cost of sending one KiB to another availability zone, since traffic between zones is paid for. With it,
-	// sending a long prompt costs about as much as a wait of some tens of milliseconds.
-	zoneCostPerKiB = 2 * time.Millisecond
+	// sending a long prompt costs about as much as a load of an adapter.
+	zoneCostPerKiB = 16 * time.Millisecond
 	// affinityCost is the cost of an engine that is not preferred for an adapter that it would have to load: an engine that held
 	// the adapter recently loads it in a tenth of the time.
 	affinityCost = 120 * time.Millisecond
--- a/state/placement/adapter.go
+++ b/state/placement/adapter.go
@@ -153,11 +153,16 @@
 	return a.demand * math.Exp(-max(seconds-a.updated, 0)/demandTimeConstantSeconds)
 }
 
+// wasHeldRecently reports whether an endpoint may still cache the weights of the adapter.
+func (a *adapter) wasHeldRecently(seconds float64) bool {
+	return a.previousHolders[0].endpoint != nil && seconds-a.previousHolders[0].droppedAt < previousHolderExpirySeconds
+}
+
 // removeIdleAdapters bounds the memory: it checks a few adapters at each request.
 func (t *Table) removeIdleAdapters(seconds float64) {
 	for range min(adaptersPerSweep, len(t.adapterList)) {
 		t.sweepIndex = (t.sweepIndex + 1) % len(t.adapterList)
-		if a := t.adapterList[t.sweepIndex]; len(a.holders) == 0 && a.decayedDemand(seconds) < minRetainedDemand {
+		if a := t.adapterList[t.sweepIndex]; len(a.holders) == 0 && a.decayedDemand(seconds) < minRetainedDemand && !a.wasHeldRecently(seconds) {
 			delete(t.adapters, a.name)
 			last := len(t.adapterList) - 1
 			t.adapterList[t.sweepIndex] = t.adapterList[last]
@@ -169,10 +174,10 @@
 	}
 }
 
-// rendezvous returns the two endpoints of the pool that rank first for an adapter.
-func (p *pool) rendezvous(hash uint64) (best [2]*endpoint) {
+// rendezvous returns the two of the endpoints that rank first for an adapter.
+func rendezvous(endpoints []*endpoint, hash uint64) (best [2]*endpoint) {
 	var first, second uint64
-	for _, e := range p.endpoints {
+	for _, e := range endpoints {
 		if e.Leaving {
 			continue
 		}
@@ -187,13 +192,20 @@
 	return best
 }
 
-// preferredFor returns the preferred endpoints, from the cached result while the pool has not changed; a may be nil.
-func (p *pool) preferredFor(a *adapter, hash uint64) [2]*endpoint {
-	if a == nil {
-		return p.rendezvous(hash)
+// preferredFor returns the preferred endpoints, from the cached result while the pool has not changed; a may be nil. They are in the
+// given availability zone, or anywhere if it is empty or has none. All queries of one table name the same zone.
+func (p *pool) preferredFor(a *adapter, hash uint64, zone ident.Zone) (best [2]*endpoint) {
+	if a != nil && a.poolGeneration == p.generation {
+		return a.preferred
+	}
+	if zone != "" {
+		best = rendezvous(p.zones[zone], hash)
 	}
-	if a.poolGeneration != p.generation {
-		a.preferred, a.poolGeneration = p.rendezvous(hash), p.generation
+	if best[0] == nil {
+		best = rendezvous(p.endpoints, hash)
 	}
-	return a.preferred
+	if a != nil {
+		a.preferred, a.poolGeneration = best, p.generation
+	}
+	return best
 }
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -61,11 +61,14 @@
 	return c.best.Endpoint, c.bestCost, true
 }
 
-// compareInstances compares two random instances of a plain service, and all of them if neither accepts the request.
+// compareInstances compares random instances of a plain service, two anywhere and one in the entry's zone, and all of them if neither accepts the request.
 func (c *choice) compareInstances(p *pool) {
 	if p == nil || len(p.endpoints) == 0 {
 		return
 	}
+	if local := c.localEndpoints(p); len(local) > 0 {
+		c.consider(local[c.table.random.IntN(len(local))], c.seconds, 0)
+	}
 	for range 2 {
 		c.consider(p.endpoints[c.table.random.IntN(len(p.endpoints))], c.seconds, 0)
 	}
@@ -76,6 +79,14 @@
 	}
 }
 
+// localEndpoints returns the endpoints in the zone of the entry; none without ZoneTerm.
+func (c *choice) localEndpoints(p *pool) []*endpoint {
+	if !c.table.hasTerm(ZoneTerm) {
+		return nil
+	}
+	return p.zones[c.query.Zone]
+}
+
 // compareEngines compares holders of the adapter and engines that could load it, and all engines of the pool if none of these
 // accepts the request.
 func (c *choice) compareEngines(p *pool) {
@@ -112,7 +123,7 @@
 	c.prefix = prefixKey(baseModelHash, c.query.Prefix)
 	// The extra costs keep requests with the same prefix at the endpoint that ranks first, unless another one is clearly less
 	// busy.
-	for i, e := range p.rendezvous(mix(c.prefix)) {
+	for i, e := range rendezvous(p.endpoints, mix(c.prefix)) {
 		if e != nil {
 			c.consider(e, c.seconds, float64(i)*emptyBatchCostMilli/10)
 		}
@@ -127,7 +138,8 @@
 	}
 }
 
-// compareHolders compares the endpoints where the adapter is resident or loading.
+// compareHolders compares the endpoints where the adapter is resident or loading: all of them if they are few, else those in the zone of
+// the entry and some others.
 func (c *choice) compareHolders(a *adapter) {
 	if a == nil || len(a.holders) == 0 {
 		return
@@ -136,22 +148,30 @@
 	offset := 0
 	if n > maxComparedHolders {
 		offset = c.table.random.IntN(n)
+		for rank, e := range a.holders {
+			if c.table.hasTerm(ZoneTerm) && e.Zone == c.query.Zone {
+				c.considerHolder(a, rank)
+			}
+		}
 	}
 	for i := range min(n, maxComparedHolders) {
-		rank := (offset + i) % n
-		e := a.holders[rank]
-		extra := 0.0
-		if rank >= a.replicas && c.table.hasTerm(ReplicaTerm) {
-			extra = extraReplicaCostMilli
-		}
-		if h := e.holdingOf(a); h != nil && h.loading {
-			// An overdue load is assumed to finish within 20 ms.
-			extra += c.table.stallCost(max(h.readyAt-c.seconds, 0.02) * 1000)
-		}
-		c.consider(e, c.seconds, extra)
+		c.considerHolder(a, (offset+i)%n)
 	}
 }
 
+// considerHolder considers the holder of an adapter with a rank.
+func (c *choice) considerHolder(a *adapter, rank int) {
+	e, extra := a.holders[rank], 0.0
+	if rank >= a.replicas && c.table.hasTerm(ReplicaTerm) {
+		extra = extraReplicaCostMilli
+	}
+	if h := e.holdingOf(a); h != nil && h.loading {
+		// An overdue load is assumed to finish within 20 ms.
+		extra += c.table.stallCost(max(h.readyAt-c.seconds, 0.02) * 1000)
+	}
+	c.consider(e, c.seconds, extra)
+}
+
 // compareNonHolders compares endpoints that would have to load the adapter: recent holders, the preferred ones and some random
 // ones.
 func (c *choice) compareNonHolders(p *pool, a *adapter, hash uint64) {
@@ -170,13 +190,22 @@
 		}
 	}
 	if c.table.hasTerm(AffinityTerm) {
-		for i, e := range p.preferredFor(a, hash) {
+		zone := ident.Zone("")
+		if c.table.hasTerm(ZoneTerm) {
+			zone = c.query.Zone
+		}
+		for i, e := range p.preferredFor(a, hash, zone) {
 			if e != nil && !isHolder(e, a) {
 				c.consider(e, c.seconds, c.table.stallCost(c.table.loadDelayAt(e, rate))+newReplicaCost+float64(i)*c.table.affinityMilli)
 			}
 		}
 	}
 	for range c.table.samples {
+		if local := c.localEndpoints(p); len(local) > 0 {
+			if e := local[c.table.random.IntN(len(local))]; !isHolder(e, a) {
+				c.consider(e, c.seconds, c.table.stallCost(c.table.loadDelayAt(e, rate))+newReplicaCost+2*c.table.affinityMilli)
+			}
+		}
 		if e := p.endpoints[c.table.random.IntN(len(p.endpoints))]; !isHolder(e, a) {
 			c.consider(e, c.seconds, c.table.stallCost(c.table.loadDelayAt(e, rate))+newReplicaCost+2*c.table.affinityMilli)
 		}
@@ -325,11 +354,17 @@
 
 // occupancyCost returns the cost of the occupied part of a batch, in milliseconds. It spreads requests over the instances of a
 // plain service, which gain nothing from a full batch. If all of them ran on one instance, they would all be lost with its agent.
+// With ZoneTerm it rises with the square, since instances slow down only when they are nearly full: a few requests at an instance do not
+// send the next one to another zone.
 func (t *Table) occupancyCost(e *endpoint) float64 {
 	if e.BatchSize <= 0 {
 		return 0
 	}
-	return emptyBatchCostMilli * float64(t.requestCount(e)) / float64(e.BatchSize)
+	share := float64(t.requestCount(e)) / float64(e.BatchSize)
+	if t.hasTerm(ZoneTerm) {
+		share *= share
+	}
+	return emptyBatchCostMilli * share
 }
 
 // prefixSaving returns the prefill time in milliseconds that a cached prefix saves.
--- a/state/placement/endpoint.go
+++ b/state/placement/endpoint.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"slices"
+
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/resource"
 )
@@ -33,9 +35,23 @@
 // pool is a set of interchangeable endpoints; its generation rises with each endpoint that joins or leaves.
 type pool struct {
 	endpoints  []*endpoint
+	zones      map[ident.Zone][]*endpoint
 	generation uint32
 }
 
+func (p *pool) add(e *endpoint) {
+	p.endpoints = append(p.endpoints, e)
+	p.zones[e.Zone] = append(p.zones[e.Zone], e)
+	p.generation++
+}
+
+func (p *pool) remove(e *endpoint) {
+	isRemoved := func(x *endpoint) bool { return x == e }
+	p.endpoints = slices.DeleteFunc(p.endpoints, isRemoved)
+	p.zones[e.Zone] = slices.DeleteFunc(p.zones[e.Zone], isRemoved)
+	p.generation++
+}
+
 // holding is an adapter that is resident at an endpoint or being loaded there.
 type holding struct {
 	adapter *adapter
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -142,7 +142,7 @@
 func (t *Table) Observe(now time.Time, r Report) {
 	seconds := t.seconds(now)
 	e, ok := t.endpoints[r.Endpoint]
-	if ok && (e.Kind != r.Kind || e.BaseModel != r.BaseModel || e.Service != r.Service) {
+	if ok && (e.Kind != r.Kind || e.BaseModel != r.BaseModel || e.Service != r.Service || e.Zone != r.Zone) {
 		t.Remove(r.Endpoint)
 		ok = false
 	}
@@ -165,11 +165,10 @@
 	key := poolKeyOf(r)
 	p, ok := t.pools[key]
 	if !ok {
-		p = &pool{}
+		p = &pool{zones: make(map[ident.Zone][]*endpoint)}
 		t.pools[key] = p
 	}
-	p.endpoints = append(p.endpoints, e)
-	p.generation++
+	p.add(e)
 	return e
 }
 
@@ -248,9 +247,7 @@
 	t.meter.replaceReport(e, Report{})
 	t.totalSlots -= e.slots
 	t.totalPinned -= e.pinned
-	p := t.pools[poolKeyOf(e.Report)]
-	p.endpoints = slices.DeleteFunc(p.endpoints, func(x *endpoint) bool { return x == e })
-	p.generation++
+	t.pools[poolKeyOf(e.Report)].remove(e)
 }
 
 // Sent records a try that was dispatched after the latest report; it returns the prompt tokens that the endpoint is expected to
