Fewer calls to the store: the time for leaving endpoints comes from the settings, agents watch longer

Change: the pause and the interval of full reads are shares of bounds.drainMs; agents wait 30 s in a watch and read in full each minute.

--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -83,6 +83,9 @@
 // WithLog sets the log that records when the store becomes unavailable and when it recovers.
 func WithLog(l *slog.Logger) Option { return func(m *Mirror) { m.log = l } }
 
+// WithWatchTimeout limits the duration of one watch.
+func WithWatchTimeout(d time.Duration) Option { return func(m *Mirror) { m.watchTimeout = d } }
+
 // WithWatchPause sets the pause between two watches.
 func WithWatchPause(d time.Duration) Option { return func(m *Mirror) { m.watchPause = d } }
 
--- a/daemon/direct/agent.go
+++ b/daemon/direct/agent.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
@@ -26,6 +27,13 @@
 // agent on that host.
 const claimPrefix = "shallotring/agents/"
 
+const (
+	// configurationWatchTimeout and configurationFullReadInterval are long: an agent needs only the base model and the number of
+	// adapter slots of the configuration, and each call to the store is paid for.
+	configurationWatchTimeout     = 30 * time.Second
+	configurationFullReadInterval = time.Minute
+)
+
 // Agent is the program that runs beside an engine.
 type Agent struct {
 	settings boot.Settings
@@ -47,7 +55,8 @@
 		return at.FencingNumber(), err
 	}
 	s := sidecar.New(engine.New(a.settings.Engine, a.settings.Host), claim, sidecar.WithLog(a.log), sidecar.WithMetrics(set))
-	operators := mirror.New(client, catalog.ConfigurationKey, func(list []mirror.Record) { a.configure(s, list) }, mirror.WithLog(a.log))
+	operators := mirror.New(client, catalog.ConfigurationKey, func(list []mirror.Record) { a.configure(s, list) },
+		mirror.WithLog(a.log), mirror.WithWatchTimeout(configurationWatchTimeout), mirror.WithFullReadInterval(configurationFullReadInterval))
 	l, err := net.Listen("tcp", net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.ControlPort)))
 	if err != nil {
 		return err
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -39,12 +39,12 @@
 	acceptStreamsDuration = 2900 * time.Millisecond
 	// exitReserve is the part of the grace period that is reserved for the exit of the process.
 	exitReserve = 500 * time.Millisecond
-	// discoveryFullReadInterval is the interval at which the whole list of endpoints is read even if the watch reports no change. It
-	// is shorter than the default because an endpoint must get no requests two seconds after it has announced that it is leaving.
-	discoveryFullReadInterval = 5 * time.Second
-	// discoveryWatchPause is the pause between two watches. It collects the changes of many endpoints, since each response to a
-	// watch is a call to the store, and is well below the two seconds after which a leaving endpoint must get no requests.
-	discoveryWatchPause = 700 * time.Millisecond
+	// discoveryPauseShare is the pause between two watches of the endpoints, as a share of the time after which a leaving endpoint
+	// must get no requests. It collects the changes of many endpoints, since each response to a watch is a call to the store.
+	discoveryPauseShare = 0.35
+	// discoveryFullReadShare is the interval at which the whole list of endpoints is read even if the watch reports no change, as a
+	// multiple of the same time.
+	discoveryFullReadShare = 2.5
 )
 
 // Entry is the program that runs on an entry host.
@@ -108,7 +108,8 @@
 	}
 	client := store.New(e.settings.Store)
 	operators := mirror.New(client, catalog.OperatorPrefix, e.applyOperatorChanges, mirror.WithLog(e.log))
-	endpoints := mirror.New(client, catalog.EndpointPrefix, e.applyDiscovery, mirror.WithLog(e.log), mirror.WithWatchPause(discoveryWatchPause), mirror.WithFullReadInterval(discoveryFullReadInterval))
+	endpoints := mirror.New(client, catalog.EndpointPrefix, e.applyDiscovery, mirror.WithLog(e.log), mirror.WithWatchPause(scale(e.settings.DrainTimeout, discoveryPauseShare)),
+		mirror.WithFullReadInterval(scale(e.settings.DrainTimeout, discoveryFullReadShare)))
 	wg.Go(func() { operators.Run(background) })
 	wg.Go(func() { endpoints.Run(background) })
 	wg.Go(func() { e.frontend.Run(background) })
@@ -122,6 +123,8 @@
 	return nil
 }
 
+func scale(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
 // drain stops the entry without interrupting a request: first the platform stops sending new connections, then the idle connections
 // of callers are closed, and then the process waits for the requests in progress.
 func (e *Entry) drain(callers *server.Drainer) {
