--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -396,7 +396,7 @@
 	return true
 }
 
-// publish sends the state to the entries if it has changed or maxStateInterval has passed.
+// publish sends the state to the entries if it has changed so much that they would decide otherwise, or if maxStateInterval has passed.
 func (s *Sidecar) publish() {
 	now := s.clock.Now()
 	r := s.keeper.Report()
@@ -405,7 +405,7 @@
 		Starting: r.Starting, PromptRate: int(s.keeper.PromptRate(now)), Pinned: s.keeper.Pinned(now), Entries: s.entryCount(),
 		Holdings: &control.Holdings{Models: r.Models, Resident: r.Resident, Loading: r.Loading},
 	}
-	if now.Sub(s.publishedAt) < maxStateInterval && equalExceptPromptRate(state, s.published) {
+	if now.Sub(s.publishedAt) < maxStateInterval && similar(state, s.published) {
 		return
 	}
 	s.publishedAt, s.published = now, state
--- a/protocol/control/change.go
+++ b/protocol/control/change.go
@@ -24,10 +24,26 @@
 	Deltas bool
 }
 
-// Message returns the message for a state: holdings that are unchanged are omitted, and with Deltas so are the incarnation and the
-// adapters that are unchanged.
+// promptRateTolerance is the difference of prompt rates, in tokens per second, that counts as unchanged: an engine reads some tens of
+// thousands.
+const promptRateTolerance = 1000
+
+// same reports whether an entry may go on with the state that it was sent last.
+func same(a, b State) bool {
+	if d := a.PromptRate - b.PromptRate; a.Holdings == nil || !a.Holdings.Equal(b.Holdings) || d > promptRateTolerance || d < -promptRateTolerance {
+		return false
+	}
+	a.Holdings, b.Holdings, a.PromptRate, b.PromptRate = nil, nil, 0, 0
+	return a == b
+}
+
+// Message returns the message for a state: holdings that are unchanged are omitted, and with Deltas so is everything else that is
+// unchanged.
 func (w *StateWriter) Message(s State) (message State) {
 	previous := w.sent
+	if w.Deltas && same(s, previous) {
+		return State{Same: true}
+	}
 	w.sent, message = s, s
 	switch {
 	case s.Holdings.Equal(previous.Holdings):
@@ -54,6 +70,9 @@
 	if message.Holdings == nil && r.state.Holdings == nil {
 		return s, eris.New("first message of the agent has no holdings")
 	}
+	if message.Same {
+		return r.state, nil
+	}
 	s = message
 	s.Changes = nil
 	if s.Endpoint == "" {
