--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -30,6 +30,8 @@
 	// minRetryPause is the pause after the first failed call; it doubles with each further failure up to maxRetryPause.
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 800 * time.Millisecond
+	// maxFirstRetryPause is the longest pause before the first successful read, without which the process serves nothing.
+	maxFirstRetryPause = 250 * time.Millisecond
 	// DefaultRecoveryGrace is the time after the store's recovery in which keys that expired during the outage are not reported
 	// as deleted, because their owners may write them again. The same holds after the store has been restored.
 	DefaultRecoveryGrace = 2500 * time.Millisecond
@@ -123,7 +125,11 @@
 					slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)), slog.Any("Error", err))
 			}
 			m.sleep(ctx, pause)
-			pause = min(2*pause, maxRetryPause)
+			limit := maxRetryPause
+			if m.position.Revision == 0 {
+				limit = maxFirstRetryPause
+			}
+			pause = min(2*pause, limit)
 		}
 	}
 }
--- a/daemon/frontend/frontend_test.go
+++ b/daemon/frontend/frontend_test.go
@@ -193,6 +193,24 @@
 	}
 }
 
+// TestUnconfiguredEntryNamesTimeOfModels guards against callers that use up their retries before a restarted platform can serve models.
+func TestUnconfiguredEntryNamesTimeOfModels(t *testing.T) {
+	s := httptest.NewServer(New(message.Headers{}, "edge-1", "a"))
+	defer s.Close()
+	for model, want := range map[string]time.Duration{"m/a1": unconfiguredRetryAfter, "": unavailableRetryAfter} {
+		r, _ := http.NewRequest(http.MethodGet, s.URL+"/once/", nil)
+		r.Header.Set("Shallotring-Model", model)
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if got := response.Header.Get("Retry-After"); response.StatusCode != 503 || got != fmt.Sprintf("%.3f", want.Seconds()) {
+			t.Errorf("model %q: %d, Retry-After %s, want %v", model, response.StatusCode, got, want)
+		}
+	}
+}
+
 // TestTruncatedStream guards against a stream that ends early because the endpoint closed its connection, and looks complete to the
 // caller.
 func TestTruncatedStream(t *testing.T) {
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -33,6 +33,9 @@
 	// unavailableRetryAfter is the Retry-After time if no endpoint can serve the request now; discovery and load reports change
 	// within it.
 	unavailableRetryAfter = 300 * time.Millisecond
+	// unconfiguredRetryAfter is the Retry-After time of model requests before the entry has a configuration: after a restart of all hosts,
+	// the engines have to load their model and adapters once the configuration is known.
+	unconfiguredRetryAfter = 2 * time.Second
 	// restartRetryAfter is the Retry-After time if there is no endpoint: engines that have just started need about as long to
 	// load their model.
 	restartRetryAfter = time.Second
@@ -84,7 +87,11 @@
 	}
 	x, status, err := f.readRequest(w, r, now)
 	if err != nil {
-		f.refuse(w, x, status, err.Error(), unavailableRetryAfter)
+		retryAfter := unavailableRetryAfter
+		if x.configuration == 0 && x.call.Model != "" {
+			retryAfter = unconfiguredRetryAfter
+		}
+		f.refuse(w, x, status, err.Error(), retryAfter)
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, errTimeout)
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -32,7 +32,7 @@
 	// maxFailedPolls is the number of consecutive failed polls after which the engine counts as down.
 	maxFailedPolls = 2
 	// claimRetryDelay is the delay before another request for a fencing number.
-	claimRetryDelay = 500 * time.Millisecond
+	claimRetryDelay = 250 * time.Millisecond
 	// maxQueuedEvents bounds the events that wait for controlEngine; when the queue is full, the connections of entries wait.
 	maxQueuedEvents = 256
 )
