--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -41,7 +41,7 @@
 	exitReserve = 500 * time.Millisecond
 	// discoveryPauseShare is the pause between two watches of the endpoints, as a share of the time after which a leaving endpoint
 	// must get no requests. It collects the changes of many endpoints, since each response to a watch is a call to the store.
-	discoveryPauseShare = 0.35
+	discoveryPauseShare = 0.5
 	// discoveryFullReadShare is the interval at which the whole list of endpoints is read even if the watch reports no change, as a
 	// multiple of the same time.
 	discoveryFullReadShare = 2.5
--- a/protocol/control/change.go
+++ b/protocol/control/change.go
@@ -28,9 +28,9 @@
 // thousands.
 const promptRateTolerance = 1000
 
-// same reports whether an entry may go on with the state that it was sent last.
+// same reports whether two states differ at most in the prompt rate.
 func same(a, b State) bool {
-	if d := a.PromptRate - b.PromptRate; a.Holdings == nil || !a.Holdings.Equal(b.Holdings) || d > promptRateTolerance || d < -promptRateTolerance {
+	if a.Holdings == nil || !a.Holdings.Equal(b.Holdings) {
 		return false
 	}
 	a.Holdings, b.Holdings, a.PromptRate, b.PromptRate = nil, nil, 0, 0
@@ -42,7 +42,14 @@
 func (w *StateWriter) Message(s State) (message State) {
 	previous := w.sent
 	if w.Deltas && same(s, previous) {
-		return State{Same: true}
+		d := s.PromptRate - previous.PromptRate
+		switch {
+		case d <= promptRateTolerance && d >= -promptRateTolerance:
+			return State{Same: true}
+		case s.PromptRate != 0:
+			w.sent.PromptRate = s.PromptRate
+			return State{Same: true, PromptRate: s.PromptRate}
+		}
 	}
 	w.sent, message = s, s
 	switch {
@@ -71,6 +78,9 @@
 		return s, eris.New("first message of the agent has no holdings")
 	}
 	if message.Same {
+		if message.PromptRate != 0 {
+			r.state.PromptRate = message.PromptRate
+		}
 		return r.state, nil
 	}
 	s = message
--- a/protocol/control/change_test.go
+++ b/protocol/control/change_test.go
@@ -47,7 +47,7 @@
 			if r.IntN(3) == 0 {
 				h = randomHoldings(r, h)
 			}
-			s := State{Endpoint: ident.Endpoint(fmt.Sprint("i-", i/500)), Born: int64(i / 500), Up: true, Running: r.IntN(2), PromptRate: r.IntN(2000), Holdings: h}
+			s := State{Endpoint: ident.Endpoint(fmt.Sprint("i-", i/500)), Born: int64(i / 500), Up: true, Running: r.IntN(2), PromptRate: r.IntN(3) * r.IntN(9000), Holdings: h}
 			b, err := json.Marshal(w.Message(s))
 			if err != nil {
 				t.Fatal(err)
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -49,7 +49,7 @@
 	Pinned int `json:",omitempty"`
 	// Entries is the number of entries that are connected to the agent.
 	Entries int `json:",omitempty"`
-	// Same is set in a message that describes the same state as the previous one, but for small differences of the prompt rate.
+	// Same is set in a message that describes the same state as the previous one, but for the prompt rate if the message has one.
 	Same bool `json:",omitempty"`
 	// Holdings is nil in a message if it is unchanged since the previous one or described by Changes.
 	Holdings *Holdings `json:",omitempty"`
