placement: popular adapters get a replica in the entry's zone ahead of their requests

A local holder beyond the planned replicas cost more than a crossing.

Change: if the traffic that the zone sends elsewhere for an adapter within 20 s exceeds 64 KiB, the entry asks an engine of its zone to load it; the request itself goes to the holder. No replica while 70 % of the slots are in use.

--- a/daemon/frontend/instrument.go
+++ b/daemon/frontend/instrument.go
@@ -16,8 +16,10 @@
 	unverifiedResponses *metrics.Counter
 	// leavingEndpoints counts endpoints that announced in a response or to their agent that they are leaving, pauses the responses
 	// that ask for time without requests.
-	leavingEndpoints     *metrics.Counter
-	pauses               *metrics.Counter
+	leavingEndpoints *metrics.Counter
+	pauses           *metrics.Counter
+	// prefetches counts the adapters that were requested ahead of their requests.
+	prefetches           *metrics.Counter
 	firstByte            *metrics.Histogram
 	loadWaits            *metrics.Histogram
 	configurationVersion *metrics.Gauge
@@ -35,6 +37,7 @@
 		unverifiedResponses:  set.GetOrCreateCounter("shallotring_frontend_foreign_answers_total"),
 		leavingEndpoints:     set.GetOrCreateCounter("shallotring_frontend_endpoints_leaving_total"),
 		pauses:               set.GetOrCreateCounter("shallotring_frontend_endpoint_pauses_total"),
+		prefetches:           set.GetOrCreateCounter("shallotring_frontend_prefetches_total"),
 		firstByte:            set.GetOrCreateHistogram("shallotring_frontend_first_byte_seconds"),
 		loadWaits:            set.GetOrCreateHistogram("shallotring_frontend_load_wait_seconds"),
 		configurationVersion: set.GetOrCreateGauge("shallotring_frontend_configuration_version", nil),
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -75,6 +75,9 @@
 		f.addRequest(now, x, e, q)
 		f.logChoice(now, x, e, cost)
 		if x.adapter.IsZero() || e.holds(now, x.adapter) {
+			if e.Zone != f.zone && !x.adapter.IsZero() {
+				f.prefetch(now, x, q)
+			}
 			f.mu.Unlock()
 			return e, nil
 		}
@@ -100,6 +103,20 @@
 	return nil, &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: unavailableRetryAfter, Detail: "no engine loaded the adapter in time"}
 }
 
+// prefetch asks an engine in the entry's own zone to load the adapter of a request that goes to another zone, if that pays; the lock is
+// held.
+func (f *Frontend) prefetch(now time.Time, x *request, q placement.Query) {
+	name, ok := f.placement.Prefetch(now, q)
+	e := f.endpoints[name]
+	if !ok || e == nil || e.link == nil {
+		return
+	}
+	// The agent drops the demand when the adapter is resident, or after some seconds.
+	e.link.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter, Waiting: 1}}}, now)
+	f.metrics.prefetches.Inc()
+	f.log.Info("adapter requested ahead", x.id(), slog.String("Adapter", x.adapter.String()), slog.String("Endpoint", string(name)))
+}
+
 // logChoice logs the chosen endpoint with the age of the agent's state, or -1 if there is no recent one; the lock is held.
 func (f *Frontend) logChoice(now time.Time, x *request, e *endpoint, cost float64) {
 	age, running := int64(-1), 0
@@ -108,7 +125,7 @@
 	}
 	f.log.Info("endpoint chosen", x.id(), slog.String("Endpoint", string(e.ID)), slog.Int64("CostMilli", int64(cost)),
 		slog.Int64("Configuration", x.configuration), slog.String("Adapter", x.adapter.String()), slog.Bool("Held", x.adapter.IsZero() || e.holds(now, x.adapter)),
-		slog.Int64("StateAgeMilli", age), slog.Int("Running", running), slog.Int("Own", e.running),
+		slog.Uint64("PromptTokens", uint64(x.promptTokens)), slog.Int64("StateAgeMilli", age), slog.Int("Running", running), slog.Int("Own", e.running),
 		slog.String("Source", x.source))
 }
 
--- a/state/placement/zone_test.go
+++ b/state/placement/zone_test.go
@@ -142,3 +142,44 @@
 		t.Errorf("%d adapters are remembered, among them one that no engine caches any more", len(table.adapters))
 	}
 }
+
+// TestPopularAdapterGetsReplicaInZone guards against requests for a popular adapter that all go to another zone, and against replicas in
+// each zone of adapters that are requested now and then.
+func TestPopularAdapterGetsReplicaInZone(t *testing.T) {
+	for _, x := range []struct {
+		name           string
+		requests, size int
+		pinned         int
+		want           bool
+	}{
+		{"rare chat", 5, 2 << 10, 0, false}, {"popular chat", 40, 2 << 10, 0, true},
+		{"rare document", 2, 18 << 10, 0, false}, {"popular document", 6, 18 << 10, 0, true},
+		{"no slot to spare", 40, 2 << 10, 7, false},
+	} {
+		table := newZoneTable()
+		zoneEngines(table, 2, "a", "b")
+		for _, name := range []string{"a-0", "a-1", "b-0", "b-1"} {
+			r := largeBatchEngine(name, 0)
+			r.Slots, r.Pinned, r.Zone = 8, x.pinned, ident.Zone(name[:1])
+			if name == "a-0" {
+				r.Resident = []ident.AdapterVersion{version("popular")}
+			}
+			observe(table, 9, r)
+		}
+		q := query("popular")
+		q.Zone, q.Bytes = "b", x.size
+		requested := 0
+		for range x.requests {
+			table.Sent(at(10), "a-0", q)
+			if name, ok := table.Prefetch(at(10), q); ok {
+				requested++
+				if zoneOf(table, name) != "b" {
+					t.Errorf("%s: replica requested at %s", x.name, name)
+				}
+			}
+		}
+		if (requested == 1) != x.want || requested > 1 {
+			t.Errorf("%s: %d replicas requested, want one: %t", x.name, requested, x.want)
+		}
+	}
+}
