--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -35,9 +35,9 @@
 	// affinityCost is the cost of an engine that is not preferred for an adapter that it would have to load: an engine that held
 	// the adapter recently loads it in a tenth of the time.
 	affinityCost = 120 * time.Millisecond
-	// displacedLoads is the number of later loads that one more replica of an adapter is assumed to cost. It is below 1 because
-	// the rarely used adapters do not all fit into the engines anyway, and a load takes less time than a few prompts.
-	displacedLoads = 0.3
+	// displacedLoads is the number of later loads that one more replica of an adapter is assumed to cost: it takes the slot of a rarely
+	// used adapter and a share of the weight store, on which the requests for cold adapters wait.
+	displacedLoads = 1
 	// sampledEngines is the number of random engines that are compared for loading an adapter; under load, few of them have a
 	// free adapter slot.
 	sampledEngines = 8
