--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -29,10 +29,9 @@
 	for _, x := range []struct{ status, served, failed int }{{http.StatusOK, calls, 0}, {http.StatusServiceUnavailable, 0, calls}} {
 		ctx, cancel := context.WithCancel(t.Context())
 		var arrived atomic.Int32
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if arrived.Add(1) > calls {
 				cancel()
-				<-r.Context().Done()
 				return
 			}
 			w.WriteHeader(x.status)
