--- a/daemon/frontend/frontend_test.go
+++ b/daemon/frontend/frontend_test.go
@@ -205,7 +205,7 @@
 			t.Fatal(err)
 		}
 		response.Body.Close()
-		if got := response.Header.Get("Retry-After"); response.StatusCode != 503 || got != fmt.Sprintf("%.3f", want.Seconds()) {
+		if got := response.Header.Get("Retry-After"); response.StatusCode != http.StatusServiceUnavailable || got != fmt.Sprintf("%.3f", want.Seconds()) {
 			t.Errorf("model %q: %d, Retry-After %s, want %v", model, response.StatusCode, got, want)
 		}
 	}
--- a/state/ident/position_test.go
+++ b/state/ident/position_test.go
@@ -8,7 +8,8 @@
 	positions := []Position{{0, 5}, {0, 900}, {1, 3}, {1, 900}, {2, 1}, {8191, 1<<fencingRevisionBits - 1}}
 	for i := 1; i < len(positions); i++ {
 		p, x := positions[i-1], positions[i]
-		if p.Compare(x) >= 0 || x.Compare(p) <= 0 || x.Compare(x) != 0 {
+		equal := x
+		if p.Compare(x) >= 0 || x.Compare(p) <= 0 || x.Compare(equal) != 0 {
 			t.Errorf("%v and %v compare wrongly", p, x)
 		}
 		if p.FencingNumber() >= x.FencingNumber() {
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -162,7 +162,8 @@
 // considerHolder considers the holder of an adapter with a rank.
 func (c *choice) considerHolder(a *adapter, rank int) {
 	e, extra := a.holders[rank], 0.0
-	if rank >= a.replicas && c.table.hasTerm(ReplicaTerm) && !(c.table.hasTerm(ZoneTerm) && e.Zone == c.query.Zone) {
+	inOwnZone := c.table.hasTerm(ZoneTerm) && e.Zone == c.query.Zone
+	if rank >= a.replicas && c.table.hasTerm(ReplicaTerm) && !inOwnZone {
 		extra = extraReplicaCostMilli
 	}
 	if h := e.holdingOf(a); h != nil && h.loading {
