--- a/daemon/frontend/response.go
+++ b/daemon/frontend/response.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/protocol/eventstream"
 	"shallotring.dev/protocol/upstream"
 )
 
@@ -99,9 +100,14 @@
 	b, _ := streamBuffers.Get().(*[]byte)
 	defer streamBuffers.Put(b)
 	total, chunks, headerWritten := 0, 0, false
+	var events eventstream.Scanner
+	end := func() []slog.Attr {
+		return append(timing.attributes(), slog.String("Framing", string(response.Framing)), slog.Int("Events", events.Events()), slog.Bool("InsideEvent", events.InsideEvent()))
+	}
 	for {
 		n, err := response.Body.Read(*b)
 		if n > 0 {
+			events.Scan((*b)[:n])
 			timing.recordChunk(f.clock.Now())
 			if !headerWritten {
 				headerWritten = true
@@ -128,11 +134,11 @@
 				copyHeader(w, response)
 				w.WriteHeader(response.Status)
 			}
-			f.logFinished(x, e, response.Status, total, chunks, nil, timing.attributes()...)
+			f.logFinished(x, e, response.Status, total, chunks, nil, end()...)
 			return true
 		}
 		f.metrics.interruptedResponses.Inc()
-		f.logFinished(x, e, response.Status, total, chunks, errors.Join(err, context.Cause(ctx)), timing.attributes()...)
+		f.logFinished(x, e, response.Status, total, chunks, errors.Join(err, context.Cause(ctx)), end()...)
 		if ctx.Err() == nil {
 			f.recordResult(e, true, false)
 		}
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -371,6 +371,7 @@
 	notRunStatus := meansNotRun(response.Status)
 	f.log.Info("endpoint responded", x.id(), slog.String("Endpoint", string(e.name)), slog.Int("Status", response.Status),
 		slog.Bool("NotRun", info.NotRun), slog.Bool("Sealed", info.Sealed), slog.Bool("Broken", invalid), slog.Int("Send", x.sends), slog.String("Adapter", x.adapter.String()),
+		slog.String("Framing", string(response.Framing)), slog.String("ContentType", response.Header.Get("Content-Type")),
 		slog.Int64("DurationMilli", f.clock.Since(start).Milliseconds()))
 	switch {
 	case refused && (info.ID == "" || info.ID == x.call.ID):
--- /dev/null
+++ b/protocol/eventstream/doc.go
@@ -0,0 +1,2 @@
+// Package eventstream finds the ends of events in a text/event-stream body.
+package eventstream
--- a/protocol/upstream/exchange.go
+++ b/protocol/upstream/exchange.go
@@ -53,14 +53,33 @@
 	return errors.As(err, &e) && !e.Sent
 }
 
+// Framing is how a response marks the end of its body.
+type Framing string
+
+// The framings. A body with CloseFraming ends with its connection; a sender that fails may end it in the same way.
+const (
+	LengthFraming  Framing = "length"
+	ChunkedFraming Framing = "chunked"
+	CloseFraming   Framing = "close"
+)
+
+func framing(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return ChunkedFraming
+	case r.ContentLength >= 0:
+		return LengthFraming
+	}
+	return CloseFraming
+}
+
 // Response is a response whose body has not been read yet; Close must be called.
 type Response struct {
 	Status int
 	Header http.Header
 	// Body returns io.EOF only if the response is complete according to its framing.
-	Body io.Reader
-	// Framed is false if only the close of the connection marks the end of the response.
-	Framed bool
+	Body    io.Reader
+	Framing Framing
 
 	pool              *Pool
 	connection        *connection
@@ -169,8 +188,8 @@
 			continue
 		}
 		a.Status, a.Header = r.StatusCode, r.Header
-		a.Framed = r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-		a.keepAlive = a.Framed && !r.Close
+		a.Framing = framing(r)
+		a.keepAlive = a.Framing != CloseFraming && !r.Close
 		a.serverIdleTimeout = keepAliveTimeout(r.Header)
 		a.Body = &body{response: a, ReadCloser: r.Body}
 		return a, nil
