--- /dev/null
+++ b/daemon/frontend/truncated_test.go
@@ -0,0 +1,80 @@
+package frontend
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// respondRaw runs the request, writes a response as given, in which ID stands for the request id, and closes the connection: with a
+// reset, or in the orderly way in which a process that ends closes it.
+func respondRaw(text string, reset bool) func(b *backend, w http.ResponseWriter, r *http.Request) {
+	return func(b *backend, w http.ResponseWriter, r *http.Request) {
+		b.recordRun(r)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		if reset {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		defer c.Close()
+		io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Shallotring-Attempt-Id")))
+	}
+}
+
+// TestTruncatedStreamIsNotComplete guards against a stream that its engine broke off but that reaches its caller as a complete response,
+// because the connection ended in an orderly way or the response is framed as complete.
+func TestTruncatedStreamIsNotComplete(t *testing.T) {
+	const (
+		head      = "HTTP/1.1 200 OK\r\nShallotring-Attempt-Id: ID\r\nShallotring-Server-Seal: s\r\nContent-Type: text/event-stream\r\n"
+		closeHead = head + "Connection: close\r\n\r\n"
+		first     = "id: 1\ndata: first\n\n"
+		second    = "id: 2\ndata: second\n\n"
+	)
+	chunked := func(body string) string {
+		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+	}
+	withLength := func(body string) string { return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body) }
+	for _, x := range []struct {
+		name, response string
+		reset          bool
+		// want is the body of a complete response; if it is empty, the response must not look complete.
+		want string
+	}{
+		{"close", closeHead + first + second, false, first + second},
+		{"close, inside a field", closeHead + first + "id: 2\nda", false, ""},
+		{"close, after a field", closeHead + first + "id: 2\n", false, ""},
+		{"close, before the empty line", closeHead + first + "id: 2\ndata: second\n", false, ""},
+		{"close, inside the first event", closeHead + "id: 1\ndata: fi", false, ""},
+		{"close, before the first event", closeHead, false, ""},
+		{"close, reset inside an event", closeHead + first + "id: 2\nda", true, ""},
+		{"close, reset between events", closeHead + first, true, ""},
+		{"chunked", chunked(first + second), false, first + second},
+		{"chunked, inside an event", chunked(first + "id: 2\nda"), false, ""},
+		{"chunked, without the last chunk", strings.TrimSuffix(chunked(first), "0\r\n\r\n"), false, ""},
+		{"length", withLength(first + second), false, first + second},
+		{"length, inside an event", withLength(first + "id: 2\nda"), false, ""},
+		{"length, short", strings.TrimSuffix(withLength(first+second), "second\n\n"), false, ""},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, respondRaw(x.response, x.reset))
+			_, address := newFrontend(t, b)
+			code, body, _, err := sendRequest(t, address, "/stream/", "r1")
+			complete := err == nil && code == http.StatusOK
+			if complete != (x.want != "") || complete && body != x.want {
+				t.Errorf("response = %d %q %v, want a complete one: %t", code, body, err, x.want != "")
+			}
+			if err == nil && code != http.StatusOK && code != http.StatusBadGateway {
+				t.Errorf("status %d for a stream that may have run, want 502", code)
+			}
+			if n := b.runCount("r1"); n != 1 {
+				t.Errorf("%d runs", n)
+			}
+		})
+	}
+}
