frontend: a stream that ends inside an event is not complete

Cause: a response without length and chunks ends with its connection, and an engine that crashes may end its connection in an orderly way; the entry took that end, or any other end that the framing allows, for the end of the stream.

The entry now follows the events: a stream that ends inside one is aborted, and one that ends with its connection before its first event fails with 502. Any point inside an event is found by this; an orderly end exactly between two events is indistinguishable from the end of the stream.

--- a/daemon/frontend/response.go
+++ b/daemon/frontend/response.go
@@ -32,6 +32,9 @@
 // errResponseTooLarge means that a response is longer than maxForwardedBytes.
 var errResponseTooLarge = eris.New("the response is too large")
 
+// errTruncatedStream means that a stream ended although an event is missing or incomplete.
+var errTruncatedStream = eris.New("the stream is truncated")
+
 var streamBuffers = sync.Pool{New: func() any { b := make([]byte, streamBufferBytes); return &b }}
 
 // copyHeader copies the end-to-end headers of a response; the following WriteHeader sends them.
@@ -129,6 +132,9 @@
 		if err == nil {
 			continue
 		}
+		if errors.Is(err, io.EOF) && isTruncated(response, &events) {
+			err = errTruncatedStream
+		}
 		if errors.Is(err, io.EOF) {
 			if !headerWritten {
 				copyHeader(w, response)
@@ -151,6 +157,15 @@
 	}
 }
 
+// isTruncated reports whether a stream has been broken off although its body has ended according to its framing. An endpoint that fails may
+// end its connection in the same way as after the last event.
+func isTruncated(response *upstream.Response, events *eventstream.Scanner) bool {
+	if response.Status >= http.StatusMultipleChoices {
+		return false // the body of an error need not consist of events
+	}
+	return events.InsideEvent() || events.Events() == 0 && response.Framing == upstream.CloseFraming
+}
+
 // streamTiming measures a stream as the caller observes it: the time to the first chunk and the longest pause after it.
 type streamTiming struct {
 	start           time.Time
