engine: the end of a connection is not the end of a response by itself

An engine's stream needed a [DONE] event, but not its empty line; JSON of an engine or a plain service could end inside a value, and an order with an idempotency key would have been recorded with half a response.

Event streams must not end inside an event, whatever their framing, and JSON that ends with its connection must be valid. Other bodies that end with their connection stay complete, as HTTP defines; nothing in them shows the end.

--- a/protocol/engine/run.go
+++ b/protocol/engine/run.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -63,8 +62,7 @@
 			return head, u, err
 		}
 	}
-	stream := !call.Service && strings.HasPrefix(head.ContentType, "text/event-stream")
-	u, err = forwardBody(resp.Body, head, stream, fn)
+	u, err = forwardBody(resp.Body, head, newUsageReader(resp, call.Service), fn)
 	return head, u, err
 }
 
@@ -82,9 +80,8 @@
 }
 
 // forwardBody reads the response body to its end, calls fn with each chunk and returns the token usage.
-func forwardBody(body io.Reader, head ResponseHead, stream bool, fn func(ResponseHead, []byte) error) (u Usage, err error) {
+func forwardBody(body io.Reader, head ResponseHead, reader *usageReader, fn func(ResponseHead, []byte) error) (u Usage, err error) {
 	buf := make([]byte, readBufferBytes)
-	reader := usageReader{stream: stream}
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
--- /dev/null
+++ b/protocol/engine/truncated_test.go
@@ -0,0 +1,57 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+)
+
+// TestTruncatedResponseIsNotDone guards against a response that its endpoint broke off but that counts as complete, because the connection
+// ended in an orderly way or the response is framed as complete.
+func TestTruncatedResponseIsNotDone(t *testing.T) {
+	const (
+		stream = "text/event-stream"
+		done   = "data: {}\n\ndata: [DONE]\n\n"
+	)
+	for _, x := range []struct {
+		name, contentType, body string
+		// framed sends the length of the body; without it, the end of the connection marks the end of the body.
+		framed, service bool
+		want            Effect
+	}{
+		{"stream", stream, done, false, false, Done},
+		{"stream inside the [DONE] event", stream, done[:len(done)-3], false, false, MayHaveEffect},
+		{"stream before the empty line", stream, done[:len(done)-1], false, false, MayHaveEffect},
+		{"framed stream before the empty line", stream, done[:len(done)-1], true, false, MayHaveEffect},
+		{"stream inside an event after [DONE]", stream, done + "data: {", false, false, MayHaveEffect},
+		{"JSON", "application/json", `{"usage":{}}`, false, false, Done},
+		{"JSON inside a value", "application/json", `{"usage":{"prompt_`, false, false, MayHaveEffect},
+		{"JSON without a byte", "application/json", "", false, false, MayHaveEffect},
+		{"service stream", stream, "data: a\n\n", false, true, Done},
+		{"service stream inside an event", stream, "data: a\n\nda", false, true, MayHaveEffect},
+		{"service JSON", "application/json; charset=utf-8", `[1, 2]`, false, true, Done},
+		{"service JSON inside a value", "application/json; charset=utf-8", `[1, 2`, false, true, MayHaveEffect},
+		{"service JSON with a length", "application/json", `[1, 2`, true, true, Done},
+		{"service text", "text/plain", "pulled", false, true, Done},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := startEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer conn.Close()
+				length := ""
+				if x.framed {
+					length = fmt.Sprintf("Content-Length: %d\r\n", len(x.body))
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n%s\r\n%s", x.contentType, length, x.body)
+			})
+			call := Call{ID: tryID, Adapter: adapterVersion, Service: x.service, Method: http.MethodPost, Path: "/v1/completions", Body: []byte(`{}`)}
+			_, _, err := c.Run(t.Context(), 7, call, func(ResponseHead, []byte) error { return nil })
+			if got := EffectOf(err); got != x.want {
+				t.Errorf("effect %v, error %v; want %v", got, err, x.want)
+			}
+		})
+	}
+}
--- a/protocol/engine/usage.go
+++ b/protocol/engine/usage.go
@@ -3,25 +3,44 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/protocol/eventstream"
 	"shallotring.dev/state/ident"
 )
 
 // maxUsageBytes limits the text that is buffered to find the token usage; a larger response is forwarded without it.
 const maxUsageBytes = 1 << 20
 
-// usageReader finds the token usage in a response while it is forwarded, and the [DONE] event of a stream.
+// usageReader finds the token usage in a response while it is forwarded, and decides whether the response is complete.
 type usageReader struct {
-	stream       bool
+	// stream is true for the event stream of an engine, which ends with a [DONE] event.
+	stream bool
+	// eventStream is true for all event streams, those of plain services included.
+	eventStream bool
+	// unframedJSON is true for JSON whose end is marked by the end of the connection.
+	unframedJSON bool
 	buffer       []byte
 	oversized    bool
 	usage        Usage
 	doneReceived bool
+	events       eventstream.Scanner
+}
+
+func newUsageReader(r *http.Response, service bool) *usageReader {
+	contentType := r.Header.Get("Content-Type")
+	eventStream := strings.HasPrefix(contentType, "text/event-stream")
+	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return &usageReader{stream: eventStream && !service, eventStream: eventStream, unframedJSON: unframed && strings.HasPrefix(contentType, "application/json")}
 }
 
 func (r *usageReader) write(p []byte) {
+	if r.eventStream {
+		r.events.Scan(p)
+	}
 	if r.oversized && !r.stream {
 		return
 	}
@@ -64,15 +83,20 @@
 	}
 }
 
-// close returns the usage. An event stream without a [DONE] event is truncated, even if the connection closed without an error.
+// close returns the usage at the end of the body. An endpoint that fails may end its response in the same way as after the last byte, so the
+// content has to be complete as well: a stream does not end inside an event, that of an engine has a [DONE] event, and JSON is valid.
 func (r *usageReader) close() (u Usage, err error) {
-	if r.stream {
-		r.parseLine(r.buffer)
-		if !r.doneReceived {
-			return r.usage, &CallError{Effect: MayHaveEffect, Err: eris.New("event stream ended without a [DONE] event")}
-		}
-		return r.usage, nil
+	truncated := func(reason string) error { return &CallError{Effect: MayHaveEffect, Err: eris.New(reason)} }
+	if !r.stream {
+		r.parse(r.buffer)
+	}
+	switch {
+	case r.eventStream && r.events.InsideEvent():
+		return r.usage, truncated("event stream ended inside an event")
+	case r.stream && !r.doneReceived:
+		return r.usage, truncated("event stream ended without a [DONE] event")
+	case r.unframedJSON && !r.oversized && !json.Valid(r.buffer):
+		return r.usage, truncated("connection closed inside the JSON response")
 	}
-	r.parse(r.buffer)
 	return r.usage, nil
 }
