entry: no error event inside an incomplete event

An event of more than 64 KiB is delivered in chunks. If its try failed, the entry added the error event to the incomplete one, so the caller read one event of both texts, and the response then ended as complete. The connection is closed instead; TestErrorEventIsNotJoined failed before.

--- a/daemon/entry/load_test.go
+++ b/daemon/entry/load_test.go
@@ -300,3 +300,31 @@
 		t.Error("the truncated body ended without an error")
 	}
 }
+
+// TestErrorEventIsNotJoined guards against an error event that continues an incomplete event of the engine, which the caller would read as
+// one event with a part of the engine's text. Events up to 64 KiB are held back until they are complete.
+func TestErrorEventIsNotJoined(t *testing.T) {
+	for name, tt := range map[string]struct {
+		incomplete string
+		wantError  bool
+	}{
+		"incomplete event held back": {"data: {", true},
+		"incomplete event delivered": {"data: {" + strings.Repeat("x", 65<<10), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			agents := twoAgents(t)
+			agents[0].run = func(w *frame.Writer, r *wire.RunRequest, _ *http.Request) {
+				w.Accept()
+				w.Data(chunk(r, "part0 "), http.StatusOK, eventType)
+				w.Data([]byte(tt.incomplete), 0, "")
+				panic(http.ErrAbortHandler)
+			}
+			r := startEntry(t, testSettings(), agents)
+			w := r.post(t, "/v1/chat/completions", chatStream)
+			b, err := io.ReadAll(w.Body)
+			if hasError := strings.Contains(string(b), "outcome_unknown"); hasError != tt.wantError || (err == nil) != tt.wantError {
+				t.Errorf("error event: %t, read error: %v, end of the response: %q", hasError, err, b[max(0, len(b)-200):])
+			}
+		})
+	}
+}
--- a/daemon/entry/respond.go
+++ b/daemon/entry/respond.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"shallotring.dev/protocol/eventstream"
 	"shallotring.dev/protocol/openai"
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/attempt"
@@ -22,7 +23,9 @@
 	timeout       time.Duration
 	started       bool
 	isEventStream bool
-	status        int
+	// events follows an event stream, to which an error event can be added only between two events.
+	events eventstream.Scanner
+	status int
 }
 
 // extendDeadline sets the deadline of the next write.
@@ -37,6 +40,9 @@
 	if !x.response.started {
 		x.startResponse(c)
 	}
+	if x.response.isEventStream {
+		x.response.events.Scan(c.Data)
+	}
 	_, err := x.response.w.Write(c.Data)
 	if err == nil && !c.Last {
 		err = x.response.controller.Flush()
@@ -96,7 +102,7 @@
 	abort := x.finishResponse()
 	x.addRecord()
 	if abort {
-		// Only a closed connection shows the caller that a plain body is incomplete.
+		// Only a closed connection shows the caller that a plain body or an event is incomplete.
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -130,7 +136,7 @@
 		x.response.w.Header().Set(HeaderOutcome, string(r.Outcome))
 	case !x.response.started:
 		x.respondFailure()
-	case x.response.isEventStream:
+	case x.response.isEventStream && !x.response.events.InsideEvent():
 		x.writeErrorEvent()
 	default:
 		return true
