--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -18,6 +18,7 @@
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
 	"shallotring.dev/state/routing"
+	"shallotring.dev/transport/server"
 )
 
 const (
@@ -80,6 +81,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer server.ResetAborted(w, r)
 	now := f.clock.Now()
 	f.metrics.requests.Inc()
 	if f.closingConnections.Load() {
--- a/daemon/frontend/truncated_test.go
+++ b/daemon/frontend/truncated_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // respondRaw runs the request, writes a response as given, in which ID stands for the request id, and closes the connection: with a
@@ -78,3 +79,33 @@
 		})
 	}
 }
+
+// TestTruncatedResponseOverHTTP10 guards against a truncated response that looks complete to a caller that speaks HTTP/1.0, for which the end of
+// the connection is the end of the response.
+func TestTruncatedResponseOverHTTP10(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nShallotring-Attempt-Id: ID\r\nShallotring-Server-Seal: s\r\n"
+	for _, x := range []struct {
+		name, path, response string
+		complete             bool
+	}{
+		{"complete stream", "/stream/", head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\ndata: a\n\n", true},
+		{"stream inside an event", "/stream/", head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\ndata: a\n\nda", false},
+		{"large body", "/once/", head + "Content-Length: 300000\r\n\r\n" + strings.Repeat("x", 280000), false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			_, address := newFrontend(t, newBackend(t, respondRaw(x.response, false)))
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(10 * time.Second))
+			fmt.Fprintf(c, "GET %s HTTP/1.0\r\nHost: x\r\nShallotring-Attempt-Id: r1\r\nShallotring-Deadline-Ms: 1500\r\n\r\n", x.path)
+			b, err := io.ReadAll(c)
+			if (err == nil) != x.complete {
+				t.Errorf("%d bytes, error %v, want a complete response: %t", len(b), err, x.complete)
+			}
+		})
+	}
+}
--- a/transport/server/drain.go
+++ b/transport/server/drain.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// NetConn returns the connection of the listener.
+func (c *drainedConn) NetConn() net.Conn { return c.Conn }
+
 func (c *drainedConn) shutdown() {
 	c.closed = true
 	// Closing also unblocks the pending read of the server.
--- a/transport/server/limit.go
+++ b/transport/server/limit.go
@@ -115,6 +115,9 @@
 	once    sync.Once
 }
 
+// NetConn returns the connection of the listener.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection and frees its slot.
 func (c *limitedConn) Close() (err error) {
 	c.once.Do(c.release)
--- a/transport/server/server.go
+++ b/transport/server/server.go
@@ -147,8 +147,12 @@
 func (s *Server) Close() (err error) { return eris.Wrap(s.http.Close(), "close HTTP server") }
 
 func newHTTPServer(handler http.Handler, l Limits) *http.Server {
+	limited := http.MaxBytesHandler(handler, l.BodyBytes)
 	return &http.Server{
-		Handler:           http.MaxBytesHandler(handler, l.BodyBytes),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer ResetAborted(w, r)
+			limited.ServeHTTP(w, r)
+		}),
 		MaxHeaderBytes:    l.HeaderBytes,
 		ReadHeaderTimeout: l.HeaderTimeout,
 		ReadTimeout:       l.BodyTimeout,
