--- a/daemon/frontend/response.go
+++ b/daemon/frontend/response.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,8 +34,8 @@
 // errResponseTooLarge means that a response is longer than maxForwardedBytes.
 var errResponseTooLarge = eris.New("the response is too large")
 
-// errTruncatedStream means that a stream ended although an event is missing or incomplete.
-var errTruncatedStream = eris.New("the stream is truncated")
+// errTruncated means that a response has ended according to its framing but its content is not complete.
+var errTruncated = eris.New("the response is truncated")
 
 var streamBuffers = sync.Pool{New: func() any { b := make([]byte, streamBufferBytes); return &b }}
 
@@ -53,6 +55,9 @@
 // the request may be sent to another endpoint.
 func (f *Frontend) forwardResponse(ctx context.Context, w http.ResponseWriter, x *request, e *endpoint, response *upstream.Response) (done, retry bool) {
 	b, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	if err == nil && len(b) <= maxBufferedBytes && isTruncatedBody(response, b) {
+		err = errTruncated
+	}
 	if err != nil {
 		f.metrics.interruptedResponses.Inc()
 		f.log.Info("reading the response failed", x.id(), slog.String("Endpoint", string(e.name)), slog.Int("Bytes", len(b)), slog.Any("Error", err))
@@ -132,8 +137,8 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) && isTruncated(response, &events) {
-			err = errTruncatedStream
+		if errors.Is(err, io.EOF) && isTruncatedStream(response, &events) {
+			err = errTruncated
 		}
 		if errors.Is(err, io.EOF) {
 			if !headerWritten {
@@ -157,15 +162,23 @@
 	}
 }
 
-// isTruncated reports whether a stream has been broken off although its body has ended according to its framing. An endpoint that fails may
+// isTruncatedStream reports whether a stream has been broken off although it has ended according to its framing. An endpoint that fails may
 // end its connection in the same way as after the last event.
-func isTruncated(response *upstream.Response, events *eventstream.Scanner) bool {
+func isTruncatedStream(response *upstream.Response, events *eventstream.Scanner) bool {
 	if response.Status >= http.StatusMultipleChoices {
 		return false // the body of an error need not consist of events
 	}
 	return events.InsideEvent() || events.Events() == 0 && response.Framing == upstream.CloseFraming
 }
 
+// isTruncatedBody reports whether a plain body that ended with its connection has been broken off, as far as its content shows.
+func isTruncatedBody(response *upstream.Response, body []byte) bool {
+	if response.Status >= http.StatusMultipleChoices {
+		return false
+	}
+	return response.Framing == upstream.CloseFraming && strings.HasPrefix(response.Header.Get("Content-Type"), "application/json") && !json.Valid(body)
+}
+
 // streamTiming measures a stream as the caller observes it: the time to the first chunk and the longest pause after it.
 type streamTiming struct {
 	start           time.Time
--- a/daemon/frontend/truncated_test.go
+++ b/daemon/frontend/truncated_test.go
@@ -109,3 +109,39 @@
 		})
 	}
 }
+
+// TestTruncatedBodyIsNotComplete guards against a plain body that its endpoint broke off but that reaches its caller as a complete response,
+// because the connection ended in an orderly way.
+func TestTruncatedBodyIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 %d Status\r\nShallotring-Attempt-Id: ID\r\nShallotring-Server-Seal: s\r\nConnection: close\r\nContent-Type: "
+	for _, x := range []struct {
+		name, contentType, body string
+		reset                   bool
+		wantStatus              int
+	}{
+		{"JSON", "application/json", `{"a": [1, 2]}`, false, 200},
+		{"JSON inside a value", "application/json; charset=utf-8", `{"a": [1, 2`, false, 502},
+		{"JSON without a byte", "application/json", "", false, 502},
+		{"JSON that is reset", "application/json", `{"a": [1, 2]}`, true, 502},
+		{"error without a body", "application/json", "", false, 500},
+		{"bytes", "application/octet-stream", "abc", false, 200},
+		{"bytes that are reset", "application/octet-stream", "abc", true, 502},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			status := http.StatusOK
+			if x.wantStatus == http.StatusInternalServerError {
+				status = x.wantStatus
+			}
+			b := newBackend(t, respondRaw(fmt.Sprintf(head, status)+x.contentType+"\r\n\r\n"+x.body, x.reset))
+			_, address := newFrontend(t, b)
+			code, body, _, err := sendRequest(t, address, "/once/", "r1")
+			if code != x.wantStatus || err != nil || code == http.StatusOK && body != x.body {
+				t.Errorf("response = %d %q %v, want %d", code, body, err, x.wantStatus)
+			}
+			if n := b.runCount("r1"); n != 1 {
+				t.Errorf("%d runs", n)
+			}
+		})
+	}
+}
--- a/protocol/engine/truncated_test.go
+++ b/protocol/engine/truncated_test.go
@@ -55,3 +55,12 @@
 		})
 	}
 }
+
+// TestHeadResponseWithoutLength guards against a response to HEAD, which has no body, that counts as truncated JSON.
+func TestHeadResponseWithoutLength(t *testing.T) {
+	c := startEndpoint(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Type", "application/json") })
+	call := Call{ID: tryID, Service: true, Method: http.MethodHead, Path: "/x"}
+	if _, _, err := c.Run(t.Context(), 7, call, func(ResponseHead, []byte) error { return nil }); EffectOf(err) != Done {
+		t.Errorf("effect %v, error %v", EffectOf(err), err)
+	}
+}
--- a/protocol/engine/usage.go
+++ b/protocol/engine/usage.go
@@ -33,7 +33,7 @@
 func newUsageReader(r *http.Response, service bool) *usageReader {
 	contentType := r.Header.Get("Content-Type")
 	eventStream := strings.HasPrefix(contentType, "text/event-stream")
-	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.StatusCode < http.StatusMultipleChoices && r.Request.Method != http.MethodHead
 	return &usageReader{stream: eventStream && !service, eventStream: eventStream, unframedJSON: unframed && strings.HasPrefix(contentType, "application/json")}
 }
 
--- a/protocol/upstream/exchange.go
+++ b/protocol/upstream/exchange.go
@@ -67,7 +67,7 @@
 	switch {
 	case len(r.TransferEncoding) > 0:
 		return ChunkedFraming
-	case r.ContentLength >= 0:
+	case r.ContentLength >= 0 || r.Request.Method == http.MethodHead:
 		return LengthFraming
 	}
 	return CloseFraming
--- a/transport/server/abort.go
+++ b/transport/server/abort.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	for c := conn; c != nil; {
 		switch x := c.(type) {
 		case *net.TCPConn:
