--- a/soak/live/fault.go
+++ b/soak/live/fault.go
@@ -236,8 +236,8 @@
 		share := 0.1 + 0.7*r.Float64()
 		e.SetFault([]standin.Fault{
 			{Full: share}, {Fail: share}, {Lose: share}, {Break: share}, {Garble: share}, {Trail: share}, {Slow: randomDuration(r, 20, 300)},
-			{Busy: share, RetryAfter: randomDuration(r, 100, 2000)}, {Endless: share / 4},
-		}[r.IntN(9)])
+			{Busy: share, RetryAfter: randomDuration(r, 100, 2000)}, {Endless: share / 4}, {Unframed: share},
+		}[r.IntN(10)])
 		time.Sleep(randomDuration(r, 300, 3000))
 	}
 	e.SetFault(standin.Fault{})
