operator: drain finds the agent before it sets Leaving

TestDeploymentOverTLS failed once: an operator who drained an idle endpoint got exit code 7, "no agent has claimed endpoint", although the drain had worked. The agent acts on Leaving at once, has nothing to finish and releases its claim; the command looked for the claim only afterwards. TestDrainOfIdleEndpoint releases the claim between the two steps and failed with the same message before.

--- a/daemon/operator/drain.go
+++ b/daemon/operator/drain.go
@@ -49,14 +49,17 @@
 	defer cancel()
 	name := ident.Endpoint(d.Endpoint)
 	result := drainResult{Endpoint: name}
+	// The agent is looked up first, because that of an idle endpoint releases its claim as soon as Leaving is in force.
+	agent, process, closeAgentClient, agentErr := s.agentClient(callCtx, client, name)
+	if agentErr == nil {
+		defer closeAgentClient()
+	}
 	if result.Revision, err = setLeaving(callCtx, s.editor(client), name); err != nil {
 		return err
 	}
-	agent, process, closeAgentClient, err := s.agentClient(callCtx, client, name)
-	if err != nil {
-		return eris.Wrapf(err, "Leaving is set at revision %d", result.Revision)
+	if agentErr != nil {
+		return eris.Wrapf(agentErr, "Leaving is set at revision %d", result.Revision)
 	}
-	defer closeAgentClient()
 	result.Process = process
 	response, err := agent.Drain(callCtx, &wire.DrainRequest{})
 	if err != nil {
--- a/daemon/operator/run_test.go
+++ b/daemon/operator/run_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -17,6 +18,7 @@
 
 	"shallotring.dev/coordination/registry"
 	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/protocol/keyvalue/gateway"
 	"shallotring.dev/protocol/wire"
 	standin "shallotring.dev/standin/keyvalue"
 	"shallotring.dev/state/ident"
@@ -47,11 +49,22 @@
 	service *standin.Service
 	client  *keyvalue.Client
 	url     string
+	// afterWrite is called after the next write of a command, before the command gets the response.
+	afterWrite atomic.Pointer[func()]
 }
 
 func newFixture(t *testing.T) *fixture {
 	p := &fixture{t: t, service: standin.New()}
-	server := httptest.NewServer(p.service.Handler())
+	handler := p.service.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(w, r)
+		if r.URL.Path != gateway.PathTxn {
+			return
+		}
+		if f := p.afterWrite.Swap(nil); f != nil {
+			(*f)()
+		}
+	}))
 	p.url = server.URL
 	var err error
 	if p.client, err = keyvalue.New([]string{p.url}); err != nil {
@@ -205,6 +218,26 @@
 	p.expectResult(p.run("", "drain", "engine-1", "--wait", "1m", "-o", "json"), ExitSuccess, `"Running":0`)
 }
 
+// TestDrainOfIdleEndpoint guards against a drain that is reported as failed because the agent of an idle endpoint acts on Leaving and releases
+// its claim before the command has looked for it.
+func TestDrainOfIdleEndpoint(t *testing.T) {
+	p := newFixture(t)
+	p.expectResult(p.run(fmt.Sprintf(endpointFile, 1), "apply", "-f", "-"), ExitSuccess)
+	p.startAgent("a", "engine-1")
+	release := func() {
+		key := registry.ClaimKey("engine-1")
+		r, found, err := p.client.Get(t.Context(), key)
+		if err != nil || !found {
+			t.Error(found, err)
+		}
+		if _, ok, err := p.client.CompareAndSwap(t.Context(), keyvalue.Swap{Key: key, Expect: r.ModRevision, Delete: true}); err != nil || !ok {
+			t.Error(ok, err)
+		}
+	}
+	p.afterWrite.Store(&release)
+	p.expectResult(p.run("", "drain", "engine-1", "-o", "json"), ExitSuccess, `"Running":0`)
+}
+
 // Guards against a change that is not shown when it is written, or never shown as accepted.
 func TestWatch(t *testing.T) {
 	p := newFixture(t)
