make test takes no result from the test cache

The cache does not know the programs that daemon/processes and soak/live build and run: a test of processes that had to fail after a change of the entry came from the cache, with the old result.

--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,10 @@
 platform:
 	go run ./cmd/shallotring platform
 
-# Four packages at a time: the tests of separate processes start some fifty processes by themselves.
+# Four packages at a time: the tests of separate processes start some fifty processes by themselves. No result comes from the cache, which
+# does not know the programs that these tests build and run.
 test:
-	go test -race -p 4 $(if $(SKIP),-skip '^($(SKIP))$$') $(PACKAGES)
+	go test -race -count=1 -p 4 $(if $(SKIP),-skip '^($(SKIP))$$') $(PACKAGES)
 
 soak:
 	go run ./cmd/soak --seed=$(SEED) --duration=$(DURATION) --schedules=$(SCHEDULES) --leave-out=$(LEAVE_OUT)
