--- a/daemon/entry/placer.go
+++ b/daemon/entry/placer.go
@@ -61,7 +61,7 @@
 	resource *resource.Endpoint
 	report   *wire.ReportResponse
 	failing  bool // the latest report call failed
-	// unconfirmed is set while only the latest report call has failed and the agent may be slow: it sent no error in time.
+	// unconfirmed is true if only the latest report call failed, by its timeout.
 	unconfirmed bool
 }
 
--- a/protocol/engine/usage.go
+++ b/protocol/engine/usage.go
@@ -19,10 +19,10 @@
 type usageReader struct {
 	// stream is true for the event stream of an engine, which ends with a [DONE] event.
 	stream bool
-	// eventStream is true for all event streams, those of plain services included.
-	eventStream bool
-	// unframedJSON is true for JSON whose end is marked by the end of the connection.
-	unframedJSON bool
+	// checkEvents and checkJSON say how the content of a successful response shows its end: every event stream ends after an event, and JSON
+	// is checked if only the end of the connection marks its end.
+	checkEvents  bool
+	checkJSON    bool
 	buffer       []byte
 	oversized    bool
 	usage        Usage
@@ -33,12 +33,16 @@
 func newUsageReader(r *http.Response, service bool) *usageReader {
 	contentType := r.Header.Get("Content-Type")
 	eventStream := strings.HasPrefix(contentType, "text/event-stream")
-	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.StatusCode < http.StatusMultipleChoices && r.Request.Method != http.MethodHead
-	return &usageReader{stream: eventStream && !service, eventStream: eventStream, unframedJSON: unframed && strings.HasPrefix(contentType, "application/json")}
+	successful := r.StatusCode < http.StatusMultipleChoices && r.Request.Method != http.MethodHead
+	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return &usageReader{
+		stream: eventStream && !service, checkEvents: successful && eventStream,
+		checkJSON: successful && unframed && strings.HasPrefix(contentType, "application/json"),
+	}
 }
 
 func (r *usageReader) write(p []byte) {
-	if r.eventStream {
+	if r.checkEvents {
 		r.events.Scan(p)
 	}
 	if r.oversized && !r.stream {
@@ -91,11 +95,11 @@
 		r.parse(r.buffer)
 	}
 	switch {
-	case r.eventStream && r.events.InsideEvent():
+	case r.checkEvents && r.events.InsideEvent():
 		return r.usage, truncated("event stream ended inside an event")
 	case r.stream && !r.doneReceived:
 		return r.usage, truncated("event stream ended without a [DONE] event")
-	case r.unframedJSON && !r.oversized && !json.Valid(r.buffer):
+	case r.checkJSON && !r.oversized && !json.Valid(r.buffer):
 		return r.usage, truncated("connection closed inside the JSON response")
 	}
 	return r.usage, nil
