local: TestEachAnswerIsItsOwn sends requests again that a starved process refuses

Traced by a run: the test's process, stopped by SIGSTOP for 4 s, 0.40 s after its start, refused nearly all requests as isolated when it resumed. That is the rule: a process without contact for 3 s cannot tell an outage from its own partition, and the refusal is true. A run before it had failed in the same trial, stopped after 0.3 s; its output was overwritten.

The test now sends such a request again, as its caller would, and checks in addition that each request ran exactly once, so a refusal that is not true fails.

--- a/daemon/local/local_test.go
+++ b/daemon/local/local_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"shallotring.dev/standin/engine"
+	"shallotring.dev/state/outcome"
 )
 
 const testTimeout = 60 * time.Second
@@ -76,6 +77,20 @@
 	}
 }
 
+// postUnlessIsolated repeats a request that is refused as isolated, for at most testTimeout: a process that got no processor for longer than
+// the isolation timeout refuses requests until it has reached the key-value service again.
+func postUnlessIsolated(t *testing.T, url, body string) (a *http.Response, text string) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(50 * time.Millisecond) {
+		a, text = post(t, url, body, "")
+		isolated := a.StatusCode == http.StatusServiceUnavailable && strings.Contains(text, string(outcome.Isolated)) && a.Header.Get("Shallotring-Outcome") == "not-run"
+		if !isolated || time.Now().After(deadline) {
+			return a, text
+		}
+		t.Logf("refused as isolated, sent again")
+	}
+}
+
 // TestEachAnswerIsItsOwn guards against a response, plain or streamed, that another adapter or version generated or that
 // belongs to another prompt while many callers share the engines.
 func TestEachAnswerIsItsOwn(t *testing.T) {
@@ -88,7 +103,7 @@
 			prompt := fmt.Sprintf("borehole log %d", i)
 			want := model + " " + engine.PromptDigest(prompt)
 			body, _ := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": 8, "stream": i%3 == 0})
-			a, text := post(t, "http://"+d.Address()+"/v1/completions", string(body), "")
+			a, text := postUnlessIsolated(t, "http://"+d.Address()+"/v1/completions", string(body))
 			if a.StatusCode != http.StatusOK {
 				t.Errorf("%s: status %d: %s", model, a.StatusCode, text)
 				return
@@ -102,6 +117,13 @@
 		})
 	}
 	wg.Wait()
+	runs := 0
+	for _, e := range d.Platform().Engines {
+		runs += len(e.Journal())
+	}
+	if runs != requests {
+		t.Errorf("%d requests ran %d times", requests, runs)
+	}
 	for name, e := range d.Platform().Engines {
 		if list := e.EvictionsInUse(); len(list) > 0 {
 			t.Errorf("%s: adapters were evicted while in use: %v", name, list)
