--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -150,6 +150,18 @@
 	return e.Resident
 }
 
+// baseModel returns the base model that is loaded according to the agent, or to discovery without a recent state; discovery is about a
+// second behind the agent.
+func (e *endpoint) baseModel(now time.Time) (m ident.ModelVersion) {
+	if s := e.agentState(now); s != nil {
+		return s.Holdings.BaseModel()
+	}
+	if len(e.Models) > 0 {
+		return e.Models[0]
+	}
+	return m
+}
+
 // updatePlacement passes the current state of an endpoint to the placement and wakes the requests whose wait is over.
 func (f *Frontend) updatePlacement(e *endpoint) {
 	now := f.clock.Now()
@@ -162,19 +174,13 @@
 		if e.link == nil && f.agentPort != 0 {
 			f.attachLink(e)
 		}
-		if len(e.Models) > 0 {
-			report.BaseModel = e.Models[0]
-		}
+		report.BaseModel = e.baseModel(now).Model
 		if t := f.routes.Load(); t != nil && t.Services[e.Service].Engine != nil {
 			report.Slots = t.Services[e.Service].Engine.Adapters
 		}
 		report.Resident, report.Fixed = e.residentAdapters(now), e.agentState(now) == nil
 		if s := e.agentState(now); s != nil {
 			report.Leaving = report.Leaving || s.Leaving || !s.Up
-			// The agent's state is used for the base model, because discovery is about a second behind it.
-			if report.BaseModel = ""; len(s.Holdings.Models) > 0 {
-				report.BaseModel = s.Holdings.Models[0]
-			}
 			report.Running, report.Queued, report.Starting, report.Loading = s.Running, s.Queued, s.Starting, s.Holdings.Loading
 			report.PromptRate = float64(s.PromptRate)
 			report.Pinned = s.Pinned
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -67,8 +67,8 @@
 	excluded []ident.Endpoint
 	// promptTokens is the estimated number of prompt tokens that the current endpoint has to process, without a cached prefix.
 	promptTokens ident.Tokens
-	// source is the address of an engine that has cached the prompt prefix.
-	source string
+	// source is the engine from which the endpoint may fetch the cached prompt prefix; nil if there is none.
+	source *endpoint
 	// sends counts the sends to endpoints, and runs those of them in which the request may have run.
 	sends int
 	runs  int
@@ -327,7 +327,9 @@
 	if x.call.Model == "" {
 		dispatch.Priority = -1 // a negative priority is not sent
 	}
-	dispatch.Source = x.source
+	if x.source != nil {
+		dispatch.Source = x.source.pool.Address()
+	}
 	header := make(http.Header, len(x.header)+4)
 	for name, values := range x.header {
 		header[name] = values
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -347,6 +348,10 @@
 		s.endpoint, s.startMilli = id, r.StartMilli
 		clear(s.loadOrderedAt)
 	}
+	if previous := s.keeper.Report().Models; len(r.Models) > 0 && !slices.Equal(r.Models, previous) {
+		s.log.Info("base model loaded", slog.String("Model", string(r.Models[0].Model)), slog.String("Version", string(r.Models[0].Version)),
+			slog.String("Endpoint", string(s.endpoint)), slog.Int64("Sequence", r.Sequence))
+	}
 	for _, av := range s.keeper.Observe(now, s.endpoint, r) {
 		start, ordered := s.loadOrderedAt[av]
 		delete(s.loadOrderedAt, av)
@@ -403,7 +408,7 @@
 	state := control.State{
 		Endpoint: s.endpoint, Born: s.startMilli, Up: s.failedPolls < maxFailedPolls && s.endpoint != "", Leaving: r.Leaving, Running: r.Running, Queued: r.Queued,
 		Starting: r.Starting, PromptRate: int(s.keeper.PromptRate(now)), Pinned: s.keeper.Pinned(now), Entries: s.entryCount(),
-		Holdings: &control.Holdings{Models: r.Models, Resident: r.Resident, Loading: r.Loading},
+		Holdings: control.NewHoldings(r.Models, r.Resident, r.Loading),
 	}
 	if now.Sub(s.publishedAt) < maxStateInterval && similar(state, s.published) {
 		return
--- a/protocol/control/change.go
+++ b/protocol/control/change.go
@@ -55,7 +55,7 @@
 	switch {
 	case s.Holdings.Equal(previous.Holdings):
 		message.Holdings = nil
-	case w.Deltas && previous.Holdings != nil && s.Holdings != nil && slices.Equal(s.Holdings.Models, previous.Holdings.Models):
+	case w.Deltas && previous.Holdings != nil && s.Holdings != nil && s.Holdings.equalModels(previous.Holdings):
 		message.Holdings = nil
 		message.Changes = &Changes{
 			Added: missing(previous.Holdings.Resident, s.Holdings.Resident), Removed: missing(s.Holdings.Resident, previous.Holdings.Resident), Loading: texts(s.Holdings.Loading),
@@ -95,7 +95,7 @@
 	default:
 		old := r.state.Holdings
 		removed := adapters(c.Removed)
-		h := &Holdings{Models: old.Models, Loading: adapters(c.Loading)}
+		h := &Holdings{Models: old.Models, Versions: old.Versions, Loading: adapters(c.Loading)}
 		for _, av := range old.Resident {
 			if !slices.Contains(removed, av) {
 				h.Resident = append(h.Resident, av)
--- a/protocol/control/change_test.go
+++ b/protocol/control/change_test.go
@@ -11,9 +11,9 @@
 )
 
 func randomHoldings(r *rand.Rand, h *Holdings) *Holdings {
-	x := &Holdings{Models: []ident.BaseModel{"base"}, Resident: slices.Clone(h.Resident)}
+	x := NewHoldings([]ident.ModelVersion{{Model: "base", Version: ident.Version(fmt.Sprint(1 + r.IntN(2)))}}, slices.Clone(h.Resident), nil)
 	if r.IntN(20) == 0 {
-		x.Models = nil
+		x.Models, x.Versions = nil, nil
 	}
 	if n := len(x.Resident); n > 0 && r.IntN(2) == 0 {
 		i := r.IntN(n)
@@ -63,7 +63,7 @@
 			if d := got.PromptRate - s.PromptRate; d > promptRateTolerance || d < -promptRateTolerance {
 				t.Fatalf("message %d, deltas %t: prompt rate %d, want %d", i, deltas, got.PromptRate, s.PromptRate)
 			}
-			if got.Endpoint != s.Endpoint || got.Born != s.Born || got.Running != s.Running || !slices.Equal(got.Holdings.Models, h.Models) ||
+			if got.Endpoint != s.Endpoint || got.Born != s.Born || got.Running != s.Running || got.Holdings.BaseModel() != h.BaseModel() ||
 				!slices.Equal(sorted(got.Holdings.Resident), sorted(h.Resident)) || !slices.Equal(got.Holdings.Loading, h.Loading) {
 				t.Fatalf("message %d, deltas %t: got %+v with %+v, want %+v with %+v", i, deltas, got, got.Holdings, s, h)
 			}
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -58,14 +58,41 @@
 
 // Holdings are the models and adapters that an engine has loaded or is loading.
 type Holdings struct {
-	Models   []ident.BaseModel
+	Models []ident.BaseModel
+	// Versions are the versions of the models' weights, in the order of Models; agents of earlier releases do not send them.
+	Versions []ident.Version `json:",omitempty"`
 	Resident []ident.AdapterVersion
 	Loading  []ident.AdapterVersion
 }
 
+// NewHoldings returns the holdings of an engine.
+func NewHoldings(models []ident.ModelVersion, resident, loading []ident.AdapterVersion) *Holdings {
+	h := &Holdings{Resident: resident, Loading: loading}
+	for _, m := range models {
+		h.Models, h.Versions = append(h.Models, m.Model), append(h.Versions, m.Version)
+	}
+	return h
+}
+
+// BaseModel returns the base model that the engine serves; it is zero if none is loaded.
+func (h *Holdings) BaseModel() (m ident.ModelVersion) {
+	if len(h.Models) > 0 {
+		m.Model = h.Models[0]
+	}
+	if len(h.Versions) > 0 {
+		m.Version = h.Versions[0]
+	}
+	return m
+}
+
+// equalModels reports whether two holdings have the same versions of the same models.
+func (h *Holdings) equalModels(x *Holdings) bool {
+	return slices.Equal(h.Models, x.Models) && slices.Equal(h.Versions, x.Versions)
+}
+
 // Equal reports whether two holdings are equal; nil is not equal to anything.
 func (h *Holdings) Equal(x *Holdings) bool {
-	return h != nil && x != nil && slices.Equal(h.Models, x.Models) && slices.Equal(h.Resident, x.Resident) && slices.Equal(h.Loading, x.Loading)
+	return h != nil && x != nil && h.equalModels(x) && slices.Equal(h.Resident, x.Resident) && slices.Equal(h.Loading, x.Loading)
 }
 
 // Conn sends and receives messages; Send may be called from any goroutine.
--- a/state/holdings/keeper_test.go
+++ b/state/holdings/keeper_test.go
@@ -23,7 +23,7 @@
 	k := New()
 	k.Configure("m", capacity)
 	k.SetFencingNumber(7)
-	k.Observe(epoch, "i-1", Report{StartMilli: 1, Models: []ident.BaseModel{"m"}, Resident: resident})
+	k.Observe(epoch, "i-1", Report{StartMilli: 1, Models: []ident.ModelVersion{{Model: "m", Version: "1"}}, Resident: resident})
 	return k
 }
 
@@ -66,7 +66,7 @@
 	if _, ok := k.Next(at(time.Second)); ok {
 		t.Error("next returns a second order without a report in between")
 	}
-	k.Observe(at(time.Second), "i-1", Report{StartMilli: 1, Models: []ident.BaseModel{"m"}})
+	k.Observe(at(time.Second), "i-1", Report{StartMilli: 1, Models: []ident.ModelVersion{{Model: "m", Version: "1"}}})
 	if second, ok := k.Next(at(time.Second)); !ok || second.ExpectedSequence != o.ExpectedSequence {
 		t.Errorf("order after one with an unknown result = %+v, %v; want the same sequence, so that the engine accepts only one of them", second, ok)
 	}
@@ -119,7 +119,7 @@
 	e.report.Sequence++
 	switch {
 	case o.Model != "":
-		e.report.Models = []ident.BaseModel{o.Model}
+		e.report.Models = []ident.ModelVersion{{Model: o.Model, Version: "1"}}
 	case o.Unload:
 		if i := slices.Index(e.report.Resident, o.Adapter); i >= 0 {
 			e.report.Resident = slices.Delete(slices.Clone(e.report.Resident), i, i+1)
--- a/state/holdings/order.go
+++ b/state/holdings/order.go
@@ -24,7 +24,7 @@
 	// MemoryUsed and MemoryTotal are in tokens; used memory cannot be freed for other requests.
 	MemoryUsed  float64
 	MemoryTotal float64
-	Models      []ident.BaseModel
+	Models      []ident.ModelVersion
 	Resident    []ident.AdapterVersion
 	// Loading lists the adapters that are being loaded; they occupy slots.
 	Loading []ident.AdapterVersion
--- a/state/ident/ident.go
+++ b/state/ident/ident.go
@@ -12,7 +12,7 @@
 // Adapter is the name of a LoRA adapter.
 type Adapter string
 
-// Version is the name of one version of an adapter.
+// Version is the name of one version of an adapter or of a base model's weights.
 type Version string
 
 // Endpoint is the name of a model engine or a plain service instance.
@@ -78,6 +78,12 @@
 	return AdapterVersion{Adapter: Adapter(name), Version: Version(version)}
 }
 
+// ModelVersion identifies one version of a base model's weights; the version is empty if it is not known.
+type ModelVersion struct {
+	Model   BaseModel
+	Version Version
+}
+
 // TryID identifies one try of a request, which is meant for one incarnation of an agent.
 type TryID struct {
 	RequestID   RequestID
--- a/state/inventory/inventory.go
+++ b/state/inventory/inventory.go
@@ -22,7 +22,7 @@
 	// nothing.
 	StartMilli int64
 	// Models lists the base models that it holds; it is empty for plain services.
-	Models []ident.BaseModel
+	Models []ident.ModelVersion
 	// Resident lists the adapters that it holds.
 	Resident []ident.AdapterVersion
 }
