placement, frontend: prompts are fetched only from engines with the same weights

Cause: a cached prompt depends on the base model's and the adapter's weights. The table kept prompts by adapter version only, because the base model's version was dropped on decoding; it kept them when the engine changed its weights or unloaded the adapter; and the source was chosen before the wait for the adapter, which can take seconds. Change: reports state the base model's version, and a change forgets the engine's prompts. A source holds the adapter and has the same base version as the endpoint, both known; the choice is checked again when the request is sent, against recent states of both agents.

--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -174,7 +174,8 @@
 		if e.link == nil && f.agentPort != 0 {
 			f.attachLink(e)
 		}
-		report.BaseModel = e.baseModel(now).Model
+		base := e.baseModel(now)
+		report.BaseModel, report.BaseVersion = base.Model, base.Version
 		if t := f.routes.Load(); t != nil && t.Services[e.Service].Engine != nil {
 			report.Slots = t.Services[e.Service].Engine.Adapters
 		}
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -126,16 +126,7 @@
 	f.log.Info("endpoint chosen", x.id(), slog.String("Endpoint", string(e.ID)), slog.String("BaseVersion", string(e.baseModel(now).Version)), slog.Int64("CostMilli", int64(cost)),
 		slog.Int64("Configuration", x.configuration), slog.String("Adapter", x.adapter.String()), slog.Bool("Held", x.adapter.IsZero() || e.holds(now, x.adapter)),
 		slog.Uint64("PromptTokens", uint64(x.promptTokens)), slog.Int64("StateAgeMilli", age), slog.Int("Running", running), slog.Int("Own", e.running),
-		x.source.sourceAttributes(now, x.adapter))
-}
-
-// sourceAttributes returns what is known of the engine that is named as the source of a cached prompt prefix, for the log; e may be nil.
-func (e *endpoint) sourceAttributes(now time.Time, av ident.AdapterVersion) slog.Attr {
-	if e == nil {
-		return slog.String("Source", "")
-	}
-	return slog.Group("Source", slog.String("Endpoint", string(e.ID)), slog.String("Address", e.Address), slog.Int64("Born", e.StartMilli),
-		slog.String("BaseVersion", string(e.baseModel(now).Version)), slog.Bool("Holds", e.holds(now, av)))
+		slog.Bool("Source", x.source != nil))
 }
 
 // waitForLoad waits until the adapter is resident at the endpoint, or until another endpoint is to be tried.
@@ -187,14 +178,12 @@
 	return false
 }
 
-// addRequest counts a request at an endpoint as running and sets the engine from which it may fetch its cached prompt prefix; the lock
+// addRequest counts a request at an endpoint as running and chooses the engine from which it may fetch its cached prompt prefix; the lock
 // is held.
 func (f *Frontend) addRequest(now time.Time, x *request, e *endpoint, q placement.Query) {
 	x.source = nil
 	if source, ok := f.placement.Source(now, e.ID, q); ok {
-		if other := f.endpoints[source]; other != nil && other.agentState(now) != nil {
-			x.source = other
-		}
+		x.source = f.endpoints[source]
 	}
 	x.promptTokens = f.placement.Sent(now, e.ID, q)
 	e.running++
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -67,7 +67,7 @@
 	excluded []ident.Endpoint
 	// promptTokens is the estimated number of prompt tokens that the current endpoint has to process, without a cached prefix.
 	promptTokens ident.Tokens
-	// source is the engine from which the endpoint may fetch the cached prompt prefix; nil if there is none.
+	// source is the engine that is expected to have cached the prompt prefix, from which the endpoint may fetch it; nil if there is none.
 	source *endpoint
 	// sends counts the sends to endpoints, and runs those of them in which the request may have run.
 	sends int
@@ -327,9 +327,7 @@
 	if x.call.Model == "" {
 		dispatch.Priority = -1 // a negative priority is not sent
 	}
-	if x.source != nil {
-		dispatch.Source = x.source.pool.Address()
-	}
+	dispatch.Source = f.promptSource(start, x, e)
 	header := make(http.Header, len(x.header)+4)
 	for name, values := range x.header {
 		header[name] = values
--- a/state/placement/source.go
+++ b/state/placement/source.go
@@ -10,35 +10,48 @@
 // call costs.
 const minFetchTokens = 1000
 
-// Source returns another endpoint that has cached the prompt prefix, from which the named endpoint can fetch it in a fraction of the
-// time; ok is false if the named endpoint has cached it itself or no endpoint has.
+// Source returns another endpoint that has cached the prompt prefix under the same weights, from which the named endpoint can fetch it in
+// a fraction of the time; ok is false if the named endpoint has cached it itself or no endpoint has.
 func (t *Table) Source(now time.Time, name ident.Endpoint, q Query) (source ident.Endpoint, ok bool) {
-	e := t.endpoints[name]
-	if e == nil || q.Adapter.IsZero() || q.PrefixTokens < minFetchTokens {
+	e, a := t.endpoints[name], t.adapters[q.Adapter]
+	if e == nil || a == nil || q.PrefixTokens < minFetchTokens {
 		return "", false
 	}
-	seconds, key := t.seconds(now), prefixKey(adapterHash(q.Adapter), q.Prefix)
+	seconds, key := t.seconds(now), prefixKey(a.hash, q.Prefix)
 	if key == 0 || e.hasPrefix(seconds, key) {
 		return "", false
 	}
-	newest := 0.0
-	for _, x := range t.pools[poolKeyOf(e.Report)].endpoints {
-		if x != e && !x.Leaving && x.hasPrefix(seconds, key) && (!ok || x.cachedPrefixes[key%maxCachedPrefixes].at > newest) {
-			source, newest, ok = x.Endpoint, x.cachedPrefixes[key%maxCachedPrefixes].at, true
-		}
-	}
-	if ok {
-		return source, true
-	}
-	// Each entry receives only a part of the requests; another holder has most likely cached what requests for the adapter share.
-	a := t.adapters[q.Adapter]
-	if a == nil {
-		return "", false
-	}
+	// Each entry receives only a part of the requests: a holder that this entry has not used has most likely cached what requests for
+	// the adapter share, too.
+	newest := -1.0
 	for _, x := range a.holders {
-		if h := x.holdingOf(a); x != e && !x.Leaving && h != nil && !h.loading {
-			return x.Endpoint, true
+		if !x.canSupply(e, a) {
+			continue
+		}
+		readAt := 0.0
+		if x.hasPrefix(seconds, key) {
+			readAt = x.cachedPrefixes[key%maxCachedPrefixes].at
 		}
+		if readAt > newest {
+			source, newest, ok = x.Endpoint, readAt, true
+		}
+	}
+	return source, ok
+}
+
+// CanSupply reports whether the source holds the adapter and the same weights as the named endpoint, so that the prompts that it has cached
+// for the adapter are valid there.
+func (t *Table) CanSupply(source, name ident.Endpoint, av ident.AdapterVersion) bool {
+	x, e, a := t.endpoints[source], t.endpoints[name], t.adapters[av]
+	return x != nil && e != nil && a != nil && x.canSupply(e, a)
+}
+
+// canSupply reports whether prompts that x has cached for an adapter are valid at e: a cached prompt depends on the weights of the base
+// model and of the adapter that read it. An unknown version is equal to none.
+func (x *endpoint) canSupply(e *endpoint, a *adapter) bool {
+	if x == e || x.Leaving || x.BaseModel != e.BaseModel || x.BaseVersion == "" || x.BaseVersion != e.BaseVersion {
+		return false
 	}
-	return "", false
+	h := x.holdingOf(a)
+	return h != nil && !h.loading
 }
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -24,13 +24,15 @@
 	Endpoint  ident.Endpoint
 	Kind      resource.EndpointKind
 	BaseModel ident.BaseModel
-	Service   ident.Service
-	Zone      ident.Zone
-	Leaving   bool
-	Running   int
-	Queued    int
-	BatchSize int
-	Slots     int
+	// BaseVersion is the version of the base model's weights; empty if it is not known.
+	BaseVersion ident.Version
+	Service     ident.Service
+	Zone        ident.Zone
+	Leaving     bool
+	Running     int
+	Queued      int
+	BatchSize   int
+	Slots       int
 	// Pinned is the number of slots that cannot be freed now.
 	Pinned   int
 	Resident []ident.AdapterVersion
@@ -149,6 +151,10 @@
 	if !ok {
 		e = t.add(r)
 	}
+	if e.BaseVersion != r.BaseVersion {
+		// Prompts that were read with other weights cannot be used any more.
+		e.cachedPrefixes = [maxCachedPrefixes]cachedPrefix{}
+	}
 	t.meter.replaceReport(e, r)
 	t.totalSlots += r.Slots - e.slots
 	t.totalPinned += r.Pinned - e.pinned
