placement: a request ends at the incarnation that it was sent to

Cause: the table found the endpoint of an ended request by its name, so requests of the previous incarnation were subtracted from the counts of the next one. Change: Sent returns the try, which refers to the incarnation; both forms pass it to Done.

--- a/bench/policy/shallotring.go
+++ b/bench/policy/shallotring.go
@@ -25,12 +25,15 @@
 	budget         *permit.Budget
 	tables         [workload.Entries]*placement.Table
 	lastUse        lastUse
+	// tries has the requests in progress in the counts of the tables.
+	tries map[*fleet.Request]placement.Try
 }
 
 // Start creates the routing tables and the load budget.
 func (o *Shallotring) Start(f *fleet.Fleet) {
 	o.fleet = f
 	o.lastUse = make(lastUse)
+	o.tries = make(map[*fleet.Request]placement.Try)
 	o.budget = permit.New(loadsPerSecond, loadsInFlight, f.Clock.Now())
 	for i := range o.tables {
 		o.tables[i] = placement.New(
@@ -99,12 +102,13 @@
 // Sent records the request in the routing table of its entry.
 func (o *Shallotring) Sent(p *fleet.Request) {
 	o.lastUse.record(o.fleet, p)
-	o.tables[p.Entry].Sent(o.fleet.Clock.Now(), o.fleet.Engines[p.Engine].Name, query(p))
+	o.tries[p] = o.tables[p.Entry].Sent(o.fleet.Clock.Now(), o.fleet.Engines[p.Engine].Name, query(p))
 }
 
 // Done removes the request from the routing table of its entry.
 func (o *Shallotring) Done(p *fleet.Request) {
-	o.tables[p.Entry].Done(o.fleet.Clock.Now(), o.fleet.Engines[p.Engine].Name, query(p))
+	o.tables[p.Entry].Done(o.fleet.Clock.Now(), o.tries[p])
+	delete(o.tries, p)
 }
 
 // Reported passes a load report to all routing tables.
--- a/daemon/entry/exchange.go
+++ b/daemon/entry/exchange.go
@@ -397,7 +397,7 @@
 	}
 	if x.placed {
 		x.placed = false
-		x.entry.placer.notifyTryEnd(endedTry{endpoint: x.target.endpoint, query: x.query})
+		x.entry.placer.notifyTryEnd(x.target.try)
 	}
 }
 
--- a/daemon/entry/placer.go
+++ b/daemon/entry/placer.go
@@ -28,6 +28,8 @@
 	endpoint    ident.Endpoint
 	incarnation ident.Incarnation
 	address     string
+	// try is the request in the counts of the table.
+	try placement.Try
 }
 
 // placeResult holds the chosen endpoint, or the refusal if none is eligible.
@@ -42,12 +44,6 @@
 	reply chan placeResult
 }
 
-// endedTry notifies the placer's goroutine that a try has ended.
-type endedTry struct {
-	endpoint ident.Endpoint
-	query    placement.Query
-}
-
 // pollResult is the outcome of one load report call.
 type pollResult struct {
 	claim  Claim
@@ -75,7 +71,7 @@
 	set           *resource.Set
 	claims        []Claim
 	placeRequests chan placeRequest
-	endedTries    chan endedTry
+	endedTries    chan placement.Try
 	pollResults   chan pollResult
 	stopped       chan struct{}
 	// policy is the one applied to the table; weights holds the table's weights for the metrics.
@@ -89,7 +85,7 @@
 		table:         placement.New(placement.WithRandom(newRandom())),
 		endpoints:     make(map[ident.Endpoint]*endpointState),
 		placeRequests: make(chan placeRequest, placerChannelCapacity),
-		endedTries:    make(chan endedTry, placerChannelCapacity),
+		endedTries:    make(chan placement.Try, placerChannelCapacity),
 		pollResults:   make(chan pollResult, placerChannelCapacity),
 		stopped:       make(chan struct{}),
 	}
@@ -108,8 +104,8 @@
 			c.refresh()
 		case request := <-c.placeRequests:
 			request.reply <- c.choose(request.query)
-		case ended := <-c.endedTries:
-			c.table.Done(c.entry.clock.Now(), ended.endpoint, ended.query)
+		case try := <-c.endedTries:
+			c.table.Done(c.entry.clock.Now(), try)
 		case result := <-c.pollResults:
 			c.handlePollResult(result)
 		}
@@ -128,9 +124,8 @@
 	if !ok {
 		return placeResult{refusal: &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: time.Second}}
 	}
-	c.table.Sent(now, name, q)
 	state := c.endpoints[name]
-	return placeResult{target: target{endpoint: name, incarnation: state.claim.Incarnation, address: state.claim.Address}}
+	return placeResult{target: target{endpoint: name, incarnation: state.claim.Incarnation, address: state.claim.Address, try: c.table.Sent(now, name, q)}}
 }
 
 // chooseUnconfirmed chooses among the endpoints whose agents have missed one report call, which are used only if no other endpoint is left:
@@ -286,9 +281,9 @@
 }
 
 // notifyTryEnd notifies the goroutine of run that a try has ended.
-func (c *placer) notifyTryEnd(ended endedTry) {
+func (c *placer) notifyTryEnd(try placement.Try) {
 	select {
-	case c.endedTries <- ended:
+	case c.endedTries <- try:
 	case <-c.stopped:
 	}
 }
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -125,7 +125,7 @@
 	}
 	f.log.Info("endpoint chosen", x.id(), slog.String("Endpoint", string(e.ID)), slog.String("BaseVersion", string(e.baseModel(now).Version)), slog.Int64("CostMilli", int64(cost)),
 		slog.Int64("Configuration", x.configuration), slog.String("Adapter", x.adapter.String()), slog.Bool("Held", x.adapter.IsZero() || e.holds(now, x.adapter)),
-		slog.Uint64("PromptTokens", uint64(x.promptTokens)), slog.Int64("StateAgeMilli", age), slog.Int("Running", running), slog.Int("Own", e.running),
+		slog.Uint64("PromptTokens", uint64(x.try.PromptTokens)), slog.Int64("StateAgeMilli", age), slog.Int("Running", running), slog.Int("Own", e.running),
 		slog.Bool("Source", x.source != nil))
 }
 
@@ -185,7 +185,7 @@
 	if source, ok := f.placement.Source(now, e.ID, q); ok {
 		x.source = f.endpoints[source]
 	}
-	x.promptTokens = f.placement.Sent(now, e.ID, q)
+	x.try = f.placement.Sent(now, e.ID, q)
 	e.running++
 	if q.Service != "" {
 		return
@@ -197,7 +197,7 @@
 		e.uses[x.adapter] = u
 	}
 	u.Started++
-	u.Prompt += x.promptTokens
+	u.Prompt += x.try.PromptTokens
 	u.Running++
 }
 
@@ -207,7 +207,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if q.Service == "" {
-		f.placement.RecordPromptRead(e.ID, x.promptTokens)
+		f.placement.RecordPromptRead(x.try)
 	}
 	if started {
 		return
@@ -217,7 +217,7 @@
 
 // removeRunning removes a request from the running ones of an endpoint; the lock is held.
 func (f *Frontend) removeRunning(x *request, e *endpoint, q placement.Query) {
-	f.placement.Done(f.clock.Now(), e.ID, q)
+	f.placement.Done(f.clock.Now(), x.try)
 	e.running--
 	if u := e.uses[x.adapter]; u != nil {
 		u.Running--
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -17,6 +17,7 @@
 	"shallotring.dev/state/call"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
+	"shallotring.dev/state/placement"
 	"shallotring.dev/state/routing"
 	"shallotring.dev/transport/server"
 )
@@ -65,8 +66,8 @@
 	hasBody       bool
 	// excluded lists the endpoints that refused the request, failed or did not load its adapter.
 	excluded []ident.Endpoint
-	// promptTokens is the estimated number of prompt tokens that the current endpoint has to process, without a cached prefix.
-	promptTokens ident.Tokens
+	// try is the request at the current endpoint in the placement's counts.
+	try placement.Try
 	// source is the engine that is expected to have cached the prompt prefix, from which the endpoint may fetch it; nil if there is none.
 	source *endpoint
 	// sends counts the sends to endpoints, and runs those of them in which the request may have run.
--- a/soak/fleet/entry.go
+++ b/soak/fleet/entry.go
@@ -197,17 +197,16 @@
 }
 
 // choose selects the endpoint for a try.
-func (e *entry) choose(q placement.Query) (c claimRecord, refusal *outcome.Refusal) {
+func (e *entry) choose(q placement.Query) (c claimRecord, try placement.Try, refusal *outcome.Refusal) {
 	if len(q.Exclude) > 0 || len(e.endpointStates) == 0 {
 		e.syncTable()
 	}
 	now := e.clock().Now()
 	name, ok := e.table.Choose(now, q)
 	if !ok {
-		return c, &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: time.Second}
+		return c, try, &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: time.Second}
 	}
-	e.table.Sent(now, name, q)
-	return e.endpointStates[name].claimRecord, nil
+	return e.endpointStates[name].claimRecord, e.table.Sent(now, name, q), nil
 }
 
 // grantPermits grants load permits. An entry that becomes the holder of the load budget first waits until the permits of the
--- a/soak/fleet/exchange.go
+++ b/soak/fleet/exchange.go
@@ -34,6 +34,7 @@
 	stream             *stream
 	target             claimRecord
 	placed             bool
+	try                placement.Try
 	query              placement.Query
 	rewrittenFrames    uint64
 	rewrittenData      []byte
@@ -125,12 +126,12 @@
 func (x *exchange) place(c attempt.Command) {
 	x.endTry()
 	x.query.Exclude = c.Exclude
-	target, refusal := x.entry.choose(x.query)
+	target, try, refusal := x.entry.choose(x.query)
 	if refusal != nil {
 		x.post(attempt.Event{Kind: attempt.NotPlaced, Refusal: refusal})
 		return
 	}
-	x.target, x.placed = target, true
+	x.target, x.try, x.placed = target, try, true
 	x.post(attempt.Event{Kind: attempt.Placed, Endpoint: target.endpoint, Incarnation: target.incarnation})
 }
 
@@ -262,7 +263,7 @@
 	x.closeStream()
 	if x.placed {
 		x.placed = false
-		x.entry.table.Done(x.entry.clock().Now(), x.target.endpoint, x.query)
+		x.entry.table.Done(x.entry.clock().Now(), x.try)
 	}
 }
 
--- a/state/placement/bench_test.go
+++ b/state/placement/bench_test.go
@@ -69,8 +69,7 @@
 		for b.Loop() {
 			q := queries[i%len(queries)]
 			name, _ := t.Choose(at(11), q)
-			t.Sent(at(11), name, q)
-			t.Done(at(11), name, q)
+			t.Done(at(11), t.Sent(at(11), name, q))
 			i += 7919 // a prime, so that the queries come in no regular order
 		}
 	})
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -256,26 +256,34 @@
 	t.pools[poolKeyOf(e.Report)].remove(e)
 }
 
-// Sent records a try that was dispatched after the latest report; it returns the prompt tokens that the endpoint is expected to
-// read for it.
-func (t *Table) Sent(now time.Time, name ident.Endpoint, q Query) (promptTokens ident.Tokens) {
+// Try is one request that was sent to an endpoint.
+type Try struct {
+	// PromptTokens is the number of prompt tokens that the endpoint is expected to read for the request.
+	PromptTokens ident.Tokens
+	// endpoint is the incarnation to which the request was sent; nil if it was not in the table.
+	endpoint *endpoint
+}
+
+// Sent records a try that was dispatched after the latest report.
+func (t *Table) Sent(now time.Time, name ident.Endpoint, q Query) (try Try) {
 	seconds := t.seconds(now)
 	t.meter.recordStart(seconds)
 	e, ok := t.endpoints[name]
 	if !ok {
-		return 0
+		return try
 	}
+	try.endpoint = e
 	e.recordChange(seconds, 1)
 	if q.Adapter.IsZero() {
 		if q.Service == "" {
-			promptTokens = t.recordPrompt(seconds, e, baseModelHash, q)
+			try.PromptTokens = t.recordPrompt(seconds, e, baseModelHash, q)
 			e.addPrefix(seconds, prefixKey(baseModelHash, q.Prefix))
 		}
-		return promptTokens
+		return try
 	}
 	a := t.ensureAdapter(seconds, q.Adapter)
 	t.recordDemand(seconds, a, e)
-	promptTokens = t.recordPrompt(seconds, e, a.hash, q)
+	try.PromptTokens = t.recordPrompt(seconds, e, a.hash, q)
 	e.addPrefix(seconds, prefixKey(a.hash, q.Prefix))
 	if e.holdingOf(a) == nil {
 		ready := seconds + t.loadDelayAt(e, t.totalRate(seconds, a))/1000
@@ -283,7 +291,7 @@
 		e.holdingOf(a).unreported = true
 		t.updateLoadCount(e)
 	}
-	return promptTokens
+	return try
 }
 
 // minPromptStep is the smallest fraction of the difference by which the mean prompt length moves towards that of a request.
@@ -305,18 +313,18 @@
 
 // RecordPromptRead records that the first chunk of a response has arrived or that the try has finished: its prompt no longer
 // has to be read.
-func (t *Table) RecordPromptRead(name ident.Endpoint, promptTokens ident.Tokens) {
-	if e, ok := t.endpoints[name]; ok {
+func (t *Table) RecordPromptRead(try Try) {
+	if e := try.endpoint; e != nil {
 		e.ownStarting = max(e.ownStarting-1, 0)
-		e.ownPromptTokens -= min(promptTokens, e.ownPromptTokens)
+		e.ownPromptTokens -= min(try.PromptTokens, e.ownPromptTokens)
 	}
 }
 
 // Done records that a try has finished.
-func (t *Table) Done(now time.Time, name ident.Endpoint, _ Query) {
+func (t *Table) Done(now time.Time, try Try) {
 	seconds := t.seconds(now)
 	t.meter.recordEnd(seconds)
-	if e, ok := t.endpoints[name]; ok {
+	if e := try.endpoint; e != nil {
 		e.recordChange(seconds, -1)
 	}
 }
--- a/state/placement/zone_test.go
+++ b/state/placement/zone_test.go
@@ -67,14 +67,16 @@
 	}
 	q := Query{Service: "orders", Zone: "c", Bytes: 1700}
 	counts := make(map[ident.Endpoint]int)
+	var previous Try
 	for i := range 40 {
 		name, _ := table.Choose(at(10), q)
 		counts[name]++
-		table.Sent(at(10), name, q)
+		try := table.Sent(at(10), name, q)
 		if i%2 == 1 {
-			table.Done(at(10), name, q)
-			table.Done(at(10), name, q)
+			table.Done(at(10), previous)
+			table.Done(at(10), try)
 		}
+		previous = try
 	}
 	if counts["c"] != 40 {
 		t.Errorf("with one or two requests in progress they went to %v, want all in the zone", counts)
