frontend: what is known of an engine belongs to one incarnation

What callers saw: requests refused or sent elsewhere for up to some seconds after an engine had restarted under its id, because it counted as leaving or as asking for time; and, the other way round, an incarnation whose agent had announced that it leaves got requests again when discovery noticed the restart. Cause: the agent's state was taken for an endpoint by its id alone, although it names the start time as discovery does. The two notice a restart seconds apart, and in between holdings, announcements and cached prompts of one incarnation counted for the other. Change: a state counts only for the incarnation that it names; whichever notices the restart first begins a new incarnation, and entries of a former one are ignored while the agent's recent state names the current one. A start time of 0 is unknown and equal to any.

--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -48,6 +48,8 @@
 	pausedUntil time.Time
 	// superseded is set once a later incarnation uses the address.
 	superseded bool
+	// formerStarts are the start times of earlier incarnations with the same id, the latest last.
+	formerStarts []int64
 	// recentFailures and recentSends count requests with an exponential decay, which was applied last at decayedAt.
 	recentFailures float64
 	recentSends    float64
@@ -102,7 +104,8 @@
 	return d.IsEngine() || (t != nil && t.Services[d.Service].Engine != nil)
 }
 
-func (f *Frontend) removeEndpoint(e *endpoint, reason string) {
+// forgetEndpoint removes an endpoint and what is kept of it; its requests in progress continue.
+func (f *Frontend) forgetEndpoint(e *endpoint, reason string) {
 	f.log.Info("endpoint removed", slog.String("Endpoint", string(e.ID)), slog.String("Reason", reason), slog.Int("Running", e.running))
 	delete(f.endpoints, e.ID)
 	f.placement.Remove(e.ID)
@@ -110,6 +113,16 @@
 	for av := range e.waits {
 		e.wake(av)
 	}
+}
+
+// removeEndpoint removes an endpoint, and the link to its agent if no other endpoint uses it.
+func (f *Frontend) removeEndpoint(e *endpoint, reason string) {
+	f.forgetEndpoint(e, reason)
+	f.releaseLink(e)
+}
+
+// releaseLink stops the link to the agent of a removed endpoint unless another endpoint uses it.
+func (f *Frontend) releaseLink(e *endpoint) {
 	if e.link == nil {
 		return
 	}
@@ -131,7 +144,7 @@
 
 // agentState returns the agent's state of this incarnation of the engine, or nil if there is no recent one.
 func (e *endpoint) agentState(now time.Time) *control.State {
-	if e.link == nil || e.link.state == nil || now.Sub(e.link.stateAt) > stateExpiry || e.link.state.Endpoint != e.ID {
+	if e.link == nil || e.link.state == nil || now.Sub(e.link.stateAt) > stateExpiry || e.link.state.Endpoint != e.ID || !e.startedAt(e.link.state.Born) {
 		return nil
 	}
 	return e.link.state
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -188,9 +189,18 @@
 // updateEndpoint is UpdateEndpoint with the lock held.
 func (f *Frontend) updateEndpoint(d inventory.Endpoint) {
 	e := f.endpoints[d.ID]
-	if e != nil && (e.StartMilli != d.StartMilli || e.Address != d.Address || e.Service != d.Service) {
-		f.removeEndpoint(e, "restarted")
+	if e != nil && slices.Contains(e.formerStarts, d.StartMilli) && e.agentState(f.clock.Now()) != nil {
+		// Discovery is behind the agent, whose recent state names the current incarnation.
+		f.log.Info("discovery entry of a former incarnation is ignored", slog.String("Endpoint", string(d.ID)), slog.Int64("Born", d.StartMilli),
+			slog.Int64("Current", e.StartMilli), slog.Bool("Leaving", d.Leaving))
+		return
+	}
+	switch {
+	case e != nil && (e.Address != d.Address || e.Service != d.Service):
+		f.removeEndpoint(e, "moved")
 		e = nil
+	case e != nil && e.StartMilli != d.StartMilli:
+		e = f.replaceEndpoint(e, d)
 	}
 	if e == nil {
 		e = f.addEndpoint(d)
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -145,8 +145,13 @@
 func (f *Frontend) handleState(l *agentLink, s control.State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	startChanged := l.state == nil || l.state.Endpoint != s.Endpoint || l.state.Born != s.Born
 	l.state, l.stateAt = &s, f.clock.Now()
-	if e := f.endpoints[s.Endpoint]; e != nil && e.link == l {
+	e := f.endpoints[s.Endpoint]
+	if e != nil && e.link == l && startChanged && !e.startedAt(s.Born) {
+		e = f.replaceEndpoint(e, restarted(e.Endpoint, s.Born))
+	}
+	if e != nil && e.link == l && e.startedAt(s.Born) {
 		if s.Leaving {
 			f.markLeaving(e, "agent")
 		}
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -212,11 +212,11 @@
 	if started {
 		return
 	}
-	f.removeRunning(x, e, q)
+	f.removeRunning(x, e)
 }
 
 // removeRunning removes a request from the running ones of an endpoint; the lock is held.
-func (f *Frontend) removeRunning(x *request, e *endpoint, q placement.Query) {
+func (f *Frontend) removeRunning(x *request, e *endpoint) {
 	f.placement.Done(f.clock.Now(), x.try)
 	e.running--
 	if u := e.uses[x.adapter]; u != nil {
--- a/daemon/frontend/response.go
+++ b/daemon/frontend/response.go
@@ -101,7 +101,7 @@
 	timing := streamTiming{start: x.arrived, lastChunkAt: x.arrived}
 	defer func() {
 		f.mu.Lock()
-		f.removeRunning(x, e, f.placementQuery(x))
+		f.removeRunning(x, e)
 		f.mu.Unlock()
 	}()
 	control := http.NewResponseController(w)
