sidecar: an entry's report counts only for the incarnation that it is about

Cause: the agent clears its counts when the engine restarts, but a report of an entry that had not noticed the restart could follow. The entry drops its counts of the previous incarnation, so no later report corrected it. Change: reports name the start time of the incarnation, once on a connection while it stays the same; the agent ignores those about another one. Reports of entries of earlier releases count as before.

--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -269,7 +269,7 @@
 		for av, w := range e.waits {
 			report.Wants = append(report.Wants, holdings.Demand{Adapter: av, Waiting: w.requests})
 		}
-		e.link.enqueueReport(report, now)
+		e.enqueueReport(report, now)
 	}
 	f.mu.Unlock()
 }
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -59,8 +59,10 @@
 	}
 }
 
-// enqueueReport queues a usage report if it has content or is due; the lock is held.
-func (l *agentLink) enqueueReport(report control.UsageReport, now time.Time) {
+// enqueueReport queues a usage report about the endpoint if it has content or is due; the lock is held.
+func (e *endpoint) enqueueReport(report control.UsageReport, now time.Time) {
+	l := e.link
+	report.Born = e.StartMilli
 	if len(report.Uses) == 0 && len(report.Wants) == 0 && now.Sub(l.reportedAt) < maxReportInterval {
 		return
 	}
@@ -112,11 +114,17 @@
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
+		sentStart := int64(0)
 		for {
 			select {
 			case <-done:
 				return
 			case report := <-l.reports:
+				if report.Born == sentStart {
+					report.Born = 0
+				} else {
+					sentStart = report.Born
+				}
 				if conn.Send(report) != nil {
 					conn.Close()
 					return
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		w := e.addWaiting(x.adapter)
-		e.link.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter, Waiting: w.requests}}}, now)
+		e.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter, Waiting: w.requests}}}, now)
 		f.mu.Unlock()
 		if f.waitForLoad(ctx, x, e, w, now) {
 			return e, nil
@@ -112,7 +112,7 @@
 		return
 	}
 	// The agent drops the demand when the adapter is resident, or after some seconds.
-	e.link.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter, Waiting: 1}}}, now)
+	e.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter, Waiting: 1}}}, now)
 	f.metrics.prefetches.Inc()
 	f.log.Info("adapter requested ahead", x.id(), slog.String("Adapter", x.adapter.String()), slog.String("Endpoint", string(name)))
 }
@@ -152,7 +152,7 @@
 	defer f.mu.Unlock()
 	if w.requests--; w.requests == 0 && e.waits[x.adapter] == w {
 		delete(e.waits, x.adapter)
-		e.link.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter}}}, now)
+		e.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter}}}, now)
 	}
 	loaded = ctx.Err() == nil && e.holds(now, x.adapter) && f.endpoints[e.ID] == e && !e.closed(now)
 	f.metrics.loadWaits.Update(now.Sub(start).Seconds())
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -100,6 +100,8 @@
 	host ident.Host
 	// states holds at most one state, the newest one that has not been sent yet.
 	states chan control.State
+	// reportedStart is the start time of the engine's incarnation that the entry's reports are about; only controlEngine uses it.
+	reportedStart int64
 }
 
 // Option changes how a sidecar is built.
@@ -293,6 +295,9 @@
 		s.keeper.RemoveEntry(now, e.link.host)
 		return false
 	}
+	if !s.aboutEngine(e.link, e.report) {
+		return false
+	}
 	for _, u := range e.report.Uses {
 		s.keeper.RecordUse(now, e.link.host, u)
 	}
@@ -302,6 +307,20 @@
 	return len(e.report.Wants) > 0
 }
 
+// aboutEngine reports whether an entry's report is about the current incarnation of the engine. A report of an entry that has not noticed a
+// restart yet does not count, since no later one would correct it.
+func (s *Sidecar) aboutEngine(x *entryLink, r control.UsageReport) bool {
+	if r.Born != 0 {
+		x.reportedStart = r.Born
+	}
+	current := x.reportedStart == 0 || s.startMilli == 0 || x.reportedStart == s.startMilli
+	if !current && r.Born != 0 {
+		s.log.Info("reports of the entry are about another incarnation of the engine; they do not count", slog.String("Entry", string(x.host)),
+			slog.Int64("Born", r.Born), slog.Int64("Current", s.startMilli))
+	}
+	return current
+}
+
 // pollAndOrder polls the engine and sends the orders that are due, with another poll after each; then it publishes the state.
 func (s *Sidecar) pollAndOrder(ctx context.Context) {
 	if configuration := s.configuration.Load(); configuration != nil {
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -27,6 +27,9 @@
 	Host ident.Host `json:",omitempty"`
 	// Deltas is set in the first message if the entry understands states that omit what is unchanged.
 	Deltas bool `json:",omitempty"`
+	// Born is the start time of the engine's incarnation that the report is about, as in State. It is set if it differs from that of the
+	// previous message on the connection; entries of earlier releases do not send it.
+	Born int64 `json:",omitempty"`
 	// Wants are the adapters for which the entry has waiting requests; Uses report the requests that it sent to the engine.
 	Wants []holdings.Demand `json:",omitempty"`
 	Uses  []holdings.Use    `json:",omitempty"`
