holdings: the prompt rate of an engine ends with its incarnation

What callers saw: nothing that a rule counts; entries took a restarted engine for one that reads prompts all the time, for about two seconds. Cause: the keeper cleared the uses of the previous incarnation but not its prompt rate. Evidence: TestPromptRateOfPreviousIncarnation reported a rate of 4500 after the restart before the change and passes now.

--- a/state/holdings/keeper.go
+++ b/state/holdings/keeper.go
@@ -105,6 +105,7 @@
 		// A new incarnation holds nothing, and the orders to the previous one no longer count.
 		k.report, k.endpoint = Report{}, endpoint
 		clear(k.uses)
+		k.promptTokens = 0
 	}
 	for _, av := range r.Resident {
 		if !slices.Contains(k.report.Resident, av) {
--- a/state/holdings/keeper_test.go
+++ b/state/holdings/keeper_test.go
@@ -198,3 +198,18 @@
 		}
 	}
 }
+
+// TestPromptRateOfPreviousIncarnation guards against entries that avoid a restarted engine for seconds because of the prompts that its
+// previous incarnation had to read. Same class as incident STALE.
+func TestPromptRateOfPreviousIncarnation(t *testing.T) {
+	k := New()
+	k.Observe(epoch, "i-1", Report{StartMilli: 1})
+	k.RecordUse(epoch, "entry-1", Use{Adapter: ident.AdapterVersion{Adapter: "m/a1", Version: "1"}, Started: 1, Prompt: 9000})
+	if rate := k.PromptRate(epoch); rate <= 0 {
+		t.Fatalf("prompt rate %v before the restart", rate)
+	}
+	k.Observe(epoch, "i-1", Report{StartMilli: 2})
+	if rate := k.PromptRate(epoch); rate != 0 {
+		t.Errorf("prompt rate %v after the restart, want 0", rate)
+	}
+}
