frontend: a request that waits for its adapter follows a newly declared version

What callers saw: a request could run on an older version of its adapter seconds after a newer one had been declared, because it named the version of its arrival and waited for that one to be loaded; retries kept it as well. Cause: the version was read once, at the arrival, and used at the send. Evidence: TestVersionDeclaredWhileWaiting did not end before the change (the request went on waiting for the previous version) and passes now.

--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -170,14 +170,6 @@
 	}
 }
 
-// DeclareVersion sets the version of an adapter that new requests use.
-func (f *Frontend) DeclareVersion(av ident.AdapterVersion) {
-	f.mu.Lock()
-	f.versions[av.Adapter] = av.Version
-	f.mu.Unlock()
-	f.log.Info("adapter version declared", slog.String("Adapter", string(av.Adapter)), slog.String("Version", string(av.Version)))
-}
-
 // UpdateEndpoint adds an endpoint or applies a change to it.
 func (f *Frontend) UpdateEndpoint(d inventory.Endpoint) {
 	f.mu.Lock()
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -57,6 +57,7 @@
 			return nil, &outcome.Refusal{Reason: outcome.Deadline, RetryAfter: unavailableRetryAfter, Detail: "too little time remains"}
 		}
 		f.mu.Lock()
+		f.setAdapterVersion(x)
 		q := f.placementQuery(x)
 		name, cost, ok := f.placement.Cheapest(now, q)
 		e = f.endpoints[name]
@@ -98,7 +99,9 @@
 		if ctx.Err() != nil {
 			return nil, &outcome.Refusal{Reason: outcome.Deadline, Detail: "adapter was not loaded in time"}
 		}
-		x.excluded = append(x.excluded, e.name)
+		if !f.isOutdated(x) {
+			x.excluded = append(x.excluded, e.name)
+		}
 	}
 	return nil, &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: unavailableRetryAfter, Detail: "no engine loaded the adapter in time"}
 }
@@ -154,7 +157,7 @@
 		delete(e.waits, x.adapter)
 		e.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter}}}, now)
 	}
-	loaded = ctx.Err() == nil && e.holds(now, x.adapter) && f.endpoints[e.ID] == e && !e.closed(now)
+	loaded = ctx.Err() == nil && x.adapter.Version == f.currentVersion(x.adapter.Adapter) && e.holds(now, x.adapter) && f.endpoints[e.ID] == e && !e.closed(now)
 	f.metrics.loadWaits.Update(now.Sub(start).Seconds())
 	f.log.Info("wait for the adapter ended", x.id(), slog.String("Adapter", x.adapter.String()), slog.String("Endpoint", string(e.ID)),
 		slog.Bool("Loaded", loaded), slog.Int64("DurationMilli", now.Sub(start).Milliseconds()))
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -151,9 +151,7 @@
 	}
 	f.mu.Lock()
 	x.service, ok = route.Pick(f.random.Float64())
-	if x.call.Adapter != "" {
-		x.adapter = ident.AdapterVersion{Adapter: x.call.Adapter, Version: f.currentVersion(x.call.Adapter)}
-	}
+	f.setAdapterVersion(x)
 	f.retryBudget(x.service).RecordFirstTry(now)
 	f.mu.Unlock()
 	if !ok {
@@ -178,16 +176,6 @@
 	return body, eris.Wrap(control.SetReadDeadline(time.Time{}), "reset the read deadline")
 }
 
-// defaultVersion is the version of an adapter for which no version has been declared.
-const defaultVersion = "1"
-
-func (f *Frontend) currentVersion(a ident.Adapter) ident.Version {
-	if v, ok := f.versions[a]; ok {
-		return v
-	}
-	return defaultVersion
-}
-
 // connectionHeaders lists the headers that apply to one connection only.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Proxy-Authorization", "Proxy-Authenticate",
