sidecar: a state is of the running engine, or says that it is stale

What callers saw: nothing yet; requests could be sent to an engine that had started again, and it could be named as the source of cached prompts, for as long as its identity could not be read (a poll at a time) or the engine had asked for time (up to a minute). Cause: the agent published the last report of the previous incarnation as up and current, since neither a failed read of the identity nor a pause without polls changed what it publishes, and entries measure the age of a state from its arrival. Change: an engine whose new identity is not known counts as down; a state whose report is over a second old says so, and entries let the previous one expire. Evidence: TestStateIsOfTheRunningEngine failed before in three of six cases and passes now; TestStaleStateExpires is new with the field.

--- a/daemon/frontend/incarnation_test.go
+++ b/daemon/frontend/incarnation_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/coder/quartz"
+
 	"shallotring.dev/platform/message"
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/call"
@@ -104,3 +106,23 @@
 		})
 	}
 }
+
+// TestStaleStateExpires guards against an entry that takes an old report of an engine for current because its agent still sends it.
+func TestStaleStateExpires(t *testing.T) {
+	clock := quartz.NewMock(t)
+	f := New(message.Headers{}, "edge-1", "a", WithClock(clock))
+	f.Configure(testRoutes)
+	f.UpdateEndpoint(inventory.Endpoint{ID: "i-0", Service: "llm", Address: "192.0.2.1:80", Zone: "a", BatchSize: 64, StartMilli: 1})
+	l := newLink(f, "192.0.2.1:81")
+	f.endpoints["i-0"].link = l
+	state := control.State{Endpoint: "i-0", Born: 1, Up: true, Holdings: &control.Holdings{}}
+	f.handleState(l, state)
+	state.Stale = true
+	for passed := time.Duration(0); passed <= 2*stateExpiry; passed += stateExpiry / 4 {
+		if current := f.endpoints["i-0"].agentState(clock.Now()) != nil; current != (passed <= stateExpiry) {
+			t.Errorf("%v after the last report the state is current: %t", passed, current)
+		}
+		clock.Advance(stateExpiry / 4)
+		f.handleState(l, state)
+	}
+}
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -153,6 +153,10 @@
 func (f *Frontend) handleState(l *agentLink, s control.State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if s.Stale {
+		// The previous state expires, and discovery counts then.
+		return
+	}
 	startChanged := l.state == nil || l.state.Endpoint != s.Endpoint || l.state.Born != s.Born
 	l.state, l.stateAt = &s, f.clock.Now()
 	e := f.endpoints[s.Endpoint]
--- a/daemon/sidecar/incarnation_test.go
+++ b/daemon/sidecar/incarnation_test.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/coder/quartz"
+	"github.com/rotisserie/eris"
 
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/holdings"
@@ -45,3 +47,66 @@
 		})
 	}
 }
+
+// scriptedEngine is an engine whose next answers are set by a test.
+type scriptedEngine struct {
+	fakeEngine
+	report      holdings.Report
+	reportError error
+	id          ident.Endpoint
+	idError     error
+}
+
+func (e *scriptedEngine) Report(context.Context) (r holdings.Report, err error) {
+	return e.report, e.reportError
+}
+
+func (e *scriptedEngine) Identity(context.Context) (id ident.Endpoint, err error) {
+	return e.id, e.idError
+}
+
+// TestStateIsOfTheRunningEngine guards against a state that shows a previous incarnation of the engine, or an old report, as up and current:
+// entries would send requests there and name it as the source of cached prompts. Same class as incident STALE.
+func TestStateIsOfTheRunningEngine(t *testing.T) {
+	adapter := ident.AdapterVersion{Adapter: "m/a1", Version: "1"}
+	models := []ident.ModelVersion{{Model: "m", Version: "1"}}
+	for _, c := range []struct {
+		name string
+		// change happens after the first incarnation has been published; then the time passes in steps of the poll interval.
+		change         func(e *scriptedEngine)
+		passed         time.Duration
+		wantUp, wantOn bool
+	}{
+		{name: "running", change: func(*scriptedEngine) {}, passed: 5 * time.Second, wantUp: true, wantOn: true},
+		{name: "restarted, identity not known", change: func(e *scriptedEngine) {
+			e.report, e.idError = holdings.Report{StartMilli: 2}, eris.New("status 503")
+		}, passed: 300 * time.Millisecond, wantOn: true},
+		{name: "does not respond", change: func(e *scriptedEngine) { e.reportError = eris.New("connection refused") }, passed: 5 * time.Second, wantOn: true},
+		{name: "asks for time", change: func(e *scriptedEngine) {
+			e.reportError = &holdings.BusyError{RetryAfter: 30 * time.Second}
+		}, passed: 300 * time.Millisecond, wantUp: true, wantOn: true},
+		{name: "asks for a long time", change: func(e *scriptedEngine) {
+			e.reportError = &holdings.BusyError{RetryAfter: 30 * time.Second}
+		}, passed: 5 * time.Second, wantUp: true},
+		{name: "asks for time and restarts", change: func(e *scriptedEngine) {
+			e.reportError, e.report, e.id = &holdings.BusyError{RetryAfter: 30 * time.Second}, holdings.Report{StartMilli: 2}, "i-2"
+		}, passed: 5 * time.Second, wantUp: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			clock := quartz.NewMock(t)
+			e := &scriptedEngine{id: "i-1", report: holdings.Report{StartMilli: 1, Models: models, Resident: []ident.AdapterVersion{adapter}}}
+			s := New(e, nil, WithClock(clock))
+			s.Configure("m", 2)
+			s.pollAndOrder(t.Context())
+			c.change(e)
+			for range c.passed / pollInterval {
+				clock.Advance(pollInterval)
+				s.pollAndOrder(t.Context())
+			}
+			if s.published.Up != c.wantUp || s.published.Stale == c.wantOn {
+				t.Errorf("published state %+v after %v, want up: %t, current: %t", s.published, c.passed, c.wantUp, c.wantOn)
+			}
+		})
+	}
+}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -32,6 +32,8 @@
 	entrySilenceTimeout = 2500 * time.Millisecond
 	// maxFailedPolls is the number of consecutive failed polls after which the engine counts as down.
 	maxFailedPolls = 2
+	// maxReportAge is the age of the engine's last report from which the state counts as stale.
+	maxReportAge = time.Second
 	// claimRetryDelay is the delay before another request for a fencing number.
 	claimRetryDelay = 250 * time.Millisecond
 	// maxQueuedEvents bounds the events that wait for controlEngine; when the queue is full, the connections of entries wait.
@@ -65,6 +67,10 @@
 	endpoint    ident.Endpoint
 	startMilli  int64
 	failedPolls int
+	// reportedAt is the time of the engine's last report.
+	reportedAt time.Time
+	// unidentified is set while the engine has started again and its new identity is not known.
+	unidentified bool
 	// pausedUntil is the time until which the engine has asked for no calls.
 	pausedUntil time.Time
 	links       map[*entryLink]bool
@@ -356,10 +362,10 @@
 	if s.failedPolls >= maxFailedPolls {
 		s.log.Info("engine responds again", slog.String("Endpoint", string(s.endpoint)), slog.Int64("Born", r.StartMilli))
 	}
-	s.failedPolls = 0
+	s.failedPolls, s.reportedAt = 0, now
 	if r.StartMilli != s.startMilli || s.endpoint == "" {
 		id, err := s.engine.Identity(ctx)
-		if err != nil {
+		if s.unidentified = err != nil; s.unidentified {
 			s.log.Warn("engine did not report its identity; its state is not updated", slog.Int64("Born", r.StartMilli), slog.Any("Error", err))
 			return false
 		}
@@ -424,8 +430,9 @@
 func (s *Sidecar) publish() {
 	now := s.clock.Now()
 	r := s.keeper.Report()
+	up := s.failedPolls < maxFailedPolls && s.endpoint != "" && !s.unidentified
 	state := control.State{
-		Endpoint: s.endpoint, Born: s.startMilli, Up: s.failedPolls < maxFailedPolls && s.endpoint != "", Leaving: r.Leaving, Running: r.Running, Queued: r.Queued,
+		Endpoint: s.endpoint, Born: s.startMilli, Up: up, Stale: up && now.Sub(s.reportedAt) > maxReportAge, Leaving: r.Leaving, Running: r.Running, Queued: r.Queued,
 		Starting: r.Starting, PromptRate: int(s.keeper.PromptRate(now)), Pinned: s.keeper.Pinned(now), Entries: s.entryCount(),
 		Holdings: control.NewHoldings(r.Models, r.Resident, r.Loading),
 	}
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -41,7 +41,9 @@
 	// Born is the start time of the engine's incarnation in Unix milliseconds.
 	Born int64 `json:",omitempty"`
 	// Up is false if the engine does not respond to its agent.
-	Up       bool `json:",omitempty"`
+	Up bool `json:",omitempty"`
+	// Stale is set if the agent has not read the engine's report for a while, since the engine wants no calls; the rest is as of then.
+	Stale    bool `json:",omitempty"`
 	Leaving  bool `json:",omitempty"`
 	Running  int  `json:",omitempty"`
 	Queued   int  `json:",omitempty"`
