frontend: what is known of an incarnation outlives its discovery entry

What callers saw: nothing yet; after an outage of the store in which entries expired, or after a late entry of an earlier incarnation, an incarnation that had announced that it leaves could get requests again; an entry that a restored store listed from before the removed incarnation counted at once; a late refusal by a removed instance put it back, or closed the next incarnation, until the next update. Cause: the mark was kept in the object that goes with the discovery entry, the start times were compared for equality only, and an object that had been replaced could still write to the placement. Change: marks of forgotten incarnations are kept by id and start time for five minutes; a restored entry must be later than the removed one; only the current object of an endpoint writes to the placement.

--- a/daemon/frontend/announcement.go
+++ b/daemon/frontend/announcement.go
@@ -33,9 +33,7 @@
 		f.log.Warn("endpoint wants no requests for a time", slog.String("Endpoint", string(e.name)), slog.Int64("RetryAfterMilli", info.RetryAfter.Milliseconds()),
 			slog.Int64("DurationMilli", e.pausedUntil.Sub(now).Milliseconds()))
 	}
-	if f.endpoints[e.ID] == e {
-		f.updatePlacement(e)
-	}
+	f.updatePlacement(e)
 }
 
 // markLeaving marks an endpoint as leaving for the rest of its incarnation; source names what announced it. The lock is held.
--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -64,6 +64,7 @@
 }
 
 func (f *Frontend) addEndpoint(d inventory.Endpoint) *endpoint {
+	d.Leaving = d.Leaving || f.departures.wasLeaving(d)
 	e := &endpoint{
 		Endpoint: d, name: d.ID, uses: make(map[ident.AdapterVersion]*holdings.Use), waits: make(map[ident.AdapterVersion]*loadWait),
 		pool: upstream.New(d.Address, upstream.WithClock(f.clock), upstream.WithLimit(f.connectionLimit(d.Service))),
@@ -107,6 +108,9 @@
 // forgetEndpoint removes an endpoint and what is kept of it; its requests in progress continue.
 func (f *Frontend) forgetEndpoint(e *endpoint, reason string) {
 	f.log.Info("endpoint removed", slog.String("Endpoint", string(e.ID)), slog.String("Reason", reason), slog.Int("Running", e.running))
+	if e.Leaving {
+		f.departures.recordLeaving(f.clock.Now(), e.Endpoint)
+	}
 	delete(f.endpoints, e.ID)
 	f.placement.Remove(e.ID)
 	e.pool.Close()
@@ -175,8 +179,12 @@
 	return m
 }
 
-// updatePlacement passes the current state of an endpoint to the placement and wakes the requests whose wait is over.
+// updatePlacement passes the current state of an endpoint to the placement and wakes the requests whose wait is over. Nothing is passed for
+// an endpoint that has been removed or replaced by its next incarnation.
 func (f *Frontend) updatePlacement(e *endpoint) {
+	if f.endpoints[e.ID] != e {
+		return
+	}
 	now := f.clock.Now()
 	report := placement.Report{
 		Endpoint: e.ID, Service: e.Service, Zone: e.Zone, Kind: resource.Service, BatchSize: e.BatchSize, Running: e.running,
@@ -239,7 +247,7 @@
 		e.suspendedUntil = now.Add(suspensionDuration)
 		f.log.Warn("endpoint unreachable; it gets no requests while it is suspended", slog.String("Endpoint", string(e.ID)), slog.Int64("DurationMilli", suspensionDuration.Milliseconds()))
 	}
-	if (failed || unreachable) && f.endpoints[e.ID] == e {
+	if failed || unreachable {
 		f.updatePlacement(e)
 	}
 }
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -225,7 +225,7 @@
 	if u := e.uses[x.adapter]; u != nil {
 		u.Running--
 	}
-	if e.link == nil && f.endpoints[e.ID] == e {
+	if e.link == nil {
 		f.updatePlacement(e)
 	}
 }
--- a/daemon/frontend/restore.go
+++ b/daemon/frontend/restore.go
@@ -18,9 +18,12 @@
 	departureMemory = 5 * time.Minute
 )
 
-// departures remembers the endpoints that have been removed, since a restored store may list them again. The frontend's lock guards it.
+// departures remembers the endpoints that have been removed, since a restored store may list them again, and those that have announced that
+// they leave, since discovery may lose their entries and list them again. The frontend's lock guards it.
 type departures struct {
 	removed map[ident.Endpoint]departure
+	// leaving has the incarnations that were forgotten after they had announced that they leave, with the time at which that was.
+	leaving map[incarnation]time.Time
 	// contradicting has the entries of a restored store that contradict what was known, with the time from which they count.
 	contradicting map[ident.Endpoint]contradiction
 }
@@ -30,13 +33,19 @@
 	at         time.Time
 }
 
+// incarnation identifies one incarnation of an endpoint.
+type incarnation struct {
+	id         ident.Endpoint
+	startMilli int64
+}
+
 type contradiction struct {
 	endpoint  inventory.Endpoint
 	countFrom time.Time
 }
 
 func newDepartures() departures {
-	return departures{removed: make(map[ident.Endpoint]departure), contradicting: make(map[ident.Endpoint]contradiction)}
+	return departures{removed: make(map[ident.Endpoint]departure), leaving: make(map[incarnation]time.Time), contradicting: make(map[ident.Endpoint]contradiction)}
 }
 
 // record remembers that an endpoint was removed and forgets those that were removed long ago.
@@ -49,6 +58,22 @@
 	d.removed[e.ID] = departure{startMilli: e.StartMilli, at: now}
 }
 
+// recordLeaving remembers that an incarnation had announced that it leaves and forgets those that did so long ago.
+func (d *departures) recordLeaving(now time.Time, e inventory.Endpoint) {
+	for x, at := range d.leaving {
+		if now.Sub(at) > departureMemory {
+			delete(d.leaving, x)
+		}
+	}
+	d.leaving[incarnation{e.ID, e.StartMilli}] = now
+}
+
+// wasLeaving reports whether an incarnation was forgotten after it had announced that it leaves.
+func (d *departures) wasLeaving(e inventory.Endpoint) bool {
+	_, ok := d.leaving[incarnation{e.ID, e.StartMilli}]
+	return ok
+}
+
 // cancel forgets the contradicting entry of an endpoint because a later change of the entry is known.
 func (d *departures) cancel(id ident.Endpoint) { delete(d.contradicting, id) }
 
@@ -90,7 +115,7 @@
 	now := f.clock.Now()
 	e := f.endpoints[d.ID]
 	x, removed := f.departures.removed[d.ID]
-	if (e == nil && removed && x.startMilli == d.StartMilli) || (e != nil && e.StartMilli != d.StartMilli) {
+	if (e == nil && removed && d.StartMilli <= x.startMilli) || (e != nil && e.StartMilli != d.StartMilli) {
 		f.departures.contradicting[d.ID] = contradiction{endpoint: d, countFrom: now.Add(restoredEntryDelay)}
 		f.log.Warn("restored discovery entry contradicts what is known; it does not count yet", slog.String("Endpoint", string(d.ID)), slog.Int64("Born", d.StartMilli),
 			slog.Bool("Removed", e == nil), slog.Int64("DelayMilli", restoredEntryDelay.Milliseconds()))
