sidecar, frontend: the uses of an adapter belong to one connection

Cause: the agent kept uses by the entry's host. An entry that connected again before the agent had noticed the loss kept the uses of its lost connection, whose last report never came; and an entry forgot a use once its report was formed, also if the queue was full. Change: a new connection of an entry replaces the earlier ones with all that they reported; a use is forgotten when its report is queued. Evidence: TestUsesOfLostConnection ('1 adapters in use a minute later, want 0' in two of five cases) and TestUsesAreReportedOnce failed before and pass now. TestUsesOfPreviousIncarnation opens its connection first now, as every entry does.

--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -267,21 +267,29 @@
 			f.updatePlacement(e)
 		}
 		var report control.UsageReport
-		for av, u := range e.uses {
+		for _, u := range e.uses {
 			report.Uses = append(report.Uses, *u)
-			u.Started, u.Prompt = 0, 0
-			if u.Running == 0 {
-				delete(e.uses, av)
-			}
 		}
 		for av, w := range e.waits {
 			report.Wants = append(report.Wants, holdings.Demand{Adapter: av, Waiting: w.requests})
 		}
-		e.enqueueReport(report, now)
+		if e.enqueueReport(report, now) {
+			e.resetUses()
+		}
 	}
 	f.mu.Unlock()
 }
 
+// resetUses begins the counts of the next usage report.
+func (e *endpoint) resetUses() {
+	for av, u := range e.uses {
+		u.Started, u.Prompt = 0, 0
+		if u.Running == 0 {
+			delete(e.uses, av)
+		}
+	}
+}
+
 // entryCount returns the number of entries, which is the highest count of connected entries that an agent reports.
 func (f *Frontend) entryCount(now time.Time) (n int) {
 	n = 1
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -21,8 +21,7 @@
 	agentSilenceTimeout = 1500 * time.Millisecond
 	// maxReportInterval is the longest time between two usage reports. They also show the agent that the entry is alive.
 	maxReportInterval = 700 * time.Millisecond
-	// maxQueuedReports bounds the usage reports that wait to be sent. Further ones are dropped, and the agent does not get the uses
-	// in them.
+	// maxQueuedReports bounds the usage reports that wait to be sent. Further ones are dropped, and the next one has their uses too.
 	maxQueuedReports = 64
 )
 
@@ -59,17 +58,19 @@
 	}
 }
 
-// enqueueReport queues a usage report about the endpoint if it has content or is due; the lock is held.
-func (e *endpoint) enqueueReport(report control.UsageReport, now time.Time) {
+// enqueueReport queues a usage report about the endpoint if it has content or is due, and reports whether it did; the lock is held.
+func (e *endpoint) enqueueReport(report control.UsageReport, now time.Time) (queued bool) {
 	l := e.link
 	report.Born = e.StartMilli
 	if len(report.Uses) == 0 && len(report.Wants) == 0 && now.Sub(l.reportedAt) < maxReportInterval {
-		return
+		return false
 	}
 	select {
 	case l.reports <- report:
 		l.reportedAt = now
+		return true
 	default:
+		return false
 	}
 }
 
--- a/daemon/frontend/load_test.go
+++ b/daemon/frontend/load_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"shallotring.dev/platform/message"
+	"shallotring.dev/protocol/control"
+	"shallotring.dev/state/holdings"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/placement"
 	"shallotring.dev/state/resource"
@@ -46,3 +48,30 @@
 		}
 	}
 }
+
+// TestUsesAreReportedOnce guards against adapter slots that stay occupied at an engine because the report of the last use was dropped.
+func TestUsesAreReportedOnce(t *testing.T) {
+	x := newSourceTrial(t)
+	x.observe(x.near, 1, "1", sourceAdapter)
+	e := x.endpoints["i-near"]
+	e.uses[sourceAdapter] = &holdings.Use{Adapter: sourceAdapter, Started: 1}
+	for range maxQueuedReports {
+		x.near.reports <- control.UsageReport{}
+	}
+	x.refreshEndpoints()
+	for range maxQueuedReports {
+		if r := <-x.near.reports; len(r.Uses) > 0 {
+			t.Fatal("the report was queued although the queue was full")
+		}
+	}
+	x.refreshEndpoints()
+	if r := <-x.near.reports; len(r.Uses) != 1 || r.Uses[0] != (holdings.Use{Adapter: sourceAdapter, Started: 1}) {
+		t.Errorf("uses %+v, want the one that could not be reported before", r.Uses)
+	}
+	x.refreshEndpoints()
+	select {
+	case r := <-x.near.reports:
+		t.Errorf("uses %+v are reported twice", r.Uses)
+	default:
+	}
+}
--- a/daemon/sidecar/incarnation_test.go
+++ b/daemon/sidecar/incarnation_test.go
@@ -38,6 +38,7 @@
 			s.keeper.Observe(clock.Now(), s.endpoint, report)
 			clock.Advance(time.Second)
 			link := &entryLink{host: "edge-1", states: make(chan control.State, 1)}
+			s.handleEvent(event{link: link, connected: true})
 			for _, born := range c.born {
 				s.handleEvent(event{link: link, report: control.UsageReport{Born: born, Uses: []holdings.Use{{Adapter: adapter, Running: 3}}}})
 			}
@@ -110,3 +111,51 @@
 		})
 	}
 }
+
+// TestUsesOfLostConnection guards against adapter slots that stay occupied because an entry connected again before the agent noticed that its
+// first connection was lost.
+func TestUsesOfLostConnection(t *testing.T) {
+	adapter := ident.AdapterVersion{Adapter: "m/a1", Version: "1"}
+	use := control.UsageReport{Uses: []holdings.Use{{Adapter: adapter, Running: 1}}}
+	for _, c := range []struct {
+		name       string
+		events     func(first, second *entryLink) []event
+		wantPinned int
+	}{
+		{name: "used on the only connection", events: func(first, _ *entryLink) []event {
+			return []event{{link: first, connected: true}, {link: first, report: use}}
+		}, wantPinned: 1},
+		{name: "connected again", events: func(first, second *entryLink) []event {
+			return []event{{link: first, connected: true}, {link: first, report: use}, {link: second, connected: true}, {link: first, disconnected: true}}
+		}},
+		{name: "late report of the first connection", events: func(first, second *entryLink) []event {
+			return []event{{link: first, connected: true}, {link: second, connected: true}, {link: first, report: use}, {link: first, disconnected: true}}
+		}},
+		{name: "used on the second connection", events: func(first, second *entryLink) []event {
+			return []event{{link: first, connected: true}, {link: first, report: use}, {link: second, connected: true}, {link: second, report: use}, {link: first, disconnected: true}}
+		}, wantPinned: 1},
+		{name: "both connections lost", events: func(first, second *entryLink) []event {
+			return []event{{link: first, connected: true}, {link: second, connected: true}, {link: second, report: use}, {link: first, disconnected: true}, {link: second, disconnected: true}}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			clock := quartz.NewMock(t)
+			e := &scriptedEngine{id: "i-1", report: holdings.Report{StartMilli: 1, Models: []ident.ModelVersion{{Model: "m", Version: "1"}}, Resident: []ident.AdapterVersion{adapter}}}
+			s := New(e, nil, WithClock(clock))
+			s.Configure("m", 2)
+			s.pollAndOrder(t.Context())
+			links := [2]*entryLink{}
+			for i := range links {
+				links[i] = &entryLink{host: "edge-1", states: make(chan control.State, 1)}
+			}
+			for _, x := range c.events(links[0], links[1]) {
+				s.handleEvent(x)
+			}
+			clock.Advance(time.Minute)
+			if n := s.keeper.Pinned(clock.Now()); n != c.wantPinned {
+				t.Errorf("%d adapters in use a minute later, want %d", n, c.wantPinned)
+			}
+		})
+	}
+}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -285,19 +285,19 @@
 	}
 	now := s.clock.Now()
 	if e.connected {
+		s.replaceLinks(now, e.link.host)
 		s.links[e.link] = true
 		s.log.Info("entry connected", slog.String("Entry", string(e.link.host)), slog.Int("Entries", len(s.links)))
 		if s.published.Holdings != nil {
 			e.link.enqueueState(s.published)
 		}
 	}
+	if !s.links[e.link] {
+		// The entry has connected again meanwhile.
+		return false
+	}
 	if e.disconnected {
 		delete(s.links, e.link)
-		for other := range s.links {
-			if other.host == e.link.host {
-				return false
-			}
-		}
 		s.keeper.RemoveEntry(now, e.link.host)
 		return false
 	}
@@ -313,6 +313,18 @@
 	return len(e.report.Wants) > 0
 }
 
+// replaceLinks forgets the earlier connections of an entry that connects again, with what they have reported: the entry reports all its uses
+// on the new one.
+func (s *Sidecar) replaceLinks(now time.Time, host ident.Host) {
+	for x := range s.links {
+		if x.host == host {
+			delete(s.links, x)
+			s.keeper.RemoveEntry(now, host)
+			s.log.Info("entry connected again; its earlier connection does not count", slog.String("Entry", string(host)))
+		}
+	}
+}
+
 // aboutEngine reports whether an entry's report is about the current incarnation of the engine. A report of an entry that has not noticed a
 // restart yet does not count, since no later one would correct it.
 func (s *Sidecar) aboutEngine(x *entryLink, r control.UsageReport) bool {
