sidecar: an engine's restart takes another fencing number

What callers saw: nothing yet; a load order without a response could be carried out by the next incarnation of an engine that restarted under its id, at a moment at which its slots are full, if the sequences were equal. Cause: the agent's fencing number belonged to its process, not to the incarnation of the engine, so orders to the previous and to the current incarnation could be equal in all that an engine checks. Change: the agent acquires another number when the engine has started again, and sends orders with the current one until it has it, so that a store that is away stops no order. One more write for each restart of an engine. Engines that ignore fencing numbers gain nothing. Evidence: TestRestartTakesFencingNumber failed before ('no other fencing number is acquired') and passes now. Whether late orders outlive a restart on the platform is not known.

--- a/daemon/sidecar/incarnation_test.go
+++ b/daemon/sidecar/incarnation_test.go
@@ -159,3 +159,40 @@
 		})
 	}
 }
+
+// TestRestartTakesFencingNumber guards against a late order to an engine's previous incarnation that counts for the next one, because it has the
+// same id, sequence and fencing number as the orders of now.
+func TestRestartTakesFencingNumber(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		restart holdings.Report
+		want    bool
+	}{
+		{name: "no restart", restart: holdings.Report{StartMilli: 1}},
+		{name: "restarted under its id", restart: holdings.Report{StartMilli: 2}, want: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			e := &scriptedEngine{id: "i-1", report: holdings.Report{StartMilli: 1}}
+			s := New(e, nil, WithClock(quartz.NewMock(t)))
+			s.Configure("m", 2)
+			s.handleEvent(event{fencingNumber: 7})
+			s.pollAndOrder(t.Context())
+			e.report = c.restart
+			s.pollAndOrder(t.Context())
+			if s.keeper.FencingNumber() != 7 {
+				t.Errorf("fencing number %d before the next one is acquired, want 7", s.keeper.FencingNumber())
+			}
+			select {
+			case <-s.reclaim:
+				if !c.want {
+					t.Error("another fencing number is acquired")
+				}
+			default:
+				if c.want {
+					t.Error("no other fencing number is acquired")
+				}
+			}
+		})
+	}
+}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -382,6 +382,10 @@
 			return false
 		}
 		s.log.Info("engine started", slog.String("Endpoint", string(id)), slog.Int64("Born", r.StartMilli), slog.String("Former", string(s.endpoint)))
+		if s.endpoint != "" {
+			// A late order to the previous incarnation may have the same id and sequence as one of now.
+			s.replaceFencingNumber()
+		}
 		s.endpoint, s.startMilli = id, r.StartMilli
 		clear(s.loadOrderedAt)
 	}
@@ -417,7 +421,7 @@
 	if result == holdings.Fenced {
 		// The engine has seen a higher number, so it refuses every order with this one.
 		s.keeper.SetFencingNumber(0)
-		s.reclaim <- struct{}{}
+		s.replaceFencingNumber()
 	}
 	if result == holdings.Accepted && !o.Unload && o.Model == "" {
 		s.loadOrderedAt[o.Adapter] = start
@@ -427,6 +431,14 @@
 		slog.Int64("DurationMilli", now.Sub(start).Milliseconds()), slog.Any("Error", err))
 }
 
+// replaceFencingNumber asks for another fencing number, unless that is under way; orders carry the current one until then.
+func (s *Sidecar) replaceFencingNumber() {
+	select {
+	case s.reclaim <- struct{}{}:
+	default:
+	}
+}
+
 // recordPause reports whether the engine has asked for time without calls, and stops the calls for that time.
 func (s *Sidecar) recordPause(now time.Time, err error) (paused bool) {
 	var busy *holdings.BusyError
