soak/live: a stale prompt is a violation, base models get new versions

Change: a run that uses a part of a prompt that other weights made is a violation of `stale prompt`, at any time. A planned change declares the next version of the base model, which engines load at their next start.

--- a/soak/live/caller.go
+++ b/soak/live/caller.go
@@ -27,7 +27,9 @@
 	// maxRequestPause limits the random pause between two requests of a caller.
 	maxRequestPause = 30 * time.Millisecond
 	// adapterCount exceeds the adapter slots of all engines of a small deployment.
-	adapterCount    = 40
+	adapterCount = 40
+	// popularCount is the number of adapters that are requested so often that several engines hold them at the same time.
+	popularCount    = 2
 	eventsPerStream = 8
 )
 
@@ -94,9 +96,13 @@
 	x.body = strings.Repeat("piece ", c.random.IntN(200))
 	switch n := c.random.IntN(10); {
 	case n < 5:
-		// Adapters with low numbers are requested more often.
+		// Adapters with low numbers are requested more often, and two by more than half of the calls.
 		x.kind, x.target, x.timeout = modelCall, "/g/complete", 5*time.Second
-		x.model = fmt.Sprintf("%s/a%d", modelName, 1+min(c.random.IntN(adapterCount), c.random.IntN(adapterCount)))
+		adapter := 1 + min(c.random.IntN(adapterCount), c.random.IntN(adapterCount))
+		if n < 3 {
+			adapter = 1 + c.random.IntN(popularCount)
+		}
+		x.model = fmt.Sprintf("%s/a%d", modelName, adapter)
 	case n < 7:
 		x.target = "/o/order?n=1"
 	case n < 9:
@@ -115,7 +121,7 @@
 	j.callSent(x)
 	request := standin.Call{
 		ID: x.id, Method: x.method, Target: x.target, Host: hostName, Body: x.body, Chunked: c.random.IntN(4) == 0, Timeout: x.timeout, Model: x.model,
-		Shared: standin.Part{ID: uint64(len(x.model)), Tokens: 1200}, Own: standin.Part{ID: uint64(c.count), Tokens: 400}, MaxOutputTokens: 80,
+		Shared: standin.Part{ID: sharedPart, Tokens: 1200}, Own: standin.Part{ID: partID(x.id), Tokens: 400}, MaxOutputTokens: 80,
 	}
 	if c.random.IntN(8) == 0 {
 		request.Source = "192.0.2.1:1"
--- a/soak/live/deployment.go
+++ b/soak/live/deployment.go
@@ -26,8 +26,10 @@
 	hostName     = "soak.example"
 	modelName    = "base"
 	adapterSlots = 4
-	loadTime     = 60 * time.Millisecond
-	gracePeriod  = 8 * time.Second
+	// batchSize is so small that the adapters that callers request most are loaded into several engines.
+	batchSize   = 8
+	loadTime    = 60 * time.Millisecond
+	gracePeriod = 8 * time.Second
 	// heartbeatInterval is the interval at which endpoints write their registrations to the store; the platform removes a
 	// registration after three missed ones.
 	heartbeatInterval = 1200 * time.Millisecond
@@ -152,7 +154,7 @@
 		standin.WithPace(eventsPerStream, 10*time.Millisecond),
 	}
 	if service == "llm" {
-		options = append(options, standin.WithModel(modelName, adapterSlots, loadTime))
+		options = append(options, standin.WithModel(modelName, adapterSlots, loadTime), standin.WithBatchSize(batchSize))
 	}
 	e.Engine = standin.NewEngine(d.store, name+"-1", service, hostPort(outer, endpointPort), "a", options...)
 	if e.callLink, err = d.openLink(hostPort(outer, endpointPort), e.listenAddress); err != nil {
--- a/soak/live/fault.go
+++ b/soak/live/fault.go
@@ -34,6 +34,7 @@
 		}
 	}},
 	{"version", true, 3, func(d *deployment, r *rand.Rand) { d.declareVersion(1 + r.IntN(adapterCount)) }},
+	{"base version", true, 3, func(d *deployment, _ *rand.Rand) { d.declareBaseVersion() }},
 	{"release", true, 3, func(d *deployment, r *rand.Rand) { d.replaceEndpoint(d.randomEndpoint(r), r, true) }},
 	{"unannounced release", false, 1, func(d *deployment, r *rand.Rand) { d.replaceEndpoint(d.randomEndpoint(r), r, false) }},
 	{"invalid registration", false, 1, func(d *deployment, r *rand.Rand) { d.writeInvalidRegistration(r) }},
@@ -320,7 +321,7 @@
 	for i := range routes {
 		routes[i].Host = hostName
 	}
-	d.store.Configure(version, routes, []standin.Service{{Name: "llm", Model: modelName, AdapterSlots: adapterSlots}, {Name: "plain-0"}, {Name: "plain-1"}})
+	d.store.Configure(version, routes, []standin.Service{{Name: "llm", Model: modelName, AdapterSlots: adapterSlots, BatchSize: batchSize}, {Name: "plain-0"}, {Name: "plain-1"}})
 	d.configurationVersion.Store(version)
 	confirmed()
 }
@@ -335,6 +336,15 @@
 	d.judge.versionConfirmed(name, version)
 }
 
+// declareBaseVersion writes the next version of the base model, which engines have after their next start.
+func (d *deployment) declareBaseVersion() {
+	d.operatorMu.Lock()
+	defer d.operatorMu.Unlock()
+	version := d.judge.nextVersion(modelName)
+	d.store.DeclareBase(modelName, int(version))
+	d.judge.versionConfirmed(modelName, version)
+}
+
 // injectFaults alternates phases with all kinds of faults and calm phases with planned ones only, until the duration has passed.
 // It ends with a calm phase, in which the system must recover.
 func (d *deployment) injectFaults(ctx context.Context, random *rand.Rand, duration time.Duration) (count int) {
--- a/soak/live/judge.go
+++ b/soak/live/judge.go
@@ -234,14 +234,14 @@
 	j.leavingSince[endpoint] = time.Now()
 }
 
-// nextVersion returns an unused version of an adapter. Every adapter starts with version 1.
+// nextVersion returns an unused version of an adapter or of the base model. Each starts with version 1.
 func (j *judge) nextVersion(adapter string) (version int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return int64(len(j.adapterVersions[adapter])) + 2
 }
 
-// versionConfirmed records that the store has confirmed a version of an adapter.
+// versionConfirmed records that the store has confirmed a version of an adapter or of the base model.
 func (j *judge) versionConfirmed(adapter string, version int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -313,6 +313,7 @@
 		return
 	}
 	c.runs = append(c.runs, a)
+	j.checkPrompt(c, a)
 	if len(c.runs) > 1 && c.kind != repeatableCall {
 		j.addViolationLocked("once", "%s", c)
 	}
--- a/soak/live/judge_test.go
+++ b/soak/live/judge_test.go
@@ -25,6 +25,12 @@
 	other.Body = "smuggled"
 	elsewhere := run
 	elsewhere.Service = "plain-1"
+	withPrompt := func(parts ...standin.Weights) standin.Arrival {
+		a := run
+		a.Service, a.Model, a.Version = "llm", "base/a1", "1"
+		a.Weights, a.PromptWeights = standin.Weights{Base: "2", Adapter: "1"}, parts
+		return a
+	}
 	refusal := response{status: http.StatusServiceUnavailable, complete: true, header: http.Header{"Retry-After": {"1"}}}
 	success := func(c *call) response {
 		a := response{status: http.StatusOK, complete: true, body: c.expectedBody(), header: http.Header{}}
@@ -97,6 +103,19 @@
 			j.observedConfigurations[processIncarnation{"edge-0", 1}] = timedVersion{2, c.sentAt.Add(-time.Second)}
 			j.onResponse(c, response{status: http.StatusNotFound, complete: true})
 		}, "configuration"},
+		{"prompt cached by the same weights", func(j *judge, c *call) {
+			c.kind, c.model = modelCall, "base/a1"
+			j.onArrival(nil, withPrompt(standin.Weights{Base: "2", Adapter: "1"}))
+		}, ""},
+		{"prompt cached by another base version", func(j *judge, c *call) {
+			c.kind, c.model = modelCall, "base/a1"
+			j.onArrival(nil, withPrompt(standin.Weights{Base: "2", Adapter: "1"}, standin.Weights{Base: "1", Adapter: "1"}))
+		}, "stale prompt"},
+		{"prompt cached by another adapter version during a fault", func(j *judge, c *call) {
+			j.beginFault()
+			c.kind, c.model = modelCall, "base/a1"
+			j.onArrival(nil, withPrompt(standin.Weights{Base: "2", Adapter: "2"}))
+		}, "stale prompt"},
 		{"stale adapter version", func(j *judge, c *call) {
 			c.kind, c.model = modelCall, "base/a1"
 			j.adapterVersions["a1"] = []timedVersion{{2, time.Now().Add(-6 * time.Second)}}
