mediatype: the types of responses compare without case, in one place

What callers saw: a stream of an engine that writes its type as Text/Event-Stream, or names it second, and that ended with its connection inside an event looked complete; so did JSON in the same way. In the product's own form such a stream needed no [DONE] event, its [DONE] event was delivered before the last frame was verified, and an error event was joined to an incomplete event of more than 64 KiB. Cause: four places compared the beginning of the first Content-Type header with a lower-case constant. Media types compare without case (RFC 9110, 8.3.1). Change: one comparison, protocol/mediatype, over all values. Several types, as several headers or as a list in one, are an error of the sender; the stricter reading holds: a response that any of its values calls an event stream is checked as one, else one that any calls JSON as JSON. JSON includes +json. Types that only begin like one (application/jsonl, application/json-seq) were checked as JSON, and complete responses of them that end with their connection got 502; they are not JSON. Headers are forwarded as before; the own form still forwards the first Content-Type only. No type of a caller's request decides how its body is read, apart from the generated twirp servers, which compare without case.

--- a/daemon/entry/load_test.go
+++ b/daemon/entry/load_test.go
@@ -305,17 +305,19 @@
 // one event with a part of the engine's text. Events up to 64 KiB are held back until they are complete.
 func TestErrorEventIsNotJoined(t *testing.T) {
 	for name, tt := range map[string]struct {
-		incomplete string
-		wantError  bool
+		contentType, incomplete string
+		wantError               bool
 	}{
-		"incomplete event held back": {"data: {", true},
-		"incomplete event delivered": {"data: {" + strings.Repeat("x", 65<<10), false},
+		"incomplete event held back":             {eventType, "data: {", true},
+		"incomplete event delivered":             {eventType, "data: {" + strings.Repeat("x", 65<<10), false},
+		"incomplete event held back, other case": {"Text/Event-Stream", "data: {", true},
+		"incomplete event delivered, other case": {"Text/Event-Stream", "data: {" + strings.Repeat("x", 65<<10), false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			agents := twoAgents(t)
 			agents[0].run = func(w *frame.Writer, r *wire.RunRequest, _ *http.Request) {
 				w.Accept()
-				w.Data(chunk(r, "part0 "), http.StatusOK, eventType)
+				w.Data(chunk(r, "part0 "), http.StatusOK, tt.contentType)
 				w.Data([]byte(tt.incomplete), 0, "")
 				panic(http.ErrAbortHandler)
 			}
--- a/daemon/entry/respond.go
+++ b/daemon/entry/respond.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shallotring.dev/protocol/eventstream"
+	"shallotring.dev/protocol/mediatype"
 	"shallotring.dev/protocol/openai"
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/attempt"
@@ -81,15 +82,12 @@
 		status = http.StatusBadGateway
 	}
 	x.response.started, x.response.status = true, status
-	x.response.isEventStream = len(contentType) >= len(eventStreamType) && contentType[:len(eventStreamType)] == eventStreamType
+	x.response.isEventStream = mediatype.EventStream.Of(contentType)
 	x.response.w.WriteHeader(status)
 }
 
-const (
-	eventStreamType = "text/event-stream"
-	// maxStatus is the largest status that net/http sends.
-	maxStatus = 999
-)
+// maxStatus is the largest status that net/http sends.
+const maxStatus = 999
 
 // finish completes the response and records the finished request.
 func (x *exchange) finish() {
--- a/daemon/frontend/response.go
+++ b/daemon/frontend/response.go
@@ -8,13 +8,13 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/protocol/eventstream"
+	"shallotring.dev/protocol/mediatype"
 	"shallotring.dev/protocol/upstream"
 )
 
@@ -176,7 +176,7 @@
 	if response.Status >= http.StatusMultipleChoices {
 		return false
 	}
-	return response.Framing == upstream.CloseFraming && strings.HasPrefix(response.Header.Get("Content-Type"), "application/json") && !json.Valid(body)
+	return response.Framing == upstream.CloseFraming && mediatype.JSON.Of(response.Header["Content-Type"]...) && !json.Valid(body)
 }
 
 // streamTiming measures a stream as the caller observes it: the time to the first chunk and the longest pause after it.
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/protocol/mediatype"
 	"shallotring.dev/protocol/upstream"
 	"shallotring.dev/state/call"
 	"shallotring.dev/state/ident"
@@ -374,7 +375,7 @@
 	notRunStatus := meansNotRun(response.Status)
 	f.log.Info("endpoint responded", x.id(), slog.String("Endpoint", string(e.name)), slog.Int("Status", response.Status),
 		slog.Bool("NotRun", info.NotRun), slog.Bool("Sealed", info.Sealed), slog.Bool("Broken", invalid), slog.Int("Send", x.sends), slog.String("Adapter", x.adapter.String()),
-		slog.String("Framing", string(response.Framing)), slog.String("ContentType", response.Header.Get("Content-Type")),
+		slog.String("Framing", string(response.Framing)), slog.String("ContentType", strings.Join(response.Header["Content-Type"], ", ")),
 		slog.Int64("DurationMilli", f.clock.Since(start).Milliseconds()))
 	switch {
 	case refused && (info.ID == "" || info.ID == x.call.ID):
@@ -402,7 +403,7 @@
 		f.recordResult(e, false /* failed */, false /* unreachable */)
 	}
 	f.metrics.firstByte.Update(f.clock.Since(x.arrived).Seconds())
-	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+	if mediatype.EventStream.Of(response.Header["Content-Type"]...) {
 		remove(true)
 		return f.forwardStream(ctx, w, x, e, response), false
 	}
--- a/daemon/frontend/truncated_test.go
+++ b/daemon/frontend/truncated_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +37,9 @@
 		first     = "id: 1\ndata: first\n\n"
 		second    = "id: 2\ndata: second\n\n"
 	)
+	withType := func(contentType string) string {
+		return strings.Replace(closeHead, "text/event-stream", contentType, 1)
+	}
 	chunked := func(body string) string {
 		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
 	}
@@ -54,6 +58,12 @@
 		{"close, before the first event", closeHead, false, ""},
 		{"close, reset inside an event", closeHead + first + "id: 2\nda", true, ""},
 		{"close, reset between events", closeHead + first, true, ""},
+		{"close, type in other case, inside an event", withType("Text/Event-Stream; Charset=UTF-8") + first + "id: 2\nda", false, ""},
+		{"close, type in other case, before the first event", withType("TEXT/EVENT-STREAM"), false, ""},
+		{"close, type in other case", withType("Text/Event-Stream") + first + second, false, first + second},
+		{"close, second of two types, inside an event", withType("text/plain\r\nContent-Type: text/event-stream") + first + "id: 2\nda", false, ""},
+		{"close, second type of one header, inside an event", withType("text/plain, text/event-stream") + first + "id: 2\nda", false, ""},
+		{"close, type that is no event stream", withType("text/event-streams") + first + "id: 2\nda", false, first + "id: 2\nda"},
 		{"chunked", chunked(first + second), false, first + second},
 		{"chunked, inside an event", chunked(first + "id: 2\nda"), false, ""},
 		{"chunked, without the last chunk", strings.TrimSuffix(chunked(first), "0\r\n\r\n"), false, ""},
@@ -122,6 +132,11 @@
 		{"JSON", "application/json", `{"a": [1, 2]}`, false, 200},
 		{"JSON inside a value", "application/json; charset=utf-8", `{"a": [1, 2`, false, 502},
 		{"JSON without a byte", "application/json", "", false, 502},
+		{"JSON in other case inside a value", "Application/JSON", `{"a": [1, 2`, false, 502},
+		{"JSON in other case", "Application/JSON", `{"a": [1, 2]}`, false, 200},
+		{"JSON by its suffix inside a value", "application/vnd.api+json", `{"a": [1, 2`, false, 502},
+		{"JSON as the second of two types inside a value", "text/plain\r\nContent-Type: application/json", `{"a": [1, 2`, false, 502},
+		{"JSON lines", "application/jsonl", "{}\n{}\n", false, 200},
 		{"JSON that is reset", "application/json", `{"a": [1, 2]}`, true, 502},
 		{"error without a body", "application/json", "", false, 500},
 		{"bytes", "application/octet-stream", "abc", false, 200},
@@ -145,3 +160,30 @@
 		})
 	}
 }
+
+// TestContentTypeIsForwardedUnchanged guards against a Content-Type header that reaches the caller in another form than the endpoint sent it.
+func TestContentTypeIsForwardedUnchanged(t *testing.T) {
+	for _, x := range []struct {
+		path         string
+		contentTypes []string
+	}{
+		{"/stream/", []string{"Text/Event-Stream; Charset=UTF-8"}},
+		{"/stream/", []string{"text/plain", "TEXT/EVENT-STREAM"}},
+		{"/once/", []string{"Application/JSON ;charset=utf-8", "text/plain"}},
+		{"/once/", nil},
+	} {
+		t.Run(strings.Join(x.contentTypes, ", "), func(t *testing.T) {
+			t.Parallel()
+			_, address := newFrontend(t, newBackend(t, func(b *backend, w http.ResponseWriter, r *http.Request) {
+				b.recordRun(r)
+				seal(w, r)
+				w.Header()["Content-Type"] = x.contentTypes
+				io.WriteString(w, "data: a\n\n")
+			}))
+			code, _, h, err := sendRequest(t, address, x.path, "r1")
+			if code != http.StatusOK || err != nil || !slices.Equal(h["Content-Type"], x.contentTypes) {
+				t.Errorf("response = %d %v with Content-Type %q, want %q", code, err, h["Content-Type"], x.contentTypes)
+			}
+		})
+	}
+}
--- a/protocol/engine/usage.go
+++ b/protocol/engine/usage.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
-	"strings"
 
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/protocol/eventstream"
+	"shallotring.dev/protocol/mediatype"
 	"shallotring.dev/state/ident"
 )
 
@@ -31,13 +31,13 @@
 }
 
 func newUsageReader(r *http.Response, service bool) *usageReader {
-	contentType := r.Header.Get("Content-Type")
-	eventStream := strings.HasPrefix(contentType, "text/event-stream")
+	contentTypes := r.Header["Content-Type"]
+	eventStream := mediatype.EventStream.Of(contentTypes...)
 	successful := r.StatusCode < http.StatusMultipleChoices && r.Request.Method != http.MethodHead
 	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
 	return &usageReader{
 		stream: eventStream && !service, checkEvents: successful && eventStream,
-		checkJSON: successful && unframed && strings.HasPrefix(contentType, "application/json"),
+		checkJSON: successful && unframed && !eventStream && mediatype.JSON.Of(contentTypes...),
 	}
 }
 
--- a/state/attempt/attempt_test.go
+++ b/state/attempt/attempt_test.go
@@ -460,22 +460,25 @@
 	}
 }
 
-// Guards against a [DONE] event that is delivered before the last frame is verified because it arrives in several chunks.
+// Guards against a [DONE] event that is delivered before the last frame is verified because it arrives in several chunks, or because the
+// type of the response is written in another case.
 func TestDoneEventIsHeldBack(t *testing.T) {
 	const text = "data: 1\n\ndata: {\"t\":\"[DONE]\"}\n\ndata: [DONE]\n\n"
-	for size := 1; size < len(text); size++ {
-		var parts []string
-		for rest := text; rest != ""; {
-			n := min(size, len(rest))
-			parts, rest = append(parts, rest[:n]), rest[n:]
-		}
-		f := stream(t, 1, eventType, parts...)
-		r := newDriver(t, Request{}, nil).toDispatch().receiveFrames(f[:len(f)-1])
-		if strings.Contains(r.delivered.String(), "data: [DONE]") {
-			t.Fatalf("parts of %d: delivered %q before the last frame", size, r.delivered.String())
-		}
-		if r.receiveFrames(f[len(f)-1:]); r.delivered.String() != text {
-			t.Errorf("parts of %d: delivered %q", size, r.delivered.String())
+	for _, contentType := range []string{eventType, "Text/Event-Stream"} {
+		for size := 1; size < len(text); size++ {
+			var parts []string
+			for rest := text; rest != ""; {
+				n := min(size, len(rest))
+				parts, rest = append(parts, rest[:n]), rest[n:]
+			}
+			f := stream(t, 1, contentType, parts...)
+			r := newDriver(t, Request{HoldBytes: 1}, nil).toDispatch().receiveFrames(f[:len(f)-1])
+			if strings.Contains(r.delivered.String(), "data: [DONE]") {
+				t.Fatalf("%s in parts of %d: delivered %q before the last frame", contentType, size, r.delivered.String())
+			}
+			if r.receiveFrames(f[len(f)-1:]); r.delivered.String() != text {
+				t.Errorf("%s in parts of %d: delivered %q", contentType, size, r.delivered.String())
+			}
 		}
 	}
 }
--- a/state/attempt/relay.go
+++ b/state/attempt/relay.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
-	"strings"
 
+	"shallotring.dev/protocol/mediatype"
 	"shallotring.dev/protocol/wire"
 )
 
@@ -33,7 +33,7 @@
 		return
 	}
 	r.status, r.contentType = int(f.GetStatus()), f.GetContentType()
-	r.isEventStream = strings.HasPrefix(r.contentType, "text/event-stream")
+	r.isEventStream = mediatype.EventStream.Of(r.contentType)
 }
 
 // addData adds the data of a frame and returns the bytes that can be delivered now.
