--- a/daemon/direct/direct_test.go
+++ b/daemon/direct/direct_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"shallotring.dev/daemon/trial"
+	"shallotring.dev/platform/standin"
 )
 
 // deployment is a trial deployment of one test.
@@ -46,11 +47,11 @@
 	return r.counts[message]
 }
 
-func deploy(t *testing.T) *deployment {
+func deploy(t *testing.T, options ...standin.EngineOption) *deployment {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	log := &recorder{Handler: slog.DiscardHandler, counts: make(map[string]int)}
-	x, err := trial.Start(ctx, slog.New(log))
+	x, err := trial.Start(ctx, slog.New(log), options...)
 	if err != nil {
 		cancel()
 		t.Fatal(err)
--- a/daemon/trial/deployment.go
+++ b/daemon/trial/deployment.go
@@ -46,8 +46,9 @@
 	err      error
 }
 
-// Start starts all parts. The programs drain when the context ends; Wait waits until they have exited.
-func Start(ctx context.Context, log *slog.Logger) (d *Deployment, err error) {
+// Start starts all parts; the options apply to the model engines. The programs drain when the context ends; Wait waits until they have
+// exited.
+func Start(ctx context.Context, log *slog.Logger, options ...standin.EngineOption) (d *Deployment, err error) {
 	defer func() { err = eris.Wrap(err, "start trial") }()
 	d = &Deployment{Store: standin.NewStore()}
 	store, err := d.serve("127.0.0.1", d.Store)
@@ -61,7 +62,7 @@
 	settings := standin.Settings{Zone: "a", ControlPort: controlPort, Store: store, GracePeriod: 2 * time.Second}
 	for i := range engineCount {
 		ip := fmt.Sprintf("127.0.0.%d", i+2)
-		e, address, err := d.startEngine(ip, fmt.Sprint("i-", i), "llm", standin.WithModel(Model, AdapterSlots, loadTime))
+		e, address, err := d.startEngine(ip, fmt.Sprint("i-", i), "llm", append(options, standin.WithModel(Model, AdapterSlots, loadTime))...)
 		if err != nil {
 			return nil, err
 		}
