--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -168,8 +168,13 @@
 			}
 		case len(r.Key) > len(catalog.VersionPrefix) && r.Key[:len(catalog.VersionPrefix)] == catalog.VersionPrefix:
 			model, av, err := catalog.DecodeVersion(r.Value)
-			if err != nil || av.IsZero() {
-				e.log.Error("declared adapter version is invalid; it is ignored", slog.String("Key", r.Key), slog.String("Model", string(model)), slog.Int64("Revision", int64(r.Revision)), slog.Any("Error", err))
+			if err != nil {
+				e.log.Error("declared version is invalid; it is ignored", slog.String("Key", r.Key), slog.Int64("Revision", int64(r.Revision)), slog.Any("Error", err))
+				continue
+			}
+			if av.IsZero() {
+				// Engines load it at their next start; their agents report which version they have.
+				e.log.Info("base model version declared", slog.String("Model", string(model)), slog.String("Version", string(av.Version)))
 				continue
 			}
 			if r.Restored {
