--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -111,6 +111,7 @@
 func (m *Mirror) Run(ctx context.Context) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
+		sent := m.clock.Now()
 		err := m.step(ctx)
 		switch {
 		case err == nil:
@@ -122,7 +123,7 @@
 			if !m.unavailable {
 				m.unavailable = true
 				m.log.Warn("store is not reachable; the copy may be stale until it recovers",
-					slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)), slog.Any("Error", err))
+					slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)), slog.Int64("DurationMilli", m.clock.Since(sent).Milliseconds()), slog.Any("Error", err))
 			}
 			m.sleep(ctx, pause)
 			limit := maxRetryPause
--- a/protocol/upstream/exchange.go
+++ b/protocol/upstream/exchange.go
@@ -152,7 +152,9 @@
 }
 
 func (p *Pool) exchange(c *connection, r Request) (response *Response, err error) {
-	defer func() { err = eris.Wrapf(err, "%s to %s", r.Method, p.address) }()
+	defer func() {
+		err = eris.Wrapf(err, "%s to %s, %d bytes of the response received", r.Method, p.address, maxHeadBytes-c.head.remaining)
+	}()
 	response = &Response{pool: p, connection: c, requestWritten: make(chan struct{})}
 	head := encodeHead(r)
 	if len(r.Body) < largeBodyBytes {
