store, mirror: a watch that an outage has swallowed ends with the outage

Callers got 404 on a route that a configuration had added five seconds before. The store accepts calls while it is silent and never answers them; a watch that was sent then was waited for in full, 10 s and a margin of 1.5 s, although the watch of the other prefix had failed and the full read after it had been answered six seconds earlier: each call judged the store by itself.

--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -132,3 +132,39 @@
 		t.Error("no full read follows the compaction")
 	}
 }
+
+// recoveringStore reports an outage to the first watch and ends the test with the second.
+type recoveringStore struct {
+	lists   [][]Record
+	watches int
+	stop    context.CancelFunc
+}
+
+func (s *recoveringStore) List(context.Context, string) (list []Record, at ident.Position, err error) {
+	list, s.lists = s.lists[0], s.lists[1:]
+	return list, ident.Position{Revision: list[len(list)-1].Revision}, nil
+}
+
+func (s *recoveringStore) Watch(ctx context.Context, _ string, _ ident.Revision, _ time.Duration) (list []Record, at ident.Position, err error) {
+	if s.watches++; s.watches == 1 {
+		return nil, at, ErrRecovered
+	}
+	s.stop()
+	return nil, at, ctx.Err()
+}
+
+// TestRecoveryDuringAWatch guards against a mirror that does not read the changes of an outage at once when its watch was swallowed, and
+// against one that reports keys as deleted before their owners can write them again.
+func TestRecoveryDuringAWatch(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &recoveringStore{stop: cancel, lists: [][]Record{
+		{{Key: "p/a", Revision: 5}, {Key: "p/b", Revision: 6}},
+		{{Key: "p/a", Revision: 5}, {Key: "p/c", Revision: 9}},
+	}}
+	got := contents{}
+	// No time passes on the clock, so the mirror may not wait.
+	New(s, "p/", got.apply, WithClock(quartz.NewMock(t)), WithWatchPause(0)).Run(ctx)
+	if _, ok := got["p/c"]; !ok || len(got) != 3 {
+		t.Errorf("mirror = %v, want p/a, p/b and p/c", got)
+	}
+}
