keyvalue: a watch that an outage has swallowed ends with the outage

The callers repeat a watch that is unavailable already.

Evidence: the test failed before ("the watch of the outage goes on after the recovery").

--- a/protocol/keyvalue/client.go
+++ b/protocol/keyvalue/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/protocol/keyvalue/gateway"
+	"shallotring.dev/protocol/outage"
 	"shallotring.dev/state/ident"
 )
 
@@ -34,6 +35,7 @@
 	// preferredIndex is the index of the address that responded last; calls try it first.
 	preferredIndex atomic.Int64
 	observer       func(call string, err error)
+	outage         *outage.Detector
 }
 
 var _ Store = (*Client)(nil)
@@ -62,6 +64,7 @@
 	c = &Client{
 		timeout:  defaultTimeout,
 		observer: func(string, error) {},
+		outage:   outage.New(),
 		http: &http.Client{
 			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16},
 			// Following a redirect would send a write twice.
@@ -121,6 +124,9 @@
 		var t connectTrace
 		response, err = c.send(ctx, c.addresses[index]+path, body, &t)
 		c.observer(callName(path), err)
+		if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+			c.outage.Missed()
+		}
 		if err == nil {
 			c.preferredIndex.Store(int64(index))
 			return response, nil
@@ -148,6 +154,7 @@
 
 // call sends one call with a timeout and decodes the response.
 func (c *Client) call(ctx context.Context, effect callEffect, path string, request, result any) (err error) {
+	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	response, err := c.open(ctx, effect, path, request)
@@ -161,6 +168,7 @@
 	if err = json.NewDecoder(response.Body).Decode(result); err != nil {
 		return eris.Wrap(errorWithoutResponse(effect), err.Error())
 	}
+	c.outage.Responded(time.Since(sent))
 	return nil
 }
 
--- a/protocol/keyvalue/client_test.go
+++ b/protocol/keyvalue/client_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -269,3 +272,50 @@
 		t.Errorf("watch whose connection was closed: %v", err)
 	}
 }
+
+// TestRecoveryEndsWatches guards against a process that waits for a watch that an outage has swallowed, although another call shows that
+// the service responds again.
+func TestRecoveryEndsWatches(t *testing.T) {
+	waiting := make(chan bool)
+	var ranges atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The server notices that a client has left only after the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		switch {
+		case strings.HasSuffix(r.URL.Path, "/watch"):
+			close(waiting)
+			<-r.Context().Done()
+		case ranges.Add(1) == 1:
+			<-r.Context().Done()
+		default:
+			_, _ = io.WriteString(w, `{"header":{"revision":"7"}}`)
+		}
+	}))
+	defer server.Close()
+	client, err := keyvalue.New([]string{server.URL}, keyvalue.WithTimeout(shortTimeout))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		ended <- client.Watch(ctx, "a/", 5, func([]keyvalue.Change, ident.Revision) error { return nil })
+	}()
+	<-waiting
+	if _, _, err := client.List(t.Context(), "b/"); !eris.Is(err, keyvalue.ErrUnavailable) {
+		t.Fatalf("list from a silent service: %v", err)
+	}
+	if _, _, err := client.List(t.Context(), "b/"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if !eris.Is(err, keyvalue.ErrUnavailable) {
+			t.Errorf("watch of the outage: %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the watch of the outage goes on after the recovery")
+	}
+}
--- a/protocol/keyvalue/watch.go
+++ b/protocol/keyvalue/watch.go
@@ -11,7 +11,8 @@
 	"shallotring.dev/state/ident"
 )
 
-// Watch calls fn for each change after the revision until ctx ends or an error occurs.
+// Watch calls fn for each change after the revision until ctx ends or an error occurs. It ends with ErrUnavailable when another call
+// shows that the service was away and responds again.
 func (c *Client) Watch(ctx context.Context, prefix string, after ident.Revision, fn func([]Change, ident.Revision) error) (err error) {
 	defer func() { err = eris.Wrapf(err, "watch %s", prefix) }()
 	q := gateway.WatchRequest{Create: gateway.WatchCreate{
@@ -20,6 +21,8 @@
 		StartRevision:  int64(after) + 1,
 		ProgressNotify: true,
 	}}
+	ctx, stop := c.outage.Wait(ctx)
+	defer stop()
 	response, err := c.open(ctx, readOnly, gateway.PathWatch, q)
 	if err != nil {
 		return err
