keyvalue: calls leave a member of the service that is silent

A process whose preferred address accepted connections and never responded lost the service altogether although the other members responded: each call spent its whole time at the first address, and the next call began there again. A failed address is no longer the first one of the next call.

Evidence: TestSilentAddress failed before ("second call: ... context deadline exceeded").

--- a/protocol/keyvalue/client.go
+++ b/protocol/keyvalue/client.go
@@ -32,7 +32,7 @@
 	addresses []string
 	timeout   time.Duration
 	http      *http.Client
-	// preferredIndex is the index of the address that responded last; calls try it first.
+	// preferredIndex is the index of the address that calls try first: the one that responded last, or the next one after a failure.
 	preferredIndex atomic.Int64
 	observer       func(call string, err error)
 	outage         *outage.Detector
@@ -126,6 +126,8 @@
 		c.observer(callName(path), err)
 		if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
 			c.outage.Missed()
+			// The call may have no time left for the next address, so the next call begins there.
+			c.preferredIndex.CompareAndSwap(int64(index), int64((index+1)%len(c.addresses)))
 		}
 		if err == nil {
 			c.preferredIndex.Store(int64(index))
--- a/protocol/keyvalue/client_test.go
+++ b/protocol/keyvalue/client_test.go
@@ -319,3 +319,21 @@
 		t.Error("the watch of the outage goes on after the recovery")
 	}
 }
+
+// TestSilentAddress guards against a process that asks a silent member of the service in every call, because the call has no time left
+// for the next address.
+func TestSilentAddress(t *testing.T) {
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		// The server notices that a client has left only after the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	defer silent.Close()
+	f := startFixture(t, shortTimeout, silent.URL)
+	if _, _, err := f.client.List(t.Context(), "a/"); !eris.Is(err, keyvalue.ErrUnavailable) {
+		t.Fatalf("first call: %v", err)
+	}
+	if _, _, err := f.client.List(t.Context(), "a/"); err != nil {
+		t.Errorf("second call: %v", err)
+	}
+}
