store, direct: a probe of a silent store bounds the wait for a swallowed watch

While a watch waits, the store is asked after a silence whether it still responds: after half of configMs at an entry, so that a configuration is in force within configMs of the store's return, and after twice configMs at an agent, which needs only the base model and the number of slots.

--- a/daemon/direct/agent.go
+++ b/daemon/direct/agent.go
@@ -32,6 +32,8 @@
 	// adapter slots of the configuration, and each call to the store is paid for.
 	configurationWatchTimeout     = 30 * time.Second
 	configurationFullReadInterval = time.Minute
+	// agentProbeShare is the longest silence of the store for an agent, in the same unit as probeShare.
+	agentProbeShare = 2
 )
 
 // Agent is the program that runs beside an engine.
@@ -49,7 +51,7 @@
 func (a *Agent) Run(ctx context.Context, metricsAddress string) (err error) {
 	defer func() { err = eris.Wrap(err, "run agent") }()
 	set := metrics.NewSet()
-	client := store.New(a.settings.Store)
+	client := store.New(a.settings.Store, store.WithProbeInterval(scale(a.settings.ConfigurationTimeout, agentProbeShare)))
 	claim := func(ctx context.Context) (fencingNumber ident.Incarnation, err error) {
 		at, err := client.Put(ctx, claimPrefix+string(a.settings.Host), []byte(strconv.Itoa(os.Getpid())))
 		return at.FencingNumber(), err
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -45,6 +45,9 @@
 	// discoveryFullReadShare is the interval at which the whole list of endpoints is read even if the watch reports no change, as a
 	// multiple of the same time.
 	discoveryFullReadShare = 2.5
+	// probeShare is the longest silence of the store, as a share of the time within which a configuration must be in force. The other half is
+	// left for the end of a watch that an outage has swallowed, and a full read.
+	probeShare = 0.5
 )
 
 // Entry is the program that runs on an entry host.
@@ -106,7 +109,7 @@
 		}
 		defer metricsServer.Close()
 	}
-	client := store.New(e.settings.Store)
+	client := store.New(e.settings.Store, store.WithProbeInterval(scale(e.settings.ConfigurationTimeout, probeShare)))
 	operators := mirror.New(client, catalog.OperatorPrefix, e.applyOperatorChanges, mirror.WithLog(e.log))
 	endpoints := mirror.New(client, catalog.EndpointPrefix, e.applyDiscovery, mirror.WithLog(e.log), mirror.WithWatchPause(scale(e.settings.DrainTimeout, discoveryPauseShare)),
 		mirror.WithFullReadInterval(scale(e.settings.DrainTimeout, discoveryFullReadShare)))
