--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -15,8 +15,8 @@
 // ErrCompacted means that the store no longer has the history that a watch requests.
 var ErrCompacted = eris.New("the store has discarded the history that the watch requests")
 
-// ErrRecovered means that the store was away while a watch waited, and responds again: the watch may never be answered.
-var ErrRecovered = eris.New("the store was away during the watch and responds again")
+// ErrRecovered means that the store was away while a call waited, and responds again: the call may never be answered.
+var ErrRecovered = eris.New("the store was away during the call and responds again")
 
 // errRestored means that the store has been restored from an older copy since the last full read.
 var errRestored = eris.New("the store has been restored from an older copy")
@@ -123,7 +123,7 @@
 		case errors.Is(err, ErrCompacted) || errors.Is(err, errRestored):
 			m.lastFullRead = time.Time{}
 		case errors.Is(err, ErrRecovered):
-			m.log.Info("watch ended, because the store was away meanwhile", slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)),
+			m.log.Info("call ended, because the store was away meanwhile", slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)),
 				slog.Int64("DurationMilli", m.clock.Since(sent).Milliseconds()))
 			m.unavailable = true
 		case ctx.Err() == nil:
