mirror: the pause after a failed call ends when the store is known to have returned

A mirror paused for up to 0.8 s after its last failed call although the other mirror of the process had been answered. It wakes now when a call of the client shows that the store responds again.

--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -54,6 +54,8 @@
 type Store interface {
 	List(ctx context.Context, prefix string) (list []Record, at ident.Position, err error)
 	Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) (list []Record, at ident.Position, err error)
+	// Recovered returns a channel that is closed when a call of any mirror shows that the store responds again after an outage.
+	Recovered() <-chan struct{}
 }
 
 // Mirror follows one prefix. It is not safe for concurrent use: the goroutine of Run also calls the handler.
@@ -114,12 +116,12 @@
 func (m *Mirror) Run(ctx context.Context) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
-		sent := m.clock.Now()
+		sent, recovered := m.clock.Now(), m.store.Recovered()
 		err := m.step(ctx)
 		switch {
 		case err == nil:
 			pause = minRetryPause
-			m.sleep(ctx, m.watchPause)
+			m.sleep(ctx, m.watchPause, nil)
 		case errors.Is(err, ErrCompacted) || errors.Is(err, errRestored):
 			m.lastFullRead = time.Time{}
 		case errors.Is(err, ErrRecovered):
@@ -132,7 +134,7 @@
 				m.log.Warn("store is not reachable; the copy may be stale until it recovers",
 					slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)), slog.Int64("DurationMilli", m.clock.Since(sent).Milliseconds()), slog.Any("Error", err))
 			}
-			m.sleep(ctx, pause)
+			m.sleep(ctx, pause, recovered)
 			limit := maxRetryPause
 			if m.position.Revision == 0 {
 				limit = maxFirstRetryPause
@@ -232,7 +234,8 @@
 	}
 }
 
-func (m *Mirror) sleep(ctx context.Context, d time.Duration) {
+// sleep waits until the duration has passed, or until the context ends or the channel is closed.
+func (m *Mirror) sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -240,6 +243,7 @@
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
+	case <-wake:
 	case <-t.C:
 	}
 }
--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -30,6 +30,8 @@
 	return append([]Record(nil), s.events...), ident.Position{Era: s.era, Revision: s.at}, s.err
 }
 
+func (s *fakeStore) Recovered() <-chan struct{} { return nil }
+
 type contents map[string]Record
 
 func (s contents) apply(list []Record) {
@@ -140,6 +142,8 @@
 	stop    context.CancelFunc
 }
 
+func (s *recoveringStore) Recovered() <-chan struct{} { return nil }
+
 func (s *recoveringStore) List(context.Context, string) (list []Record, at ident.Position, err error) {
 	list, s.lists = s.lists[0], s.lists[1:]
 	return list, ident.Position{Revision: list[len(list)-1].Revision}, nil
@@ -168,3 +172,47 @@
 		t.Errorf("mirror = %v, want p/a, p/b and p/c", got)
 	}
 }
+
+// returningStore fails the first read and responds to the second; the store is known to have returned in between.
+type returningStore struct {
+	returned chan struct{}
+	reads    int
+	stop     context.CancelFunc
+}
+
+func (s *returningStore) Recovered() <-chan struct{} { return s.returned }
+
+func (s *returningStore) List(context.Context, string) (list []Record, at ident.Position, err error) {
+	if s.reads++; s.reads == 1 {
+		close(s.returned)
+		return nil, at, errors.New("down")
+	}
+	s.stop()
+	return nil, ident.Position{Revision: 1}, nil
+}
+
+func (s *returningStore) Watch(ctx context.Context, _ string, _ ident.Revision, _ time.Duration) (list []Record, at ident.Position, err error) {
+	return nil, at, ctx.Err()
+}
+
+// TestRecoveryEndsThePause guards against a mirror that pauses after a failed read although the store is known to have returned.
+func TestRecoveryEndsThePause(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &returningStore{returned: make(chan struct{}), stop: cancel}
+	// The pause would last for as long as the clock stands still.
+	clock, done := quartz.NewMock(t), make(chan bool)
+	go func() {
+		New(s, "p/", contents{}.apply, WithClock(clock), WithWatchPause(0)).Run(ctx)
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("the mirror still pauses")
+		cancel()
+		<-done
+	}
+	if s.reads != 2 {
+		t.Errorf("%d reads, want 2", s.reads)
+	}
+}
--- a/protocol/outage/detector.go
+++ b/protocol/outage/detector.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// Recovered returns a channel that is closed with the recovery from the next outage, or from the present one.
+func (d *Detector) Recovered() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.period.Done()
+}
+
 // Missed records a call that got no response. Calls that the process itself has ended do not count.
 func (d *Detector) Missed() {
 	d.mu.Lock()
