operator, keyvalue: the watch command reopens a watch that is silent

`shallotring watch` showed nothing any more after an outage had swallowed its watch: unlike the configuration and the registry, the command had no bound for a watch that reports neither changes nor progress, and it makes no other call that could show the end of the outage. The bound of 3 s is now in one place, beside the watch, and all three use it.

Evidence: TestWatchAfterAnOutage failed before (no change within 20 s).

--- a/coordination/configuration/run.go
+++ b/coordination/configuration/run.go
@@ -17,9 +17,6 @@
 const (
 	// retryInterval is the wait after following the service or the peers has failed.
 	retryInterval = 500 * time.Millisecond
-	// watchIdleTimeout ends a watch that reports neither changes nor progress; the watch is then reopened at the same
-	// position.
-	watchIdleTimeout = 3 * time.Second
 	// fallbackInterval is the shortest time between two full reads by a process whose peers have all lost the service.
 	fallbackInterval = 5 * time.Second
 )
@@ -127,19 +124,14 @@
 // watch applies the changes after watchPosition as the service sends them.
 func (s *Source) watch(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrap(err, "watch the configuration") }()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	idle := s.clock.AfterFunc(watchIdleTimeout, cancel, "configuration", "watch")
-	defer idle.Stop()
-	return s.store.Watch(ctx, registry.ConfigPrefix, s.watchPosition(), func(changes []keyvalue.Change, at ident.Revision) error {
-		idle.Reset(watchIdleTimeout)
+	return keyvalue.WatchUntilIdle(ctx, s.store, s.clock, registry.ConfigPrefix, s.watchPosition(), func(changes []keyvalue.Change, at ident.Revision) error {
 		s.applyChanges(changes, at)
 		// A process that knew no entry when it started would otherwise watch for as long as the service responds.
 		if !s.shouldWatch() {
 			return errNotWatcher
 		}
 		return nil
-	})
+	}, "configuration", "watch")
 }
 
 // watchPosition returns the revision up to which every change was received, in force or failing to decode.
--- a/coordination/registry/view.go
+++ b/coordination/registry/view.go
@@ -25,9 +25,7 @@
 
 const (
 	retryInterval = 500 * time.Millisecond
-	// watchIdleTimeout ends a watch that reports neither changes nor progress; a new watch continues from the same revision.
-	watchIdleTimeout = 3 * time.Second
-	// outageThreshold and watchIdleTimeout together are the time without a response after which the service counts as
+	// outageThreshold and keyvalue.WatchIdleTimeout together are the time without a response after which the service counts as
 	// having been unavailable.
 	outageThreshold = 3 * time.Second
 )
@@ -202,18 +200,13 @@
 }
 
 func (t *table[T]) watch(ctx context.Context) (err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	idle := t.clock.AfterFunc(watchIdleTimeout, cancel, "registry")
-	defer idle.Stop()
 	t.mu.Lock()
 	after := t.appliedRevision
 	t.mu.Unlock()
-	return t.store.Watch(ctx, t.prefix, after, func(changes []keyvalue.Change, at ident.Revision) error {
-		idle.Reset(watchIdleTimeout)
+	return keyvalue.WatchUntilIdle(ctx, t.store, t.clock, t.prefix, after, func(changes []keyvalue.Change, at ident.Revision) error {
 		t.apply(changes, at)
 		return nil
-	})
+	}, "registry")
 }
 
 func (t *table[T]) apply(changes []keyvalue.Change, at ident.Revision) {
@@ -236,7 +229,7 @@
 // recordResponse records that the service responded; the first response after an outage starts the grace period.
 func (t *table[T]) recordResponse() {
 	now := t.clock.Now()
-	if !t.lastResponse.IsZero() && now.Sub(t.lastResponse) > outageThreshold+watchIdleTimeout {
+	if !t.lastResponse.IsZero() && now.Sub(t.lastResponse) > outageThreshold+keyvalue.WatchIdleTimeout {
 		t.graceUntil = now.Add(LeaseTime)
 	}
 	t.lastResponse = now
--- a/daemon/operator/run_test.go
+++ b/daemon/operator/run_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -51,12 +52,20 @@
 	url     string
 	// afterWrite is called after the next write of a command, before the command gets the response.
 	afterWrite atomic.Pointer[func()]
+	// swallowWatch makes the service accept the next watch and never respond to it.
+	swallowWatch atomic.Bool
 }
 
 func newFixture(t *testing.T) *fixture {
 	p := &fixture{t: t, service: standin.New()}
 	handler := p.service.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == gateway.PathWatch && p.swallowWatch.CompareAndSwap(true, false) {
+			// The server notices that a client has left only after the body has been read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
 		handler.ServeHTTP(w, r)
 		if r.URL.Path != gateway.PathTxn {
 			return
@@ -269,6 +278,34 @@
 	}
 }
 
+// Guards against a command that shows nothing any more, because an outage of the service has swallowed its watch.
+func TestWatchAfterAnOutage(t *testing.T) {
+	p := newFixture(t)
+	p.swallowWatch.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	out, in := io.Pipe()
+	code := make(chan int)
+	go func() {
+		streams := Streams{Out: in, Err: io.Discard}
+		code <- Run(ctx, []string{"--service", p.url, "watch", "Caller", "-o", "json"}, streams)
+	}()
+	go func() {
+		<-ctx.Done()
+		in.Close()
+	}()
+	for p.swallowWatch.Load() && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	p.expectResult(p.run(callerFile, "apply", "-f", "-"), ExitSuccess)
+	var c change
+	if err := json.NewDecoder(out).Decode(&c); err != nil || c.Name != "crew" || c.Action != actionWritten {
+		t.Errorf("%+v, %v; want the change that was written after the outage", c, err)
+	}
+	cancel()
+	<-code
+}
+
 // Guards against log files or filters that the command ignores.
 func TestTimeline(t *testing.T) {
 	p := newFixture(t)
--- a/daemon/operator/watch.go
+++ b/daemon/operator/watch.go
@@ -44,7 +44,7 @@
 // watch from a compacted revision is replaced by a full read and a new watch.
 func (s *session) followChanges(ctx context.Context, client *keyvalue.Client, set *resource.Set, revision ident.Revision, sets chan<- *resource.Set) (err error) {
 	for ctx.Err() == nil {
-		err = client.Watch(ctx, registry.ConfigPrefix, revision, func(changes []keyvalue.Change, newest ident.Revision) error {
+		err = keyvalue.WatchUntilIdle(ctx, client, s.clock, registry.ConfigPrefix, revision, func(changes []keyvalue.Change, newest ident.Revision) error {
 			revision = max(revision, newest)
 			if len(changes) == 0 {
 				return nil
--- a/protocol/keyvalue/watch.go
+++ b/protocol/keyvalue/watch.go
@@ -4,13 +4,36 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
+	"github.com/coder/quartz"
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/protocol/keyvalue/gateway"
 	"shallotring.dev/state/ident"
 )
 
+// WatchIdleTimeout ends a watch that reports neither changes nor progress: an outage may have swallowed it.
+const WatchIdleTimeout = 3 * time.Second
+
+// Watcher is the part of the key-value service that a watch needs.
+type Watcher interface {
+	Watch(ctx context.Context, prefix string, after ident.Revision, fn func([]Change, ident.Revision) error) (err error)
+}
+
+// WatchUntilIdle is a watch that ends after WatchIdleTimeout without changes or progress; the caller reopens it at the same position.
+// The tags name the timer to a mock clock.
+func WatchUntilIdle(ctx context.Context, w Watcher, clock quartz.Clock, prefix string, after ident.Revision, fn func([]Change, ident.Revision) error, tags ...string) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	idle := clock.AfterFunc(WatchIdleTimeout, cancel, tags...)
+	defer idle.Stop()
+	return w.Watch(ctx, prefix, after, func(changes []Change, at ident.Revision) error {
+		idle.Reset(WatchIdleTimeout)
+		return fn(changes, at)
+	})
+}
+
 // Watch calls fn for each change after the revision until ctx ends or an error occurs. It ends with ErrUnavailable when another call
 // shows that the service was away and responds again.
 func (c *Client) Watch(ctx context.Context, prefix string, after ident.Revision, fn func([]Change, ident.Revision) error) (err error) {
