direct: agents collect the changes of a configuration storm

An agent made a call for each configuration of a storm, 0.25 s apart, though it needs only the base model and the number of slots. With watches that survive an outage that is most of what the agents ask of the store. They pause for configMs between two watches now; a single change still arrives at once.

--- a/daemon/direct/agent.go
+++ b/daemon/direct/agent.go
@@ -58,7 +58,7 @@
 	}
 	s := sidecar.New(engine.New(a.settings.Engine, a.settings.Host), claim, sidecar.WithLog(a.log), sidecar.WithMetrics(set))
 	operators := mirror.New(client, catalog.ConfigurationKey, func(list []mirror.Record) { a.configure(s, list) },
-		mirror.WithLog(a.log), mirror.WithWatchTimeout(configurationWatchTimeout), mirror.WithFullReadInterval(configurationFullReadInterval))
+		mirror.WithLog(a.log), mirror.WithWatchTimeout(configurationWatchTimeout), mirror.WithWatchPause(a.settings.ConfigurationTimeout), mirror.WithFullReadInterval(configurationFullReadInterval))
 	l, err := net.Listen("tcp", net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.ControlPort)))
 	if err != nil {
 		return err
