--- a/daemon/direct/direct_test.go
+++ b/daemon/direct/direct_test.go
@@ -167,6 +167,24 @@
 	}
 }
 
+// TestSilentStore guards against an entry that waits in full for calls that a silent store has swallowed, and serves an old configuration
+// meanwhile.
+func TestSilentStore(t *testing.T) {
+	d := deploy(t)
+	d.sendUntilServed("/g/1", "before", "m/a1")
+	d.Store.SetSilent(true)
+	d.Configure(7)
+	probes := d.Store.Probes()
+	// The two agents probe every 4 s and the entry every second, so two of these probes at least are the entry's, and one of them has failed.
+	waitFor(t, "the entry has probed the store twice", func() bool { return d.Store.Probes() >= probes+5 })
+	inForce := d.log.count("configuration in force")
+	d.Store.SetSilent(false)
+	waitFor(t, "the configuration of the outage is in force", func() bool { return d.log.count("configuration in force") > inForce })
+	if d.log.count("call ended, because the store was away meanwhile") == 0 {
+		t.Error("the entry has waited for the timeout of its watch")
+	}
+}
+
 // TestRestoredStore guards against an entry or an agent that goes back to an older configuration, adapter version or endpoint, or stops
 // following the store, after the store was restored from an older copy; and against orders with a fencing number that was used before.
 func TestRestoredStore(t *testing.T) {
