--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -15,6 +15,9 @@
 // ErrCompacted means that the store no longer has the history that a watch requests.
 var ErrCompacted = eris.New("the store has discarded the history that the watch requests")
 
+// ErrRecovered means that the store was away while a call waited, and responds again: the call may never be answered.
+var ErrRecovered = eris.New("the store was away during the call and responds again")
+
 // errRestored means that the store has been restored from an older copy since the last full read.
 var errRestored = eris.New("the store has been restored from an older copy")
 
@@ -51,6 +54,8 @@
 type Store interface {
 	List(ctx context.Context, prefix string) (list []Record, at ident.Position, err error)
 	Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) (list []Record, at ident.Position, err error)
+	// Recovered returns a channel that is closed when a call of any mirror shows that the store responds again after an outage.
+	Recovered() <-chan struct{}
 }
 
 // Mirror follows one prefix. It is not safe for concurrent use: the goroutine of Run also calls the handler.
@@ -111,20 +116,25 @@
 func (m *Mirror) Run(ctx context.Context) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
+		sent, recovered := m.clock.Now(), m.store.Recovered()
 		err := m.step(ctx)
 		switch {
 		case err == nil:
 			pause = minRetryPause
-			m.sleep(ctx, m.watchPause)
+			m.sleep(ctx, m.watchPause, nil)
 		case errors.Is(err, ErrCompacted) || errors.Is(err, errRestored):
 			m.lastFullRead = time.Time{}
+		case errors.Is(err, ErrRecovered):
+			m.log.Info("call ended, because the store was away meanwhile", slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)),
+				slog.Int64("DurationMilli", m.clock.Since(sent).Milliseconds()))
+			m.unavailable = true
 		case ctx.Err() == nil:
 			if !m.unavailable {
 				m.unavailable = true
 				m.log.Warn("store is not reachable; the copy may be stale until it recovers",
-					slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)), slog.Any("Error", err))
+					slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)), slog.Int64("DurationMilli", m.clock.Since(sent).Milliseconds()), slog.Any("Error", err))
 			}
-			m.sleep(ctx, pause)
+			m.sleep(ctx, pause, recovered)
 			limit := maxRetryPause
 			if m.position.Revision == 0 {
 				limit = maxFirstRetryPause
@@ -224,7 +234,8 @@
 	}
 }
 
-func (m *Mirror) sleep(ctx context.Context, d time.Duration) {
+// sleep waits until the duration has passed, or until the context ends or the channel is closed.
+func (m *Mirror) sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -232,6 +243,7 @@
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
+	case <-wake:
 	case <-t.C:
 	}
 }
--- a/daemon/direct/agent.go
+++ b/daemon/direct/agent.go
@@ -32,6 +32,8 @@
 	// adapter slots of the configuration, and each call to the store is paid for.
 	configurationWatchTimeout     = 30 * time.Second
 	configurationFullReadInterval = time.Minute
+	// agentProbeShare is the longest silence of the store for an agent, in the same unit as probeShare.
+	agentProbeShare = 2
 )
 
 // Agent is the program that runs beside an engine.
@@ -49,14 +51,14 @@
 func (a *Agent) Run(ctx context.Context, metricsAddress string) (err error) {
 	defer func() { err = eris.Wrap(err, "run agent") }()
 	set := metrics.NewSet()
-	client := store.New(a.settings.Store)
+	client := store.New(a.settings.Store, store.WithProbeInterval(scale(a.settings.ConfigurationTimeout, agentProbeShare)))
 	claim := func(ctx context.Context) (fencingNumber ident.Incarnation, err error) {
 		at, err := client.Put(ctx, claimPrefix+string(a.settings.Host), []byte(strconv.Itoa(os.Getpid())))
 		return at.FencingNumber(), err
 	}
 	s := sidecar.New(engine.New(a.settings.Engine, a.settings.Host), claim, sidecar.WithLog(a.log), sidecar.WithMetrics(set))
 	operators := mirror.New(client, catalog.ConfigurationKey, func(list []mirror.Record) { a.configure(s, list) },
-		mirror.WithLog(a.log), mirror.WithWatchTimeout(configurationWatchTimeout), mirror.WithFullReadInterval(configurationFullReadInterval))
+		mirror.WithLog(a.log), mirror.WithWatchTimeout(configurationWatchTimeout), mirror.WithWatchPause(a.settings.ConfigurationTimeout), mirror.WithFullReadInterval(configurationFullReadInterval))
 	l, err := net.Listen("tcp", net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.ControlPort)))
 	if err != nil {
 		return err
