jsonvalue: the end of a JSON body is checked whatever its size

What callers saw: JSON of more than 256 KiB (platform form) or 1 MiB (own form) that ended with its connection inside a value looked complete; in the own form it would have been recorded as the outcome of an order. Cause: the end was judged on the buffered body, and larger bodies are not buffered. Change: jsonvalue.Scanner follows the bytes and keeps a state and one bit for each open array or object, for all sizes; it replaces json.Valid on the buffers. If the end is wrong after bytes have been forwarded, the caller's connection is aborted, as after a failed read.

--- a/daemon/frontend/response.go
+++ b/daemon/frontend/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -14,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/protocol/eventstream"
+	"shallotring.dev/protocol/jsonvalue"
 	"shallotring.dev/protocol/mediatype"
 	"shallotring.dev/protocol/upstream"
 )
@@ -54,8 +54,9 @@
 // forwardResponse reads a response that is not a stream and forwards it. done means that the caller has its response, retry that
 // the request may be sent to another endpoint.
 func (f *Frontend) forwardResponse(ctx context.Context, w http.ResponseWriter, x *request, e *endpoint, response *upstream.Response) (done, retry bool) {
-	b, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	if err == nil && len(b) <= maxBufferedBytes && isTruncatedBody(response, b) {
+	body := newCheckedBody(response)
+	b, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
+	if err == nil && len(b) <= maxBufferedBytes && body.isTruncated() {
 		err = errTruncated
 	}
 	if err != nil {
@@ -76,7 +77,10 @@
 	} else {
 		w.WriteHeader(response.Status)
 		if _, err = w.Write(b); err == nil {
-			err = copyRest(w, response.Body, int64(maxForwardedBytes-len(b)))
+			err = copyRest(w, body, int64(maxForwardedBytes-len(b)))
+		}
+		if err == nil && body.isTruncated() {
+			err = errTruncated
 		}
 	}
 	f.logFinished(x, e, response.Status, len(b), 0, err)
@@ -171,14 +175,23 @@
 	return events.InsideEvent() || events.Events() == 0 && response.Framing == upstream.CloseFraming
 }
 
-// isTruncatedBody reports whether a plain body that ended with its connection has been broken off, as far as its content shows.
-func isTruncatedBody(response *upstream.Response, body []byte) bool {
-	if response.Status >= http.StatusMultipleChoices {
-		return false
+// checkedBody is a plain body that is followed while it is read if it is JSON and ends with its connection.
+type checkedBody struct {
+	io.Reader
+	value *jsonvalue.Scanner
+}
+
+func newCheckedBody(response *upstream.Response) checkedBody {
+	if response.Status >= http.StatusMultipleChoices || response.Framing != upstream.CloseFraming || !mediatype.JSON.Of(response.Header["Content-Type"]...) {
+		return checkedBody{Reader: response.Body}
 	}
-	return response.Framing == upstream.CloseFraming && mediatype.JSON.Of(response.Header["Content-Type"]...) && !json.Valid(body)
+	value := &jsonvalue.Scanner{}
+	return checkedBody{Reader: io.TeeReader(response.Body, value), value: value}
 }
 
+// isTruncated reports whether the body, which has been read to its end, has been broken off, as far as its content shows.
+func (b checkedBody) isTruncated() bool { return b.value != nil && !b.value.Complete() }
+
 // streamTiming measures a stream as the caller observes it: the time to the first chunk and the longest pause after it.
 type streamTiming struct {
 	start           time.Time
--- a/daemon/frontend/truncated_test.go
+++ b/daemon/frontend/truncated_test.go
@@ -1,14 +1,20 @@
 package frontend
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"shallotring.dev/platform/message"
+	"shallotring.dev/protocol/upstream"
 )
 
 // respondRaw runs the request, writes a response as given, in which ID stands for the request id, and closes the connection: with a
@@ -100,6 +106,8 @@
 	}{
 		{"complete stream", "/stream/", head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\ndata: a\n\n", true},
 		{"stream inside an event", "/stream/", head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\ndata: a\n\nda", false},
+		{"large JSON", "/once/", head + "Content-Type: application/json\r\nConnection: close\r\n\r\n[" + strings.Repeat("1,", 150000) + "1]", true},
+		{"large JSON inside a value", "/once/", head + "Content-Type: application/json\r\nConnection: close\r\n\r\n[" + strings.Repeat("1,", 150000), false},
 		{"large body", "/once/", head + "Content-Length: 300000\r\n\r\n" + strings.Repeat("x", 280000), false},
 	} {
 		t.Run(x.name, func(t *testing.T) {
@@ -161,6 +169,74 @@
 	}
 }
 
+// TestTruncatedLargeBodyIsNotComplete guards against JSON that its endpoint broke off but that reaches its caller as a complete response because
+// it is too large to be read completely before it is forwarded.
+func TestTruncatedLargeBodyIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 %d Status\r\nShallotring-Attempt-Id: ID\r\nShallotring-Server-Seal: s\r\nConnection: close\r\nContent-Type: "
+	large := `{"a": "` + strings.Repeat("x", maxBufferedBytes) + `", "b": [1, 2]}`
+	for _, x := range []struct {
+		name, contentType, body string
+		status                  int
+		complete                bool
+	}{
+		{"JSON", "application/json", large, 200, true},
+		{"JSON and white space", "application/json", large + "\r\n", 200, true},
+		{"JSON without its last byte", "application/json", large[:len(large)-1], 200, false},
+		{"JSON inside a string", "Application/JSON", large[:maxBufferedBytes+2], 200, false},
+		{"JSON one byte larger than the buffer", "application/json", large[:maxBufferedBytes+1], 200, false},
+		{"JSON as large as the buffer", "application/json", large[:maxBufferedBytes], 502, true},
+		{"two values", "application/json", large + large, 200, false},
+		{"error", "application/json", large[:len(large)-1], 500, true},
+		{"bytes", "application/octet-stream", large[:len(large)-1], 200, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			status := x.status
+			if status == http.StatusBadGateway {
+				status = http.StatusOK
+			}
+			b := newBackend(t, respondRaw(fmt.Sprintf(head, status)+x.contentType+"\r\n\r\n"+x.body, false))
+			_, address := newFrontend(t, b)
+			code, body, _, err := sendRequest(t, address, "/once/", "r1")
+			if code != x.status || (err == nil) != x.complete {
+				t.Errorf("status %d, %d bytes, error %v; want %d and a complete response: %t", code, len(body), err, x.status, x.complete)
+			}
+			if x.complete && code == status && body != x.body {
+				t.Errorf("%d bytes that differ from the %d bytes of the endpoint", len(body), len(x.body))
+			}
+			if n := b.runCount("r1"); n != 1 {
+				t.Errorf("%d runs", n)
+			}
+		})
+	}
+}
+
+// TestTruncatedBodyOfAnySize guards against a limit of the size up to which JSON is checked. It reads from memory, so that no deadline applies.
+func TestTruncatedBodyOfAnySize(t *testing.T) {
+	f := New(message.Headers{}, "edge-1", "a", WithLog(slog.New(slog.DiscardHandler)))
+	for _, size := range []int{maxBufferedBytes, 1 << 20, 5 << 20, maxForwardedBytes - 8} {
+		body := `["` + strings.Repeat("x", size) + `"]`
+		for cut := range 3 {
+			t.Run(fmt.Sprintf("%d bytes without %d", len(body), cut), func(t *testing.T) {
+				text := body[:len(body)-cut]
+				w := httptest.NewRecorder()
+				aborted := func() (aborted bool) {
+					defer func() {
+						err, _ := recover().(error)
+						aborted = errors.Is(err, http.ErrAbortHandler)
+					}()
+					response := &upstream.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: strings.NewReader(text), Framing: upstream.CloseFraming}
+					f.forwardResponse(t.Context(), w, &request{}, &endpoint{}, response)
+					return false
+				}()
+				if aborted != (cut > 0) || w.Code != http.StatusOK || w.Body.String() != text {
+					t.Errorf("aborted: %t, status %d, %d bytes; want %d bytes, aborted: %t", aborted, w.Code, w.Body.Len(), len(text), cut > 0)
+				}
+			})
+		}
+	}
+}
+
 // TestContentTypeIsForwardedUnchanged guards against a Content-Type header that reaches the caller in another form than the endpoint sent it.
 func TestContentTypeIsForwardedUnchanged(t *testing.T) {
 	for _, x := range []struct {
--- a/protocol/engine/truncated_test.go
+++ b/protocol/engine/truncated_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -13,6 +14,7 @@
 		stream = "text/event-stream"
 		done   = "data: {}\n\ndata: [DONE]\n\n"
 	)
+	large := strings.Repeat("x", maxUsageBytes)
 	for _, x := range []struct {
 		name, contentType, body string
 		// framed sends the length of the body; without it, the end of the connection marks the end of the body.
@@ -34,6 +36,12 @@
 		{"service JSON as the second of two types inside a value", "text/plain\r\nContent-Type: application/json", `[1, 2`, false, true, MayHaveEffect},
 		{"service stream that is called JSON too", "application/json\r\nContent-Type: " + stream, "data: a\n\n", false, true, Done},
 		{"service stream that is called JSON too, inside an event", "application/json\r\nContent-Type: " + stream, "data: a\n\nda", false, true, MayHaveEffect},
+		{"large JSON", "application/json", `["` + large + `", 1]`, false, false, Done},
+		{"large JSON inside a value", "application/json", `["` + large + `", 1`, false, false, MayHaveEffect},
+		{"large JSON inside a string", "application/json", `["` + large, false, false, MayHaveEffect},
+		{"large JSON with a length", "application/json", `["` + large, true, false, Done},
+		{"large service JSON inside a value", "application/json", `["` + large + `", 1`, false, true, MayHaveEffect},
+		{"large service text", "text/plain", large, false, true, Done},
 		{"service stream in other case inside an event", "TEXT/EVENT-STREAM", "data: a\n\nda", false, true, MayHaveEffect},
 		{"service JSON lines", "application/jsonl", "{}\n{}\n", false, true, Done},
 		{"service stream", stream, "data: a\n\n", false, true, Done},
--- a/protocol/engine/usage.go
+++ b/protocol/engine/usage.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/protocol/eventstream"
+	"shallotring.dev/protocol/jsonvalue"
 	"shallotring.dev/protocol/mediatype"
 	"shallotring.dev/state/ident"
 )
@@ -28,6 +29,7 @@
 	usage        Usage
 	doneReceived bool
 	events       eventstream.Scanner
+	value        jsonvalue.Scanner
 }
 
 func newUsageReader(r *http.Response, service bool) *usageReader {
@@ -45,6 +47,9 @@
 	if r.checkEvents {
 		r.events.Scan(p)
 	}
+	if r.checkJSON {
+		_, _ = r.value.Write(p) // it never fails
+	}
 	if r.oversized && !r.stream {
 		return
 	}
@@ -99,7 +104,7 @@
 		return r.usage, truncated("event stream ended inside an event")
 	case r.stream && !r.doneReceived:
 		return r.usage, truncated("event stream ended without a [DONE] event")
-	case r.checkJSON && !r.oversized && !json.Valid(r.buffer):
+	case r.checkJSON && !r.value.Complete():
 		return r.usage, truncated("connection closed inside the JSON response")
 	}
 	return r.usage, nil
