--- a/standin/engine/api.go
+++ b/standin/engine/api.go
@@ -65,7 +65,8 @@
 	Error apiError `json:"error"`
 }
 
-// Handler serves the engine API, GET /journal, from which tests read what ran, and POST /fault/restart.
+// Handler serves the engine API, GET /journal, from which tests read what ran, and POST /fault/restart, /fault/hold and
+// /fault/release.
 func (e *Engine) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Use(e.addStartID)
@@ -74,6 +75,8 @@
 	r.Get("/load", e.showLoad)
 	r.Get("/journal", e.showJournal)
 	r.Post("/fault/restart", func(http.ResponseWriter, *http.Request) { e.Restart() })
+	r.Post("/fault/hold", func(http.ResponseWriter, *http.Request) { e.Hold() })
+	r.Post("/fault/release", func(http.ResponseWriter, *http.Request) { e.Release() })
 	r.Group(func(r chi.Router) {
 		r.Use(e.rejectStaleCommands)
 		r.Post("/v1/completions", e.completions)
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -133,6 +133,9 @@
 }
 
 func (g *textGeneration) waitTokenInterval(ctx context.Context) (err error) {
+	if err = g.engine.waitWhileHeld(ctx); err != nil {
+		return err
+	}
 	if g.engine.tokenInterval <= 0 {
 		return ctx.Err()
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -62,6 +62,8 @@
 	evictionsInUse []string
 	// staleCommands lists the commands that were executed with a stale fencing number.
 	staleCommands []string
+	// hold, if set, keeps requests from generating tokens until it is closed.
+	hold chan struct{}
 	// startCtx ends when the engine restarts.
 	startCtx    context.Context
 	cancelStart context.CancelFunc
@@ -121,6 +123,41 @@
 	e.startCtx, e.cancelStart = context.WithCancel(context.Background())
 }
 
+// Hold keeps all requests from generating tokens until Release.
+func (e *Engine) Hold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.hold == nil {
+		e.hold = make(chan struct{})
+	}
+}
+
+// Release ends the hold and lets the requests continue.
+func (e *Engine) Release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.hold != nil {
+		close(e.hold)
+	}
+	e.hold = nil
+}
+
+// waitWhileHeld waits for Release if tokens are held.
+func (e *Engine) waitWhileHeld(ctx context.Context) (err error) {
+	e.mu.Lock()
+	hold := e.hold
+	e.mu.Unlock()
+	if hold == nil {
+		return nil
+	}
+	select {
+	case <-hold:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Journal returns the requests that the engine started, in order.
 func (e *Engine) Journal() (list []Run) {
 	e.mu.Lock()
