agent: the refusal of an old fencing number leaves a newer claim alone

What callers could see: an agent loses its claim and acquires it again while a command of the previous incarnation is in flight. The endpoint refuses the old number, and the agent marks the new claim as lost, tells its gate so and returns all waiting tries. Its own record is still in the key-value service under a lease that it no longer renews, so by the code the endpoint stays without an agent until that lease expires (10 s).

Cause: invalidateIfFenced invalidated whatever claim was current, and named that incarnation to the gate.

Change: Invalidate takes the incarnation whose number was refused, and does nothing for another one. Each command keeps the number that it was sent with until its response. soak/fleet does the same.

Why it works: a claim is compared and changed under its lock, and an incarnation is never given out twice.

--- a/coordination/claim/keep.go
+++ b/coordination/claim/keep.go
@@ -78,11 +78,16 @@
 	}
 }
 
-// Invalidate marks the claim as lost, for example because the endpoint has received a newer fencing number.
-func (c *Claim) Invalidate() {
+// Invalidate marks the claim of incarnation i as lost, for example because the endpoint has received a newer fencing number. It reports
+// false and changes nothing if the claim is of another incarnation.
+func (c *Claim) Invalidate(i ident.Incarnation) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.incarnation != i {
+		return false
+	}
 	if c.status != Released {
 		c.status = Lost
 	}
+	return true
 }
--- a/daemon/agent/orders.go
+++ b/daemon/agent/orders.go
@@ -26,25 +26,25 @@
 
 func requestName(id ident.TryID) string { return engine.RequestName(id) }
 
-// invalidateIfFenced marks the claim as lost if err means that the endpoint has received a newer fencing number.
-func (a *Agent) invalidateIfFenced(err error) {
-	if errors.Is(err, engine.ErrFenced) {
-		a.claim.Invalidate()
-		_, i := a.claim.Status()
+// invalidateIfFenced marks the claim of incarnation i as lost if err means that the endpoint has received a newer fencing number. A claim
+// that was acquired since the command was sent stays as it is.
+func (a *Agent) invalidateIfFenced(i ident.Incarnation, err error) {
+	if errors.Is(err, engine.ErrFenced) && a.claim.Invalidate(i) {
 		a.post(gate.Claim{Status: gate.ClaimLost, Incarnation: i})
 	}
 }
 
 func (a *Agent) load(x gate.Load) {
 	started := a.clock.Now()
+	incarnation := a.incarnation()
 	event := timeline.Event{
-		Kind: timeline.LoadStarted, Endpoint: a.settings.Endpoint, Incarnation: a.incarnation(),
+		Kind: timeline.LoadStarted, Endpoint: a.settings.Endpoint, Incarnation: incarnation,
 		Adapter: x.Adapter.Adapter, Version: x.Adapter.Version,
 	}
 	a.log.Event(event)
 	ctx, cancel := context.WithTimeout(a.work, loadTimeout)
 	defer cancel()
-	digest, err := a.client.Load(ctx, a.incarnation(), x.Adapter, x.Path)
+	digest, err := a.client.Load(ctx, incarnation, x.Adapter, x.Path)
 	event.Kind, event.Duration = timeline.LoadFinished, a.clock.Since(started)
 	result := gate.LoadEnded{Number: x.Number, Digest: digest}
 	if err != nil {
@@ -56,7 +56,7 @@
 	a.meters.loads(resultOf(event.Kind == timeline.LoadFinished)).Inc()
 	a.meters.loadSeconds.Update(event.Duration.Seconds())
 	a.log.Event(event)
-	a.invalidateIfFenced(err)
+	a.invalidateIfFenced(incarnation, err)
 	a.post(result)
 }
 
@@ -64,9 +64,10 @@
 	started := a.clock.Now()
 	ctx, cancel := context.WithTimeout(a.work, unloadTimeout)
 	defer cancel()
-	err := a.client.Unload(ctx, a.incarnation(), x.Adapter)
+	incarnation := a.incarnation()
+	err := a.client.Unload(ctx, incarnation, x.Adapter)
 	event := timeline.Event{
-		Kind: timeline.AdapterEvicted, Endpoint: a.settings.Endpoint, Incarnation: a.incarnation(),
+		Kind: timeline.AdapterEvicted, Endpoint: a.settings.Endpoint, Incarnation: incarnation,
 		Adapter: x.Adapter.Adapter, Version: x.Adapter.Version, Duration: a.clock.Since(started),
 	}
 	result := gate.UnloadEnded{Number: x.Number}
@@ -76,7 +77,7 @@
 	}
 	a.meters.evictions(resultOf(err == nil)).Inc()
 	a.log.Event(event)
-	a.invalidateIfFenced(err)
+	a.invalidateIfFenced(incarnation, err)
 	a.post(result)
 }
 
@@ -116,8 +117,9 @@
 	if !x.Fence {
 		return nil
 	}
-	err = a.client.Cancel(ctx, a.incarnation(), fencingRequestID)
-	a.invalidateIfFenced(err)
+	incarnation := a.incarnation()
+	err = a.client.Cancel(ctx, incarnation, fencingRequestID)
+	a.invalidateIfFenced(incarnation, err)
 	return err
 }
 
--- a/soak/fleet/agenttry.go
+++ b/soak/fleet/agenttry.go
@@ -112,7 +112,7 @@
 			a.runAfter(a.fleet.latency(), func() {
 				a.step(gate.StartIDObserved{StartID: startID})
 				if result == backend.Fenced {
-					a.claim.invalidate()
+					a.claim.invalidate(o.Incarnation)
 				}
 				t.end(outcome.NotRun)
 			})
--- a/soak/fleet/claim.go
+++ b/soak/fleet/claim.go
@@ -205,10 +205,13 @@
 	})
 }
 
-// invalidate marks the claim as lost after the endpoint has refused its fencing number.
-func (c *claim) invalidate() {
+// invalidate marks the claim of incarnation i as lost after the endpoint has refused its fencing number.
+func (c *claim) invalidate(i ident.Incarnation) {
+	if c.incarnation != i {
+		return
+	}
 	c.status = gate.ClaimLost
-	c.agent.step(gate.Claim{Status: gate.ClaimLost, Incarnation: c.incarnation})
+	c.agent.step(gate.Claim{Status: gate.ClaimLost, Incarnation: i})
 }
 
 // release revokes the claim's lease for a stop; the claim is not acquired again.
--- a/soak/fleet/order.go
+++ b/soak/fleet/order.go
@@ -60,8 +60,10 @@
 	})
 }
 
-// commandResponse is the response of the endpoint to a command.
+// commandResponse is the response of the endpoint to a command with a fencing number.
 type commandResponse struct {
+	fencingNumber ident.Incarnation
+
 	result  backend.Result
 	digest  string
 	startID ident.StartID
@@ -81,7 +83,7 @@
 		}
 		if e == engine.Done && r.result == backend.Fenced {
 			e = engine.NoEffect
-			a.claim.invalidate()
+			a.claim.invalidate(r.fencingNumber)
 		}
 		if e == engine.Done && r.result == backend.Failed {
 			e = engine.MayHaveEffect
@@ -95,7 +97,9 @@
 			if a.endpoint.backend.StartID != startID {
 				return // the process that received the command has exited
 			}
-			a.runAfter(a.fleet.latency(), func() { finish(commandResponse{result: x, digest: digest, startID: startID}, engine.Done) })
+			a.runAfter(a.fleet.latency(), func() {
+				finish(commandResponse{fencingNumber: o.Incarnation, result: x, digest: digest, startID: startID}, engine.Done)
+			})
 		})
 	}, func(e engine.Effect) { finish(commandResponse{}, e) })
 }
