gate: commands to the endpoint carry the incarnation that decided them

What callers could see: an agent loses its claim and acquires it again while one of its goroutines is delayed before the send. The check of the claim passes again, and the load, unload, cancel or request that the gate decided under the previous incarnation goes out with the new fencing number.

Cause: daemon/agent read the fencing number when a command was sent, from a field that handleClaimChange sets before the gate knows of the new incarnation.

Change: Load, Unload, Survey, Cancel and CancelRequest carry the gate's incarnation; that of Start is in the id of its try, which the gate asserts to be its own. daemon/agent and soak/fleet send this number.

Why it works: an engine that has received a number of a later agent refuses the late command. If no other agent has sent one, nothing but this agent has changed the engine. Engines that ignore fencing numbers are not covered by this commit.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -60,7 +60,7 @@
 	shares   atomic.Pointer[callerShares]
 	// bodyBytes counts the bytes of the request bodies of all tries.
 	bodyBytes atomic.Int64
-	// claimIncarnation is the incarnation of the last acquired claim; commands carry it as the fencing number.
+	// claimIncarnation is the incarnation of the last acquired claim, which the gate may not know of yet.
 	claimIncarnation atomic.Int64
 
 	// work ends when the agent stops; its cause is the reason.
--- a/daemon/agent/control.go
+++ b/daemon/agent/control.go
@@ -86,9 +86,9 @@
 	case gate.Finish:
 		a.handleFinish(x)
 	case gate.Cancel:
-		a.cancelTry(x.ID)
+		a.cancelTry(x)
 	case gate.CancelRequest:
-		a.spawn(func() { a.cancelAtEngine(x.ID) })
+		a.spawn(func() { a.cancelAtEngine(x.Incarnation, x.ID) })
 	case gate.Load:
 		a.spawn(func() { a.load(x) })
 	case gate.Unload:
@@ -158,11 +158,11 @@
 	}
 }
 
-func (a *Agent) cancelTry(id ident.TryID) {
-	if channels, ok := a.tries[id]; ok {
+func (a *Agent) cancelTry(x gate.Cancel) {
+	if channels, ok := a.tries[x.ID]; ok {
 		channels.cancel()
 	}
-	a.spawn(func() { a.cancelAtEngine(requestName(id)) })
+	a.spawn(func() { a.cancelAtEngine(x.Incarnation, requestName(x.ID)) })
 }
 
 // post sends an event to the control goroutine; the event is dropped if the agent has stopped.
--- a/daemon/agent/orders.go
+++ b/daemon/agent/orders.go
@@ -22,8 +22,6 @@
 // the ids of tries contain a slash.
 const fencingRequestID = "fence"
 
-func (a *Agent) incarnation() ident.Incarnation { return ident.Incarnation(a.claimIncarnation.Load()) }
-
 func requestName(id ident.TryID) string { return engine.RequestName(id) }
 
 // invalidateIfFenced marks the claim of incarnation i as lost if err means that the endpoint has received a newer fencing number. A claim
@@ -36,15 +34,14 @@
 
 func (a *Agent) load(x gate.Load) {
 	started := a.clock.Now()
-	incarnation := a.incarnation()
 	event := timeline.Event{
-		Kind: timeline.LoadStarted, Endpoint: a.settings.Endpoint, Incarnation: incarnation,
+		Kind: timeline.LoadStarted, Endpoint: a.settings.Endpoint, Incarnation: x.Incarnation,
 		Adapter: x.Adapter.Adapter, Version: x.Adapter.Version,
 	}
 	a.log.Event(event)
 	ctx, cancel := context.WithTimeout(a.work, loadTimeout)
 	defer cancel()
-	digest, err := a.client.Load(ctx, incarnation, x.Adapter, x.Path)
+	digest, err := a.client.Load(ctx, x.Incarnation, x.Adapter, x.Path)
 	event.Kind, event.Duration = timeline.LoadFinished, a.clock.Since(started)
 	result := gate.LoadEnded{Number: x.Number, Digest: digest}
 	if err != nil {
@@ -56,7 +53,7 @@
 	a.meters.loads(resultOf(event.Kind == timeline.LoadFinished)).Inc()
 	a.meters.loadSeconds.Update(event.Duration.Seconds())
 	a.log.Event(event)
-	a.invalidateIfFenced(incarnation, err)
+	a.invalidateIfFenced(x.Incarnation, err)
 	a.post(result)
 }
 
@@ -64,10 +61,9 @@
 	started := a.clock.Now()
 	ctx, cancel := context.WithTimeout(a.work, unloadTimeout)
 	defer cancel()
-	incarnation := a.incarnation()
-	err := a.client.Unload(ctx, incarnation, x.Adapter)
+	err := a.client.Unload(ctx, x.Incarnation, x.Adapter)
 	event := timeline.Event{
-		Kind: timeline.AdapterEvicted, Endpoint: a.settings.Endpoint, Incarnation: incarnation,
+		Kind: timeline.AdapterEvicted, Endpoint: a.settings.Endpoint, Incarnation: x.Incarnation,
 		Adapter: x.Adapter.Adapter, Version: x.Adapter.Version, Duration: a.clock.Since(started),
 	}
 	result := gate.UnloadEnded{Number: x.Number}
@@ -77,7 +73,7 @@
 	}
 	a.meters.evictions(resultOf(err == nil)).Inc()
 	a.log.Event(event)
-	a.invalidateIfFenced(incarnation, err)
+	a.invalidateIfFenced(x.Incarnation, err)
 	a.post(result)
 }
 
@@ -117,16 +113,15 @@
 	if !x.Fence {
 		return nil
 	}
-	incarnation := a.incarnation()
-	err = a.client.Cancel(ctx, incarnation, fencingRequestID)
-	a.invalidateIfFenced(incarnation, err)
+	err = a.client.Cancel(ctx, x.Incarnation, fencingRequestID)
+	a.invalidateIfFenced(x.Incarnation, err)
 	return err
 }
 
-func (a *Agent) cancelAtEngine(id string) {
+func (a *Agent) cancelAtEngine(i ident.Incarnation, id string) {
 	ctx, cancel := context.WithTimeout(a.work, queryTimeout)
 	defer cancel()
-	if err := a.client.Cancel(ctx, a.incarnation(), id); err != nil {
+	if err := a.client.Cancel(ctx, i, id); err != nil {
 		a.log.WarnContext(ctx, "cancel at the engine failed; the request may still be running", errorAttr(err))
 	}
 }
--- a/daemon/agent/run.go
+++ b/daemon/agent/run.go
@@ -190,13 +190,12 @@
 func (j *runCall) runAtEndpoint(ctx context.Context, x gate.Start) (e gate.Ended) {
 	r := j.request
 	a := j.agent
-	incarnation := a.incarnation()
-	head, usage, err := a.client.Run(ctx, incarnation, engine.Call{
+	head, usage, err := a.client.Run(ctx, x.ID.Incarnation, engine.Call{
 		ID: j.id, Adapter: x.Adapter, Service: x.Adapter.IsZero(), Method: r.GetMethod(), Path: r.GetPath(),
 		ContentType: r.GetContentType(), Body: r.GetBody(), Key: ident.Key(r.GetKey()), Priority: r.GetPriority(),
 	}, j.forwardChunk)
 	j.response, j.usage = head, usage
-	a.invalidateIfFenced(incarnation, err)
+	a.invalidateIfFenced(x.ID.Incarnation, err)
 	if err == nil && r.GetKey() != "" {
 		j.storeChunk(head, nil)
 	}
--- a/soak/fleet/agent.go
+++ b/soak/fleet/agent.go
@@ -224,9 +224,9 @@
 		if t := a.tries[x.ID]; t != nil {
 			t.handleCancel()
 		}
-		a.cancelAtEndpoint(fmt.Sprintf("%s/%d", x.ID.RequestID, x.ID.Try))
+		a.cancelAtEndpoint(x.Incarnation, fmt.Sprintf("%s/%d", x.ID.RequestID, x.ID.Try))
 	case gate.CancelRequest:
-		a.cancelAtEndpoint(x.ID)
+		a.cancelAtEndpoint(x.Incarnation, x.ID)
 	case gate.Load:
 		a.load(x)
 	case gate.Unload:
--- a/soak/fleet/agenttry.go
+++ b/soak/fleet/agenttry.go
@@ -105,7 +105,7 @@
 	a := t.agent
 	q := backend.Request{ID: t.id, Adapter: x.Adapter, Caller: ident.Caller(t.request.GetCaller()), Key: ident.Key(t.request.GetKey()),
 		Body: string(t.request.GetBody()), Stream: t.request.GetStream()}
-	a.sendOrder(func(o backend.Order) {
+	a.sendOrder(x.ID.Incarnation, func(o backend.Order) {
 		r, result := a.endpoint.backend.Run(o, q, t.handleChunk, t.handleResponseEnd)
 		startID := a.endpoint.backend.StartID
 		if result != backend.Accepted {
--- a/soak/fleet/order.go
+++ b/soak/fleet/order.go
@@ -11,15 +11,15 @@
 	"shallotring.dev/state/resource"
 )
 
-// sendOrder checks the claim and sends an order to the endpoint after a short time, in which the agent may be paused. It
+// sendOrder checks the claim and sends an order of incarnation i to the endpoint after a short time, in which the agent may be paused. It
 // calls arrive at the endpoint, or failed at the agent if the order is not sent or the connection fails.
-func (a *agent) sendOrder(arrive func(o backend.Order), failed func(engine.Effect)) {
+func (a *agent) sendOrder(i ident.Incarnation, arrive func(o backend.Order), failed func(engine.Effect)) {
 	f := a.fleet
 	if !a.claim.allowsSend() {
 		a.runAfter(0, func() { failed(engine.NoEffect) })
 		return
 	}
-	o := backend.Order{Incarnation: a.claim.incarnation, Sender: a.id, Checked: f.clock.Now()}
+	o := backend.Order{Incarnation: i, Sender: a.id, Checked: f.clock.Now()}
 	if a.pauseAtNextOrder > 0 {
 		d := a.pauseAtNextOrder
 		a.pauseAtNextOrder = 0
@@ -69,9 +69,9 @@
 	startID ident.StartID
 }
 
-// sendCommand sends a command as an order; done gets the response, or the possible effect of the command if there is no
+// sendCommand sends a command as an order of incarnation i; done gets the response, or the possible effect of the command if there is no
 // response.
-func (a *agent) sendCommand(timeout time.Duration, run func(o backend.Order, respond func(backend.Result, string)), done func(r commandResponse, e engine.Effect)) {
+func (a *agent) sendCommand(i ident.Incarnation, timeout time.Duration, run func(o backend.Order, respond func(backend.Result, string)), done func(r commandResponse, e engine.Effect)) {
 	finished := false
 	finish := func(r commandResponse, e engine.Effect) {
 		if finished {
@@ -91,7 +91,7 @@
 		done(r, e)
 	}
 	a.runAfter(timeout, func() { finish(commandResponse{}, engine.MayHaveEffect) })
-	a.sendOrder(func(o backend.Order) {
+	a.sendOrder(i, func(o backend.Order) {
 		startID := a.endpoint.backend.StartID
 		run(o, func(x backend.Result, digest string) {
 			if a.endpoint.backend.StartID != startID {
@@ -106,7 +106,7 @@
 
 func (a *agent) load(x gate.Load) {
 	a.fleet.log.Add([3]string{string(a.endpoint.name), x.Adapter.String()}, "%s starts to load %s", a.id, x.Path)
-	a.sendCommand(loadTimeout, func(o backend.Order, respond func(backend.Result, string)) {
+	a.sendCommand(x.Incarnation, loadTimeout, func(o backend.Order, respond func(backend.Result, string)) {
 		a.endpoint.backend.Load(o, x.Adapter, x.Path, respond)
 	}, func(r commandResponse, e engine.Effect) {
 		a.fleet.log.Add([3]string{string(a.endpoint.name), x.Adapter.String()}, "%s: load ended, effect %d", a.id, e)
@@ -119,7 +119,7 @@
 	if a.pauseAtNextUnload > 0 {
 		a.pauseAtNextOrder, a.pauseAtNextUnload = a.pauseAtNextUnload, 0
 	}
-	a.sendCommand(unloadTimeout, func(o backend.Order, respond func(backend.Result, string)) {
+	a.sendCommand(x.Incarnation, unloadTimeout, func(o backend.Order, respond func(backend.Result, string)) {
 		respond(a.endpoint.backend.Unload(o, x.Adapter), "")
 	}, func(_ commandResponse, e engine.Effect) {
 		a.fleet.log.Add([3]string{string(a.endpoint.name), x.Adapter.String()}, "%s: unload ended, effect %d", a.id, e)
@@ -127,8 +127,8 @@
 	})
 }
 
-func (a *agent) cancelAtEndpoint(name string) {
-	a.sendCommand(listTimeout, func(o backend.Order, respond func(backend.Result, string)) {
+func (a *agent) cancelAtEndpoint(i ident.Incarnation, name string) {
+	a.sendCommand(i, listTimeout, func(o backend.Order, respond func(backend.Result, string)) {
 		respond(a.endpoint.backend.Cancel(o, name), "")
 	}, func(commandResponse, engine.Effect) {})
 }
@@ -166,7 +166,7 @@
 		a.readLists(result)
 		return
 	}
-	a.sendCommand(listTimeout, func(o backend.Order, respond func(backend.Result, string)) {
+	a.sendCommand(x.Incarnation, listTimeout, func(o backend.Order, respond func(backend.Result, string)) {
 		respond(a.endpoint.backend.Cancel(o, "fence"), "")
 	}, func(_ commandResponse, e engine.Effect) {
 		if e != engine.Done {
--- a/state/gate/command.go
+++ b/state/gate/command.go
@@ -7,7 +7,8 @@
 	"shallotring.dev/state/outcome"
 )
 
-// Command is one output of the gate.
+// Command is one output of the gate. A command to the endpoint has the incarnation under which it was decided, which is its fencing number;
+// that of Start is in the id of its try.
 type Command interface{ command() }
 
 // Answer is the response of a completed try with a key.
@@ -52,24 +53,32 @@
 	Detail  string
 }
 
-// Cancel stops a running try at the endpoint; Ended follows.
-type Cancel struct{ ID ident.TryID }
+// Cancel stops a running try at the endpoint, which may be of an earlier incarnation; Ended follows.
+type Cancel struct {
+	ID          ident.TryID
+	Incarnation ident.Incarnation
+}
 
 // CancelRequest stops a request of a previous agent; ID is the id under which the engine lists it.
-type CancelRequest struct{ ID string }
+type CancelRequest struct {
+	ID          string
+	Incarnation ident.Incarnation
+}
 
 // Load loads an adapter; LoadEnded with the same number follows.
 type Load struct {
-	Number  uint64
-	Adapter ident.AdapterVersion
-	Path    string
-	Digest  string
+	Number      uint64
+	Incarnation ident.Incarnation
+	Adapter     ident.AdapterVersion
+	Path        string
+	Digest      string
 }
 
 // Unload evicts an adapter; UnloadEnded with the same number follows.
 type Unload struct {
-	Number  uint64
-	Adapter ident.AdapterVersion
+	Number      uint64
+	Incarnation ident.Incarnation
+	Adapter     ident.AdapterVersion
 }
 
 // RequestPermits requests load permits; Permits follows.
@@ -84,7 +93,8 @@
 
 // Survey reads the start id, the loaded adapters and the running requests; Surveyed with the same number follows.
 type Survey struct {
-	Number uint64
+	Number      uint64
+	Incarnation ident.Incarnation
 	// Fence requests a command without effect before the lists are read, so that the engine has seen the fencing number:
 	// a previous agent could otherwise start requests that the lists do not show. The survey fails if the command does.
 	Fence bool
--- a/state/gate/load.go
+++ b/state/gate/load.go
@@ -161,7 +161,7 @@
 	g.adapterRecord(av).loadAttempts++
 	g.lastNumber++
 	g.orders[g.lastNumber] = &order{adapter: av, digest: declared.Digest, load: true}
-	g.emit(Load{Number: g.lastNumber, Adapter: av, Path: declared.Path, Digest: declared.Digest})
+	g.emit(Load{Number: g.lastNumber, Incarnation: g.Incarnation, Adapter: av, Path: declared.Path, Digest: declared.Digest})
 	return true
 }
 
@@ -293,7 +293,7 @@
 	}
 	g.lastNumber++
 	g.orders[g.lastNumber] = &order{adapter: av}
-	g.emit(Unload{Number: g.lastNumber, Adapter: av})
+	g.emit(Unload{Number: g.lastNumber, Incarnation: g.Incarnation, Adapter: av})
 }
 
 func (g *Gate) loadEnded(e LoadEnded) {
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -43,7 +43,7 @@
 	}
 	g.lastNumber++
 	g.survey = surveyState{number: g.lastNumber, started: g.now, inFlight: true, viewVersion: g.viewVersion}
-	g.emit(Survey{Number: g.lastNumber, Fence: !g.synced && g.ChecksFencing})
+	g.emit(Survey{Number: g.lastNumber, Incarnation: g.Incarnation, Fence: !g.synced && g.ChecksFencing})
 }
 
 func (g *Gate) applySurvey(s Surveyed) {
@@ -108,7 +108,7 @@
 // interruptTry finishes a running try as unknown without waiting for the endpoint, because it may have run.
 func (g *Gate) interruptTry(t *try, detail string) {
 	g.releaseRunning(t, outcome.Unknown)
-	g.emit(Cancel{ID: t.ID})
+	g.emit(Cancel{ID: t.ID, Incarnation: g.Incarnation})
 	g.emit(Finish{ID: t.ID, Outcome: outcome.Unknown, Detail: detail})
 }
 
@@ -151,7 +151,7 @@
 		g.adopted[r.ID] = r.Adapter
 		g.slots.Acquire(g.now, r.Adapter)
 		if !g.ChecksFencing {
-			g.emit(CancelRequest{ID: r.ID})
+			g.emit(CancelRequest{ID: r.ID, Incarnation: g.Incarnation})
 		}
 	}
 }
--- a/state/gate/try.go
+++ b/state/gate/try.go
@@ -246,7 +246,7 @@
 func (g *Gate) cancel(t *try) {
 	if t.state == running && !t.canceled {
 		t.canceled = true
-		g.emit(Cancel{ID: t.ID})
+		g.emit(Cancel{ID: t.ID, Incarnation: g.Incarnation})
 	}
 }
 
