--- a/soak/fleet/agenttry.go
+++ b/soak/fleet/agenttry.go
@@ -105,14 +105,14 @@
 	a := t.agent
 	q := backend.Request{ID: t.id, Adapter: x.Adapter, Caller: ident.Caller(t.request.GetCaller()), Key: ident.Key(t.request.GetKey()),
 		Body: string(t.request.GetBody()), Stream: t.request.GetStream()}
-	a.sendOrder(func(o backend.Order) {
+	a.sendOrder(x.ID.Incarnation, func(o backend.Order) {
 		r, result := a.endpoint.backend.Run(o, q, t.handleChunk, t.handleResponseEnd)
 		startID := a.endpoint.backend.StartID
 		if result != backend.Accepted {
 			a.runAfter(a.fleet.latency(), func() {
 				a.step(gate.StartIDObserved{StartID: startID})
 				if result == backend.Fenced {
-					a.claim.invalidate()
+					a.claim.invalidate(o.Incarnation)
 				}
 				t.end(outcome.NotRun)
 			})
