entry: a load report counts only for the endpoint and incarnation it is of

What callers could see: an agent stops and another one gets its address. Until the entry's claims are refreshed, the report of the new agent fills the state of the old endpoint, so requests are placed by adapters, load and limits that belong to another endpoint.

Cause: fetchReport and handlePollResult compared only the claim that the call was made for, not the Endpoint and Incarnation of the response.

Change: a report of another endpoint or incarnation is dropped, counted and logged as a failed report of that agent. soak/fleet compares the incarnation; there, only agents of the same endpoint share an address. The stand-in agents of the entry's tests and of bench capacity now name their endpoint and incarnation; in bench capacity the endpoint is the path of the agent's address, because one listener serves all.

Before: go test -race -run TestReportOfOtherAgentIsDropped ./daemon/entry other_endpoint: report Endpoint:"engine-1" Incarnation:100 Running:3, failing false, want it dropped: true other_incarnation: report Endpoint:"engine-0" Incarnation:101 Running:3, failing false, want it dropped: true After: passes; daemon/entry, soak and daemon/local pass with the race detector.

Why it works: an agent reports the incarnation of its gate, which is given out once. Until the entry's claim and the gate agree, the agent would refuse tries of that claim anyway.

--- a/bench/capacity/entry.go
+++ b/bench/capacity/entry.go
@@ -10,7 +10,6 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/bench/load"
-	"shallotring.dev/protocol/wire"
 )
 
 // startupTime is the time between the start of processes and their measurement, in which they become idle.
@@ -51,7 +50,7 @@
 	defer s.stop()
 	agents := &agentStub{}
 	var agentTraffic traffic
-	address, stopAgents, err := serve(wire.NewAgentServer(agents), &agentTraffic)
+	address, stopAgents, err := serve(agents.handler(), &agentTraffic)
 	if err != nil {
 		return err
 	}
@@ -59,7 +58,7 @@
 	if err = s.declare(ctx, adapters, endpoints); err != nil {
 		return err
 	}
-	if err = s.writeClaims(ctx, endpoints, []string{address}); err != nil {
+	if err = s.writeClaims(ctx, endpoints, address, agents); err != nil {
 		return err
 	}
 	dir, err := os.MkdirTemp("", "capacity")
--- a/bench/capacity/service.go
+++ b/bench/capacity/service.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -106,16 +108,16 @@
 }
 
 // create stores a value under a key that does not exist yet.
-func (s *service) create(ctx context.Context, key string, value any) (err error) {
+func (s *service) create(ctx context.Context, key string, value any) (at ident.Revision, err error) {
 	text, err := json.Marshal(value)
 	if err != nil {
-		return eris.Wrap(err, "encode a stored value as JSON")
+		return 0, eris.Wrap(err, "encode a stored value as JSON")
 	}
-	_, swapped, err := s.store.CompareAndSwap(ctx, protocol.Swap{Key: key, Value: text})
+	at, swapped, err := s.store.CompareAndSwap(ctx, protocol.Swap{Key: key, Value: text})
 	if err == nil && !swapped {
 		err = eris.Errorf("key %s already exists", key)
 	}
-	return err
+	return at, err
 }
 
 // declare stores the configuration shards with the given numbers of adapters and engines.
@@ -137,24 +139,26 @@
 	policy := resource.DefaultPolicy()
 	add(&policy)
 	for number, sh := range shards {
-		if err = s.create(ctx, registry.ConfigKey(number), sh); err != nil {
+		if _, err = s.create(ctx, registry.ConfigKey(number), sh); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// writeClaims stores one claim per engine; the agents have the given addresses in turn.
-func (s *service) writeClaims(ctx context.Context, engines int, addresses []string) (err error) {
+// writeClaims stores one claim per engine. The address of an agent is the given one with the name of the engine as its path.
+func (s *service) writeClaims(ctx context.Context, engines int, address string, agents *agentStub) (err error) {
 	for i := range engines {
 		name := load.EngineName(i)
 		r := registry.ClaimRecord{
-			Process: ident.Process(fmt.Sprintf("agent-%d", i)), Endpoint: name, Address: addresses[i%len(addresses)],
+			Process: ident.Process(fmt.Sprintf("agent-%d", i)), Endpoint: name, Address: address + "/" + string(name),
 			Host: load.Engine(i).Host, Zone: load.Engine(i).Zone,
 		}
-		if err = s.create(ctx, registry.ClaimKey(name), r); err != nil {
+		at, err := s.create(ctx, registry.ClaimKey(name), r)
+		if err != nil {
 			return err
 		}
+		agents.incarnations.Store(name, ident.Incarnation(at))
 	}
 	return nil
 }
@@ -163,12 +167,31 @@
 type agentStub struct {
 	wire.Agent
 	reports atomic.Int64
+	// incarnations has the ident.Incarnation of each ident.Endpoint.
+	incarnations sync.Map
+}
+
+// endpointKey is the key of the endpoint's name in the context of a call.
+type endpointKey struct{}
+
+// handler passes on the calls of each agent, whose path begins with the name of its endpoint.
+func (r *agentStub) handler() http.Handler {
+	calls := wire.NewAgentServer(r)
+	return http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+		name, path, _ := strings.Cut(strings.TrimPrefix(h.URL.Path, "/"), "/")
+		h = h.WithContext(context.WithValue(h.Context(), endpointKey{}, ident.Endpoint(name)))
+		h.URL.Path = "/" + path
+		calls.ServeHTTP(w, h)
+	})
 }
 
 // Report returns a load report.
-func (r *agentStub) Report(context.Context, *wire.ReportRequest) (a *wire.ReportResponse, err error) {
+func (r *agentStub) Report(ctx context.Context, _ *wire.ReportRequest) (a *wire.ReportResponse, err error) {
 	n := r.reports.Add(1)
-	a = &wire.ReportResponse{Running: 20, Queued: 3, BatchSize: 256, Slots: 8, Generation: 1 << 20, QueueMilli: 12}
+	name, _ := ctx.Value(endpointKey{}).(ident.Endpoint)
+	incarnation, _ := r.incarnations.Load(name)
+	i, _ := incarnation.(ident.Incarnation)
+	a = &wire.ReportResponse{Endpoint: string(name), Incarnation: int64(i), Running: 20, Queued: 3, BatchSize: 256, Slots: 8, Generation: 1 << 20, QueueMilli: 12}
 	for i := range 8 {
 		a.Adapters = append(a.Adapters, &wire.AdapterState{
 			Adapter: fmt.Sprintf("adapter-%05d", (int(n)+i*17)%3000), Version: "v2", Running: 3,
--- a/daemon/entry/fake_test.go
+++ b/daemon/entry/fake_test.go
@@ -42,10 +42,12 @@
 	server      *httptest.Server
 	run         func(w *frame.Writer, r *wire.RunRequest, h *http.Request)
 	settleState wire.TryState
-	runs        atomic.Int64
-	settles     atomic.Int64
-	mu          sync.Mutex
-	received    []*wire.RunRequest
+	// claim is the claim that the entry has read of the agent.
+	claim    Claim
+	runs     atomic.Int64
+	settles  atomic.Int64
+	mu       sync.Mutex
+	received []*wire.RunRequest
 }
 
 // flushWriter flushes after each write that is not empty.
@@ -114,7 +116,7 @@
 }
 
 func (a *fakeAgent) Report(context.Context, *wire.ReportRequest) (*wire.ReportResponse, error) {
-	return &wire.ReportResponse{}, nil
+	return &wire.ReportResponse{Endpoint: string(a.claim.Endpoint), Incarnation: int64(a.claim.Incarnation)}, nil
 }
 
 func (a *fakeAgent) Drain(context.Context, *wire.DrainRequest) (*wire.DrainResponse, error) {
@@ -244,10 +246,11 @@
 		if i == len(agents)-1 {
 			name = "service-0"
 		}
-		claims = append(claims, Claim{
+		a.claim = Claim{
 			ClaimRecord: registry.ClaimRecord{Endpoint: ident.Endpoint(name), Address: strings.TrimPrefix(a.server.URL, "http://")},
 			Incarnation: ident.Incarnation(100 + i),
-		})
+		}
+		claims = append(claims, a.claim)
 	}
 	log := &lockedBuffer{}
 	options = append([]Option{
--- a/daemon/entry/placer.go
+++ b/daemon/entry/placer.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
@@ -201,6 +203,10 @@
 	if state == nil || state.claim.Incarnation != result.claim.Incarnation {
 		return
 	}
+	if err := checkReporter(result); err != nil {
+		c.entry.meters.reportsFailed.Inc()
+		result.report, result.err = nil, err
+	}
 	c.logReachability(state, result.err)
 	state.unconfirmed = !state.failing && errors.Is(result.err, context.DeadlineExceeded)
 	if state.failing = result.report == nil; !state.failing {
@@ -209,6 +215,16 @@
 	c.updateTable(state)
 }
 
+// checkReporter returns an error if a report is not of the endpoint and incarnation that it was requested from: the address may belong to
+// another agent now.
+func checkReporter(result pollResult) (err error) {
+	r := result.report
+	if r == nil || (r.GetEndpoint() == string(result.claim.Endpoint) && r.GetIncarnation() == int64(result.claim.Incarnation)) {
+		return nil
+	}
+	return eris.Errorf("the load report is of endpoint %s with incarnation %d, not of incarnation %d", r.GetEndpoint(), r.GetIncarnation(), result.claim.Incarnation)
+}
+
 // logReachability logs that the agent of an endpoint stops or begins again to respond.
 func (c *placer) logReachability(state *endpointState, err error) {
 	name := slog.String("Endpoint", string(state.claim.Endpoint))
--- a/daemon/entry/placer_test.go
+++ b/daemon/entry/placer_test.go
@@ -57,6 +57,32 @@
 	}
 }
 
+// TestReportOfOtherAgentIsDropped guards against the state of another endpoint, or of another incarnation, that an entry takes for that of the
+// endpoint it asked for, because the address of the agent belongs to another agent now.
+func TestReportOfOtherAgentIsDropped(t *testing.T) {
+	for name, tt := range map[string]struct {
+		endpoint ident.Endpoint
+		later    ident.Incarnation
+		dropped  bool
+	}{
+		"own":               {"engine-0", 0, false},
+		"other endpoint":    {"engine-1", 0, true},
+		"other incarnation": {"engine-0", 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newPlacer(startEntry(t, testSettings(), twoAgents(t)).Entry)
+			c.refresh()
+			state := c.endpoints["engine-0"]
+			c.handlePollResult(pollResult{claim: state.claim, report: &wire.ReportResponse{
+				Endpoint: string(tt.endpoint), Incarnation: int64(state.claim.Incarnation + tt.later), Running: 3,
+			}})
+			if state.failing != tt.dropped || (state.report == nil) != tt.dropped {
+				t.Errorf("report %v, failing %t, want it dropped: %t", state.report, state.failing, tt.dropped)
+			}
+		})
+	}
+}
+
 // TestSharedPromptHasOnePrefix guards against requests with the same long system prompt that get different prefix hashes:
 // they could go to different endpoints, each of which would compute the prompt again.
 func TestSharedPromptHasOnePrefix(t *testing.T) {
@@ -120,7 +146,7 @@
 			for _, err := range tt.results {
 				result := pollResult{claim: claim, err: err}
 				if err == nil {
-					result.report = &wire.ReportResponse{}
+					result.report = &wire.ReportResponse{Endpoint: string(claim.Endpoint), Incarnation: int64(claim.Incarnation)}
 				}
 				c.handlePollResult(result)
 			}
--- a/soak/fleet/entry.go
+++ b/soak/fleet/entry.go
@@ -190,8 +190,10 @@
 	if state == nil || state.incarnation != c.incarnation {
 		return
 	}
-	if state.failing = s != callAnswered; !state.failing {
-		state.report = response.(*gate.Report)
+	report, ok := response.(*gate.Report)
+	state.failing = s != callAnswered || !ok || report.Incarnation != c.incarnation
+	if !state.failing {
+		state.report = report
 	}
 	e.updateTable(state)
 }
