--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -15,6 +15,7 @@
 	"shallotring.dev/state/inventory"
 	"shallotring.dev/state/placement"
 	"shallotring.dev/state/resource"
+	"shallotring.dev/state/sendlimit"
 )
 
 const (
@@ -49,6 +50,8 @@
 	suspendedUntil time.Time
 	// pausedUntil is the time until which the endpoint has asked this host to send nothing.
 	pausedUntil time.Time
+	// limit is the rate of requests that the endpoint takes from all hosts together.
+	limit sendlimit.Limit
 	// superseded is set once a later incarnation uses the address.
 	superseded bool
 	// formerStarts are the start times of earlier incarnations with the same id, the latest last.
--- a/daemon/frontend/instrument.go
+++ b/daemon/frontend/instrument.go
@@ -18,6 +18,11 @@
 	// that ask for time without requests.
 	leavingEndpoints *metrics.Counter
 	pauses           *metrics.Counter
+	// limitChanges counts the limits that endpoints began, changed or ceased to name, invalidLimits the responses whose limit cannot be read,
+	// and limitedSends the requests to endpoints that had named a limit.
+	limitChanges  *metrics.Counter
+	invalidLimits *metrics.Counter
+	limitedSends  *metrics.Counter
 	// prefetches counts the adapters that were requested ahead of their requests.
 	prefetches *metrics.Counter
 	// interruptedRequests counts requests that were reported to agents because their connections to engines ended.
@@ -41,6 +46,9 @@
 		unverifiedResponses:  set.GetOrCreateCounter("shallotring_frontend_foreign_answers_total"),
 		leavingEndpoints:     set.GetOrCreateCounter("shallotring_frontend_endpoints_leaving_total"),
 		pauses:               set.GetOrCreateCounter("shallotring_frontend_endpoint_pauses_total"),
+		limitChanges:         set.GetOrCreateCounter("shallotring_frontend_limit_changes_total"),
+		invalidLimits:        set.GetOrCreateCounter("shallotring_frontend_invalid_limits_total"),
+		limitedSends:         set.GetOrCreateCounter("shallotring_frontend_limited_sends_total"),
 		prefetches:           set.GetOrCreateCounter("shallotring_frontend_prefetches_total"),
 		interruptedRequests:  set.GetOrCreateCounter("shallotring_frontend_interrupted_requests_total"),
 		quarantineRefusals:   set.GetOrCreateCounter("shallotring_frontend_quarantine_refusals_total"),
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"shallotring.dev/protocol/upstream"
 	"shallotring.dev/state/holdings"
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/sendlimit"
 )
 
 const (
@@ -80,12 +81,16 @@
 	published     control.State
 	// incarnations are the last incarnations of the engine, the current one last.
 	incarnations []*incarnation
+	// limit is the rate of requests that the engine takes from all hosts together, according to its reports.
+	limit sendlimit.Limit
 	// orderedAt is the time of the last order to the engine.
 	orderedAt time.Time
 
 	orders        *metrics.Counter
 	refusedOrders *metrics.Counter
 	unknownOrders *metrics.Counter
+	// limitedCalls counts the reports and orders sent to the engine while it named a limit.
+	limitedCalls *metrics.Counter
 	// engineLosses counts how often the engine stopped responding.
 	engineLosses *metrics.Counter
 	loadSeconds  *metrics.Histogram
@@ -121,6 +126,7 @@
 		s.orders = set.GetOrCreateCounter("shallotring_sidecar_orders_total")
 		s.refusedOrders = set.GetOrCreateCounter("shallotring_sidecar_orders_refused_total")
 		s.unknownOrders = set.GetOrCreateCounter("shallotring_sidecar_orders_unknown_total")
+		s.limitedCalls = set.GetOrCreateCounter("shallotring_sidecar_limited_calls_total")
 		s.engineLosses = set.GetOrCreateCounter("shallotring_sidecar_engine_losses_total")
 		s.loadSeconds = set.GetOrCreateHistogram("shallotring_sidecar_load_seconds")
 	}
@@ -297,6 +303,7 @@
 
 // pollEngine reads the engine's report into the keeper; ok is false if the engine's report or identity could not be read.
 func (s *Sidecar) pollEngine(ctx context.Context) (ok bool) {
+	s.countLimitedCall()
 	r, err := s.engine.Report(ctx)
 	now := s.clock.Now()
 	if s.recordPause(now, err) {
@@ -315,6 +322,7 @@
 		s.log.Info("engine responds again", slog.String("Endpoint", string(s.endpoint)), slog.Int64("Born", r.StartMilli))
 	}
 	s.failedPolls, s.reportedAt = 0, now
+	s.recordLimit(r.Limit)
 	if r.StartMilli != s.startMilli || s.endpoint == "" {
 		id, err := s.engine.Identity(ctx)
 		if s.unidentified = err != nil; s.unidentified {
@@ -348,6 +356,7 @@
 
 func (s *Sidecar) sendOrder(ctx context.Context, o holdings.Order) {
 	s.orders.Inc()
+	s.countLimitedCall()
 	start := s.clock.Now()
 	s.orderedAt = start
 	result, err := s.engine.Order(ctx, o)
--- a/state/call/call.go
+++ b/state/call/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/sendlimit"
 )
 
 // PartID identifies a section of prompts; it is the callers' choice.
@@ -82,6 +83,10 @@
 	Leaving bool
 	// RetryAfter is the time for which the endpoint wants no requests from this host; 0 if it states none.
 	RetryAfter time.Duration
+	// Limit is the rate of requests that the endpoint takes from all hosts together. InvalidLimit is true if the response names one that
+	// cannot be read.
+	Limit        sendlimit.Limit
+	InvalidLimit bool
 	// Encoded is true if the body has a content encoding and so is not the endpoint's original bytes.
 	Encoded bool
 }
--- a/state/holdings/order.go
+++ b/state/holdings/order.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/sendlimit"
 )
 
 // Report is the state that an engine reports.
@@ -28,6 +29,8 @@
 	Resident    []ident.AdapterVersion
 	// Loading lists the adapters that are being loaded; they occupy slots.
 	Loading []ident.AdapterVersion
+	// Limit is the rate of requests that the engine takes from all hosts together.
+	Limit sendlimit.Limit
 }
 
 // Order is a command to the engine to load or unload an adapter or to load a base model.
