--- a/daemon/direct/direct_test.go
+++ b/daemon/direct/direct_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -94,6 +95,25 @@
 	return response.StatusCode, string(b), err
 }
 
+// exchange sends one request through a random entry on a connection of its own; the status is 0 if there is no response.
+func (d *deployment) exchange(r *rand.Rand, call standin.Call) (status int, header http.Header) {
+	c, err := net.Dial("tcp", d.Fronts[r.IntN(len(d.Fronts))])
+	if err != nil {
+		return 0, nil
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(c, call.Encode())
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, nil
+	}
+	if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, response.Header
+}
+
 // sendUntilServed sends a request with new ids until one is served; a request that is refused must not have run.
 func (d *deployment) sendUntilServed(path, id, model string) (body string) {
 	d.t.Helper()
--- a/daemon/direct/quarantine_test.go
+++ b/daemon/direct/quarantine_test.go
@@ -36,10 +36,12 @@
 	poisonPart = 0xbad
 )
 
-// poisonTraffic sends requests that share their first part and their session's part; some of them have a part that crashes engines.
-type poisonTraffic struct {
+// modelTraffic sends requests that share their first part and their session's part; some of them may have a part that crashes engines.
+type modelTraffic struct {
 	*deployment
-	sent atomic.Int64
+	// adapters is the number of adapters that are requested; 0 means two.
+	adapters int
+	sent     atomic.Int64
 
 	mu       sync.Mutex
 	outcomes []callerOutcome
@@ -54,7 +56,7 @@
 }
 
 // observe records the arrival of a request at an engine.
-func (p *poisonTraffic) observe(a standin.Arrival) {
+func (p *modelTraffic) observe(a standin.Arrival) {
 	if !slices.Contains(a.Parts, strconv.FormatUint(poisonPart, 16)) {
 		return
 	}
@@ -64,9 +66,9 @@
 }
 
 // send sends one request through a random entry and returns the status; complete is false if the response was broken off.
-func (p *poisonTraffic) send(r *rand.Rand, middle ...standin.Part) (status int, complete bool) {
+func (p *modelTraffic) send(r *rand.Rand, middle ...standin.Part) (status int, complete bool) {
 	call := p.ModelRequest(fmt.Sprint("r-", p.sent.Add(1)))
-	call.Timeout, call.Model = 4*time.Second, fmt.Sprint(trial.Model, "/a", 1+r.IntN(2))
+	call.Timeout, call.Model = 4*time.Second, fmt.Sprint(trial.Model, "/a", 1+r.IntN(max(p.adapters, 2)))
 	call.Shared.ID, call.Middle, call.Own.ID = firstPart, middle, r.Uint64()
 	c, err := net.Dial("tcp", p.Fronts[r.IntN(len(p.Fronts))])
 	if err != nil {
@@ -89,7 +91,7 @@
 }
 
 // run sends requests without the poison until done is closed.
-func (p *poisonTraffic) run(seed uint64, done <-chan struct{}) {
+func (p *modelTraffic) run(seed uint64, done <-chan struct{}) {
 	r := rand.New(rand.NewPCG(seed, 1))
 	for {
 		select {
@@ -106,7 +108,7 @@
 }
 
 // servedShare returns the share of the requests without the poison that were sent in a period and served, and their number.
-func (p *poisonTraffic) servedShare(from, to time.Time) (share float64, sent int) {
+func (p *modelTraffic) servedShare(from, to time.Time) (share float64, sent int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	served := 0
@@ -123,7 +125,7 @@
 }
 
 // reachedAfter counts the requests with the poison that reached engines after a time.
-func (p *poisonTraffic) reachedAfter(at time.Time) (n int) {
+func (p *modelTraffic) reachedAfter(at time.Time) (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, t := range p.reached {
@@ -148,7 +150,7 @@
 		{"three engines, inside an event", trial.Size{Engines: 3, Entries: 2}, standin.InsideEvent, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var p poisonTraffic
+			var p modelTraffic
 			p.deployment = deploySize(t, c.size, standin.WithJournal(p.observe), standin.WithPace(15, 20*time.Millisecond))
 			for _, e := range p.Engines {
 				e.SetPoison(standin.Poison{Part: poisonPart, Probability: c.probability, Stage: c.stage})
@@ -202,7 +204,7 @@
 
 // TestOtherCrashesQuarantineNothing guards against the refusal of requests because the engines that they were on crashed for other reasons.
 func TestOtherCrashesQuarantineNothing(t *testing.T) {
-	var p poisonTraffic
+	var p modelTraffic
 	p.deployment = deploySize(t, trial.Size{Engines: 8, Entries: 3}, standin.WithPace(15, 20*time.Millisecond))
 	p.sendUntilServed("/g/1", "ready", "m/a1")
 	done := make(chan struct{})
@@ -237,7 +239,7 @@
 // TestQuarantineOutlivesEntries guards against an entry that sends requests with a part in quarantine to engines because it has started later,
 // against the loss of the quarantine with the last writes of the store, and against a quarantine that operators can neither see nor lift.
 func TestQuarantineOutlivesEntries(t *testing.T) {
-	var p poisonTraffic
+	var p modelTraffic
 	p.deployment = deploySize(t, trial.Size{Engines: 6, Entries: 2}, standin.WithJournal(p.observe), standin.WithPace(15, 20*time.Millisecond))
 	settings, err := p.OperatorSettings()
 	if err != nil {
