--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -15,7 +15,6 @@
 	"shallotring.dev/state/inventory"
 	"shallotring.dev/state/placement"
 	"shallotring.dev/state/resource"
-	"shallotring.dev/state/sendlimit"
 )
 
 const (
@@ -50,8 +49,7 @@
 	suspendedUntil time.Time
 	// pausedUntil is the time until which the endpoint has asked this host to send nothing.
 	pausedUntil time.Time
-	// limit is the rate of requests that the endpoint takes from all hosts together.
-	limit sendlimit.Limit
+	endpointLimit
 	// superseded is set once a later incarnation uses the address.
 	superseded bool
 	// formerStarts are the start times of earlier incarnations with the same id, the latest last.
@@ -215,9 +213,15 @@
 			report.Pinned = s.Pinned
 		}
 	}
+	leaving := report.Leaving
+	if f.refreshLimit(now, e).Named {
+		// Loads go to endpoints without a limit while there are any.
+		report.Fixed = report.Fixed || f.hasUnlimited(now, e.Service)
+		report.Leaving = report.Leaving || now.Before(e.freeAt)
+	}
 	f.placement.Observe(now, report)
 	for av := range e.waits {
-		if slices.Contains(report.Resident, av) || report.Leaving {
+		if slices.Contains(report.Resident, av) || leaving {
 			e.wake(av)
 		}
 	}
@@ -272,7 +276,7 @@
 			f.updatePlacement(e)
 			continue
 		}
-		if e.agentState(now) == nil {
+		if e.agentState(now) == nil || e.limited {
 			f.updatePlacement(e)
 		}
 		var report control.UsageReport
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -94,8 +94,10 @@
 	recordQuarantine func(quarantine.Change)
 	// links has the link to each agent by its address. A link outlives the endpoint, since a restarted engine has the same agent.
 	links map[string]*agentLink
-	ctx   context.Context
-	wg    sync.WaitGroup
+	// sendSequence numbers the requests for sends to endpoints with a limit.
+	sendSequence int64
+	ctx          context.Context
+	wg           sync.WaitGroup
 }
 
 // Option changes how a frontend is built.
--- a/daemon/frontend/instrument.go
+++ b/daemon/frontend/instrument.go
@@ -23,6 +23,8 @@
 	limitChanges  *metrics.Counter
 	invalidLimits *metrics.Counter
 	limitedSends  *metrics.Counter
+	// limitDenials counts the requests that went elsewhere or were refused since no send to an endpoint with a limit was due.
+	limitDenials *metrics.Counter
 	// prefetches counts the adapters that were requested ahead of their requests.
 	prefetches *metrics.Counter
 	// interruptedRequests counts requests that were reported to agents because their connections to engines ended.
@@ -49,6 +51,7 @@
 		limitChanges:         set.GetOrCreateCounter("shallotring_frontend_limit_changes_total"),
 		invalidLimits:        set.GetOrCreateCounter("shallotring_frontend_invalid_limits_total"),
 		limitedSends:         set.GetOrCreateCounter("shallotring_frontend_limited_sends_total"),
+		limitDenials:         set.GetOrCreateCounter("shallotring_frontend_limit_denials_total"),
 		prefetches:           set.GetOrCreateCounter("shallotring_frontend_prefetches_total"),
 		interruptedRequests:  set.GetOrCreateCounter("shallotring_frontend_interrupted_requests_total"),
 		quarantineRefusals:   set.GetOrCreateCounter("shallotring_frontend_quarantine_refusals_total"),
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -35,11 +35,13 @@
 	stateAt    time.Time
 	// lastEndpoint is the incarnation of the engine that the agent named last.
 	lastEndpoint ident.Endpoint
-	cancel       context.CancelFunc
+	// asks has the requests for sends that the agent has not answered, by their sequence.
+	asks   map[int64]chan control.SendGrant
+	cancel context.CancelFunc
 }
 
 func newLink(f *Frontend, address string) *agentLink {
-	return &agentLink{f: f, address: address, reports: make(chan control.UsageReport, maxQueuedReports)}
+	return &agentLink{f: f, address: address, reports: make(chan control.UsageReport, maxQueuedReports), asks: make(map[int64]chan control.SendGrant)}
 }
 
 // startLink starts the link's goroutine once Run has been called; the lock is held.
@@ -121,7 +123,7 @@
 			case <-done:
 				return
 			case report := <-l.reports:
-				if report.Born == sentStart {
+				if report.Born == sentStart || report.Born == 0 {
 					report.Born = 0
 				} else {
 					sentStart = report.Born
@@ -139,6 +141,10 @@
 		if err = conn.Receive(&s, agentSilenceTimeout); err != nil {
 			return connected, err
 		}
+		if s.Grant != nil {
+			l.handleGrant(*s.Grant)
+			continue
+		}
 		if s, err = states.State(s); err != nil {
 			return connected, err
 		}
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -52,7 +52,8 @@
 
 // place chooses an endpoint and waits until the adapter is resident there; place itself sends no request.
 func (f *Frontend) place(ctx context.Context, x *request) (e *endpoint, refusal *outcome.Refusal) {
-	for range maxLoadWaits {
+	denials := 0
+	for waits := 0; waits < maxLoadWaits; {
 		now := f.clock.Now()
 		if x.deadline.Sub(now) < minRemaining {
 			return nil, &outcome.Refusal{Reason: outcome.Deadline, RetryAfter: unavailableRetryAfter, Detail: "too little time remains"}
@@ -66,11 +67,18 @@
 		q := f.placementQuery(x)
 		name, cost, ok := f.placement.Cheapest(now, q)
 		e = f.endpoints[name]
+		maxWait := time.Duration(0)
 		if !ok || e == nil {
+			e, maxWait = f.soonestLimited(now, x)
+		}
+		if e == nil {
 			retryAfter := restartRetryAfter
 			if d := f.resumeDelay(now, x.service); d > 0 {
 				retryAfter = max(d, unavailableRetryAfter)
 			}
+			if d := f.limitDelay(now, x); d > 0 {
+				retryAfter = max(d, unavailableRetryAfter)
+			}
 			f.mu.Unlock()
 			return nil, &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: retryAfter, Detail: fmt.Sprintf("for service %s", x.service)}
 		}
@@ -85,8 +93,16 @@
 				f.prefetch(now, x, q)
 			}
 			f.mu.Unlock()
-			return e, nil
+			if f.acquireSend(ctx, x, e, maxWait) {
+				return e, nil
+			}
+			f.removeRequest(x, e, q, false)
+			if denials++; denials == maxSendDenials || ctx.Err() != nil {
+				return nil, f.limitRefusal(x)
+			}
+			continue
 		}
+		waits++
 		if e.agentState(now) == nil {
 			// Without its agent, the engine loads no adapter.
 			f.mu.Unlock()
@@ -98,7 +114,7 @@
 		e.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter, Waiting: w.requests}}}, now)
 		f.mu.Unlock()
 		loaded := f.waitForLoad(ctx, x, e, w, now)
-		if loaded && !f.isQuarantined(x) {
+		if loaded && !f.isQuarantined(x) && f.acquireSend(ctx, x, e, maxWait) {
 			return e, nil
 		}
 		f.removeRequest(x, e, q, false)
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -365,7 +365,7 @@
 func (f *Frontend) handleResponse(ctx context.Context, w http.ResponseWriter, x *request, e *endpoint, response *upstream.Response, start time.Time, remove func(started bool)) (done, retry bool) {
 	info := f.headers.DecodeResponse(response.Status, response.Header)
 	f.recordAnnouncement(e, info)
-	f.recordLimit(x, e, info)
+	f.recordLimit(x, e, info, start)
 	refused := info.NotRun
 	invalid := (info.ID != "" && info.ID != x.call.ID) || info.Encoded || (response.Status < 300 && !info.Sealed) || response.Status < 200 || (response.Status >= 300 && response.Status < 400)
 	// These statuses mean to callers that the request has not run. They are not forwarded unless the endpoint guarantees the same in
--- a/daemon/sidecar/link.go
+++ b/daemon/sidecar/link.go
@@ -57,6 +57,12 @@
 			s.emit(ctx, event{link: link, disconnected: true})
 			return
 		}
+		if report.Observed != nil || report.Send != nil {
+			if err := s.shareLimit(link, report); err != nil {
+				s.log.Info("a grant could not be sent to the entry", slog.String("Entry", string(link.host)), slog.Any("Error", err))
+			}
+			continue
+		}
 		s.emit(ctx, event{link: link, report: report})
 	}
 }
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"shallotring.dev/state/holdings"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/sendlimit"
+	"shallotring.dev/state/sendpool"
 )
 
 const (
@@ -58,6 +59,9 @@
 	clock  quartz.Clock
 	log    *slog.Logger
 
+	// sends hands out the requests to endpoints with a limit.
+	sends *sendpool.Pool
+
 	events chan event
 	// reclaim asks for another fencing number.
 	reclaim       chan struct{}
@@ -81,8 +85,11 @@
 	published     control.State
 	// incarnations are the last incarnations of the engine, the current one last.
 	incarnations []*incarnation
-	// limit is the rate of requests that the engine takes from all hosts together, according to its reports.
-	limit sendlimit.Limit
+	// limit is the rate of requests that the engine takes from all hosts together; calledAt is the time of the last call to the engine, and
+	// polled is set if that call has read its report.
+	limit    sendlimit.Limit
+	calledAt time.Time
+	polled   bool
 	// orderedAt is the time of the last order to the engine.
 	orderedAt time.Time
 
@@ -136,7 +143,7 @@
 func New(engine Engine, claim Claim, options ...Option) *Sidecar {
 	s := &Sidecar{
 		engine: engine, claim: claim, clock: quartz.NewReal(), log: slog.New(slog.DiscardHandler), events: make(chan event, maxQueuedEvents), reclaim: make(chan struct{}, 1),
-		keeper: holdings.New(), links: make(map[*entryLink]bool), loadOrderedAt: make(map[ident.AdapterVersion]time.Time),
+		sends: sendpool.New(), keeper: holdings.New(), links: make(map[*entryLink]bool), loadOrderedAt: make(map[ident.AdapterVersion]time.Time),
 	}
 	WithMetrics(metrics.NewSet())(s)
 	for _, o := range options {
@@ -287,6 +294,12 @@
 	if configuration := s.configuration.Load(); configuration != nil {
 		s.keeper.Configure(configuration.model, configuration.adapterSlots)
 	}
+	s.updateLimit()
+	if s.limit.Named {
+		s.callLimited(ctx)
+		s.publish()
+		return
+	}
 	// Each order changes the report that the next one depends on. Eight orders are enough for all that one call can need.
 	for range 8 {
 		if s.clock.Now().Before(s.pausedUntil) || !s.pollEngine(ctx) {
@@ -303,13 +316,17 @@
 
 // pollEngine reads the engine's report into the keeper; ok is false if the engine's report or identity could not be read.
 func (s *Sidecar) pollEngine(ctx context.Context) (ok bool) {
-	s.countLimitedCall()
+	s.recordCall(true)
 	r, err := s.engine.Report(ctx)
 	now := s.clock.Now()
 	if s.recordPause(now, err) {
 		return false
 	}
 	if err != nil {
+		if upstream.Unsent(err) {
+			// The engine has got nothing, and its end is to be noticed soon.
+			s.calledAt = time.Time{}
+		}
 		if s.failedPolls++; s.failedPolls == maxFailedPolls {
 			s.engineLosses.Inc()
 			s.endIncarnation()
@@ -322,7 +339,6 @@
 		s.log.Info("engine responds again", slog.String("Endpoint", string(s.endpoint)), slog.Int64("Born", r.StartMilli))
 	}
 	s.failedPolls, s.reportedAt = 0, now
-	s.recordLimit(r.Limit)
 	if r.StartMilli != s.startMilli || s.endpoint == "" {
 		id, err := s.engine.Identity(ctx)
 		if s.unidentified = err != nil; s.unidentified {
@@ -334,10 +350,12 @@
 			// A late order to the previous incarnation may have the same id and sequence as one of now.
 			s.replaceFencingNumber()
 		}
+		s.sends.Forget(s.endpoint)
 		s.endpoint, s.startMilli = id, r.StartMilli
 		clear(s.loadOrderedAt)
 	}
 	s.recordIncarnation(r.Leaving)
+	s.recordLimit(now, r.Limit)
 	if previous := s.keeper.Report().Models; len(r.Models) > 0 && !slices.Equal(r.Models, previous) {
 		s.log.Info("base model loaded", slog.String("Model", string(r.Models[0].Model)), slog.String("Version", string(r.Models[0].Version)),
 			slog.String("Endpoint", string(s.endpoint)), slog.Int64("Sequence", r.Sequence))
@@ -356,7 +374,7 @@
 
 func (s *Sidecar) sendOrder(ctx context.Context, o holdings.Order) {
 	s.orders.Inc()
-	s.countLimitedCall()
+	s.recordCall(false)
 	start := s.clock.Now()
 	s.orderedAt = start
 	result, err := s.engine.Order(ctx, o)
@@ -407,8 +425,9 @@
 	r := s.keeper.Report()
 	up := s.failedPolls < maxFailedPolls && s.endpoint != "" && !s.unidentified
 	state := control.State{
-		Endpoint: s.endpoint, Born: s.startMilli, Up: up, Stale: up && now.Sub(s.reportedAt) > maxReportAge, Leaving: r.Leaving, Running: r.Running, Queued: r.Queued,
+		Endpoint: s.endpoint, Born: s.startMilli, Up: up, Stale: up && now.Sub(s.reportedAt) > s.maxReportAge(), Leaving: r.Leaving, Running: r.Running, Queued: r.Queued,
 		Starting: r.Starting, PromptRate: int(s.keeper.PromptRate(now)), Pinned: s.keeper.Pinned(now), Entries: s.entryCount(),
+		SharesLimits: true, Limit: s.limit,
 		Holdings: control.NewHoldings(r.Models, r.Resident, r.Loading), Crashes: s.crashes(now),
 	}
 	if now.Sub(s.publishedAt) < maxStateInterval && similar(state, s.published) {
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -12,6 +12,7 @@
 
 	"shallotring.dev/state/holdings"
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/sendlimit"
 )
 
 const (
@@ -35,6 +36,9 @@
 	Uses  []holdings.Use    `json:",omitempty"`
 	// Interrupted reports requests that the engine broke off; entries of earlier releases do not send it.
 	Interrupted *Interruption `json:",omitempty"`
+	// Observed reports a limit of an endpoint, and Send asks for a send to one; entries of earlier releases send neither.
+	Observed *LimitObservation `json:",omitempty"`
+	Send     *SendRequest      `json:",omitempty"`
 }
 
 // State is the message of an agent to an entry: the state of its engine. StateWriter and StateReader omit and restore what is unchanged.
@@ -56,6 +60,9 @@
 	Pinned int `json:",omitempty"`
 	// Entries is the number of entries that are connected to the agent.
 	Entries int `json:",omitempty"`
+	// SharesLimits is set if the agent answers a SendRequest; agents of earlier releases do not. Limit is the limit of its engine.
+	SharesLimits bool            `json:",omitempty"`
+	Limit        sendlimit.Limit `json:",omitzero"`
 	// Same is set in a message that describes the same state as the previous one, but for the prompt rate if the message has one.
 	Same bool `json:",omitempty"`
 	// Holdings is nil in a message if it is unchanged since the previous one or described by Changes.
@@ -63,6 +70,8 @@
 	Changes  *Changes  `json:",omitempty"`
 	// Crashes are the last crashes of the engine; a message has those that are new, or of which more is known, on its connection.
 	Crashes *Crashes `json:",omitempty"`
+	// Grant is the response to a SendRequest; a message with it has nothing else.
+	Grant *SendGrant `json:",omitempty"`
 }
 
 // Holdings are the models and adapters that an engine has loaded or is loading.
