trial: ports of programs are none of those that the system gives to connections

Five deployments at the same time: an entry failed with 'bind: address already in use', since a connection had got its port between the choice and the use. StopAgent ends the agent of one engine.

--- a/daemon/trial/deployment.go
+++ b/daemon/trial/deployment.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -25,6 +27,8 @@
 	restartDelay = 2 * time.Second
 	// loadTime is the duration of one load of an adapter.
 	loadTime = 20 * time.Millisecond
+	// minPort and maxPort bound the ports of the programs, and maxPortTries the ports that are tried for one of them.
+	minPort, maxPort, maxPortTries = 10000, 30000, 20
 	// Host is the host name of all routes.
 	Host = "trial.example"
 	// modelService is the service of the engines.
@@ -58,6 +62,8 @@
 	settings standin.Settings
 	servers  []*http.Server
 	programs sync.WaitGroup
+	// stopAgents has the function that ends the agent of each model engine.
+	stopAgents []context.CancelFunc
 	// crash has the function that crashes each model engine.
 	crash []func()
 
@@ -93,7 +99,9 @@
 		if err != nil {
 			return nil, err
 		}
-		d.startProgram(func() error { return direct.NewAgent(s, log).Run(ctx, "") })
+		agentCtx, stopAgent := context.WithCancel(ctx)
+		d.stopAgents = append(d.stopAgents, stopAgent)
+		d.startProgram(func() error { return direct.NewAgent(s, log).Run(agentCtx, "") })
 	}
 	if d.Service, _, err = d.startEngine("127.0.0.1", "i-s", "plain"); err != nil {
 		return nil, err
@@ -172,6 +180,9 @@
 	return d.err
 }
 
+// StopAgent ends the agent of a model engine for good; the engine continues to run.
+func (d *Deployment) StopAgent(engine int) { d.stopAgents[engine]() }
+
 // Crash crashes a model engine, as a poison does.
 func (d *Deployment) Crash(engine int) { d.crash[engine]() }
 
@@ -265,11 +276,14 @@
 	return s, l.Addr().String(), nil
 }
 
+// freePort returns a port on which a program can listen later. It is none of those that the system gives to connections.
 func freePort(ip string) (port int, err error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return 0, err
+	for range maxPortTries {
+		port = minPort + rand.IntN(maxPort-minPort)
+		var l net.Listener
+		if l, err = net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port))); err == nil {
+			return port, l.Close()
+		}
 	}
-	a, _ := l.Addr().(*net.TCPAddr)
-	return a.Port, l.Close()
+	return 0, err
 }
