--- a/daemon/direct/limit_test.go
+++ b/daemon/direct/limit_test.go
@@ -106,6 +106,55 @@
 	}
 }
 
+// TestLimitHoldsWhileProcessesChange guards against an excess over the limit of an engine, or an engine without any requests, while entries
+// start and after the agent that hands out the sends has ended.
+func TestLimitHoldsWhileProcessesChange(t *testing.T) {
+	const perSecond = 2
+	p := modelTraffic{adapters: 5}
+	p.deployment = deploySize(t, trial.Size{Engines: 3, Entries: 4}, standin.WithPace(5, 20*time.Millisecond))
+	p.sendUntilServed("/g/1", "ready", "m/a1")
+	done := make(chan struct{})
+	var callers sync.WaitGroup
+	start := func(n int) {
+		for i := range uint64(n) {
+			callers.Go(func() { p.run(i, done) })
+		}
+	}
+	start(8)
+	defer callers.Wait()
+	defer func() { close(done) }()
+	time.Sleep(time.Second)
+	limited := p.busiest(1)[0]
+	limited.SetLimit([]string{fmt.Sprint(perSecond)})
+	from := time.Now().Add(contactTime)
+	time.Sleep(contactTime)
+	// The callers must not see the list of entries change.
+	close(done)
+	callers.Wait()
+	for i := range 2 {
+		if err := p.AddEntry(fmt.Sprint("edge-late-", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	done = make(chan struct{})
+	start(8)
+	time.Sleep(limitWindow)
+	p.StopAgent(slices.Index(p.Engines, limited))
+	// Entries know the adapters of an engine without its agent from discovery.
+	limited.Register()
+	stopped := time.Now()
+	time.Sleep(2 * limitWindow)
+	calls := limited.ReceivedCalls()
+	most, after := standin.MostCalls(calls, from, limitWindow), standin.MostCalls(calls, stopped.Add(contactTime), limitWindow)
+	t.Logf("%d calls in %s, allowed %d; %d after the end of the agent", most, limitWindow, allowedCalls(perSecond), after)
+	if most > allowedCalls(perSecond) {
+		t.Errorf("%d calls in %s, allowed %d", most, limitWindow, allowedCalls(perSecond))
+	}
+	if use := perSecond * limitWindow.Seconds(); float64(after) < minLimitUse/2*use {
+		t.Errorf("%d calls in %s after the end of the agent, the limit allows %.0f", after, limitWindow, use)
+	}
+}
+
 // TestLimitOfServiceBindsAllEntries guards against entries that exceed the limit of a service without agents, and against requests that
 // wait for it without a chance to be served.
 func TestLimitOfServiceBindsAllEntries(t *testing.T) {
--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -215,8 +215,8 @@
 	}
 	leaving := report.Leaving
 	if f.refreshLimit(now, e).Named {
-		// Loads go to endpoints without a limit while there are any.
-		report.Fixed = report.Fixed || f.hasUnlimited(now, e.Service)
+		// Loads go to other endpoints; soonestLimited chooses one with a limit if all have one.
+		report.Fixed = true
 		report.Leaving = report.Leaving || now.Before(e.freeAt)
 	}
 	f.placement.Observe(now, report)
--- a/daemon/frontend/limit.go
+++ b/daemon/frontend/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"math"
 	"slices"
@@ -12,8 +11,6 @@
 
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/call"
-	"shallotring.dev/state/ident"
-	"shallotring.dev/state/outcome"
 	"shallotring.dev/state/sendlimit"
 )
 
@@ -34,7 +31,7 @@
 
 // endpointLimit is what an entry knows of the limit of an endpoint; the frontend's lock guards it.
 type endpointLimit struct {
-	// observed is the limit that the last response has named at observedAt.
+	// observed is the limit that the last response has named at observedAt, or that the agent's last state names.
 	observed   sendlimit.Limit
 	observedAt time.Time
 	// limited is set since limitedSince while the endpoint has a limit.
@@ -46,18 +43,16 @@
 	share *sendlimit.Budget
 }
 
-// limit returns the limit that is in force at the endpoint; the lock is held.
-func (e *endpoint) limit(now time.Time) sendlimit.Limit {
-	s := e.agentState(now)
-	if s == nil || !s.SharesLimits || e.observed.Named && now.Sub(e.observedAt) < observationTime {
-		return e.observed
+// adoptLimit takes over the limit that the agent's state names, which stays in force if the agent is lost; the lock is held.
+func (e *endpoint) adoptLimit(now time.Time, s control.State) {
+	if s.SharesLimits && (!e.observed.Named || now.Sub(e.observedAt) >= observationTime) {
+		e.observed = s.Limit
 	}
-	return s.Limit
 }
 
 // refreshLimit returns the limit of an endpoint and records its beginning and end; the lock is held.
 func (f *Frontend) refreshLimit(now time.Time, e *endpoint) (l sendlimit.Limit) {
-	l = e.limit(now)
+	l = e.observed
 	if l.Named == e.limited {
 		return l
 	}
@@ -70,16 +65,6 @@
 	return l
 }
 
-// hasUnlimited reports whether an endpoint of a service has no limit; the lock is held.
-func (f *Frontend) hasUnlimited(now time.Time, s ident.Service) bool {
-	for _, e := range f.endpoints {
-		if e.Service == s && !e.limited && !e.closed(now) && !now.Before(e.suspendedUntil) {
-			return true
-		}
-	}
-	return false
-}
-
 // recordLimit records the limit that a response to a request sent at start names, or that it names none.
 func (f *Frontend) recordLimit(x *request, e *endpoint, info call.ResponseInfo, start time.Time) {
 	f.mu.Lock()
@@ -110,7 +95,7 @@
 // countLimitedSend counts a request to an endpoint with a limit.
 func (f *Frontend) countLimitedSend(x *request, e *endpoint) {
 	f.mu.Lock()
-	limit := e.limit(f.clock.Now())
+	limit := e.observed
 	f.mu.Unlock()
 	if !limit.Named {
 		return
@@ -161,7 +146,7 @@
 	if !answered {
 		g = e.takeShare(now, limit, f.entryCount(now), agent != nil || e.link != nil, f.random.Float64(), maxWait)
 	} else if !g.Limit.Named && e.link == nil {
-		// Another entry has observed the end of the limit.
+		// Another entry has observed the end of the limit; states of agents are about their own engines only.
 		e.observed = sendlimit.Limit{}
 		f.refreshLimit(now, e)
 	}
@@ -278,6 +263,10 @@
 	holds := false
 	f.limitedEndpoints(now, x, func(c *endpoint) {
 		h := x.adapter.IsZero() || c.holds(now, x.adapter)
+		if !h && len(c.waits) > 0 && c.waits[x.adapter] == nil {
+			// The agent orders loads as rarely as its engine wants requests; a second one would not be in time.
+			return
+		}
 		if c.freeAt.Sub(now) > maxWait || e != nil && (holds && !h || holds == h && !c.freeAt.Before(e.freeAt)) {
 			return
 		}
@@ -286,16 +275,6 @@
 	return e, maxWait
 }
 
-// limitRefusal returns the refusal of a request for which no send is due at the endpoints with a limit.
-func (f *Frontend) limitRefusal(x *request) *outcome.Refusal {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return &outcome.Refusal{
-		Reason: outcome.NoEndpoint, RetryAfter: max(f.limitDelay(f.clock.Now(), x), unavailableRetryAfter),
-		Detail: fmt.Sprintf("for service %s: its endpoints limit their requests", x.service),
-	}
-}
-
 // limitDelay returns the time after which a send to one of the endpoints that could serve a request is expected to be free, with a random
 // part so that callers do not return all at once; 0 if no limit keeps the request from them. The lock is held.
 func (f *Frontend) limitDelay(now time.Time, x *request) (delay time.Duration) {
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -176,6 +176,7 @@
 		if s.Leaving {
 			f.markLeaving(e, "agent")
 		}
+		e.adoptLimit(l.stateAt, s)
 		f.updatePlacement(e)
 	}
 	if l.lastEndpoint != s.Endpoint {
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -72,15 +72,9 @@
 			e, maxWait = f.soonestLimited(now, x)
 		}
 		if e == nil {
-			retryAfter := restartRetryAfter
-			if d := f.resumeDelay(now, x.service); d > 0 {
-				retryAfter = max(d, unavailableRetryAfter)
-			}
-			if d := f.limitDelay(now, x); d > 0 {
-				retryAfter = max(d, unavailableRetryAfter)
-			}
+			refusal := f.noEndpointRefusal(now, x)
 			f.mu.Unlock()
-			return nil, &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: retryAfter, Detail: fmt.Sprintf("for service %s", x.service)}
+			return nil, refusal
 		}
 		if expected := time.Duration(cost * float64(time.Millisecond)); now.Add(expected).After(x.deadline) {
 			f.mu.Unlock()
@@ -98,7 +92,7 @@
 			}
 			f.removeRequest(x, e, q, false)
 			if denials++; denials == maxSendDenials || ctx.Err() != nil {
-				return nil, f.limitRefusal(x)
+				break
 			}
 			continue
 		}
@@ -113,7 +107,11 @@
 		w := e.addWaiting(x.adapter)
 		e.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter, Waiting: w.requests}}}, now)
 		f.mu.Unlock()
-		loaded := f.waitForLoad(ctx, x, e, w, now)
+		limit := holdings.Wait{Start: now, Deadline: x.deadline}
+		if maxWait > 0 {
+			limit.Deadline = now.Add(holdings.WaitFraction * maxWait)
+		}
+		loaded := f.waitForLoad(ctx, x, e, w, limit)
 		if loaded && !f.isQuarantined(x) && f.acquireSend(ctx, x, e, maxWait) {
 			return e, nil
 		}
@@ -124,13 +122,35 @@
 		if ctx.Err() != nil {
 			return nil, &outcome.Refusal{Reason: outcome.Deadline, Detail: "adapter was not loaded in time"}
 		}
+		if maxWait > 0 {
+			// All endpoints have limits, so another one would not load the adapter sooner.
+			break
+		}
 		if !f.isOutdated(x) {
 			x.excluded = append(x.excluded, e.name)
 		}
 	}
+	if denials > 0 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return nil, f.noEndpointRefusal(f.clock.Now(), x)
+	}
 	return nil, &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: unavailableRetryAfter, Detail: "no engine loaded the adapter in time"}
 }
 
+// noEndpointRefusal returns the refusal of a request that no endpoint can take now, with the time until one is expected to; the lock is held.
+func (f *Frontend) noEndpointRefusal(now time.Time, x *request) *outcome.Refusal {
+	r := &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: restartRetryAfter, Detail: fmt.Sprintf("for service %s", x.service)}
+	if d := f.resumeDelay(now, x.service); d > 0 {
+		r.RetryAfter = max(d, unavailableRetryAfter)
+	}
+	if d := f.limitDelay(now, x); d > 0 {
+		r.RetryAfter = max(d, unavailableRetryAfter)
+		r.Detail += ": its endpoints limit their requests"
+	}
+	return r
+}
+
 // prefetch asks an engine in the entry's own zone to load the adapter of a request that goes to another zone, if that pays; the lock is
 // held.
 func (f *Frontend) prefetch(now time.Time, x *request, q placement.Query) {
@@ -170,9 +190,8 @@
 }
 
 // waitForLoad waits until the adapter is resident at the endpoint, or until another endpoint is to be tried.
-func (f *Frontend) waitForLoad(ctx context.Context, x *request, e *endpoint, w *loadWait, start time.Time) (loaded bool) {
-	limit := holdings.Wait{Start: start, Deadline: x.deadline}
-	recheck, stopWaiting := limit.Next(start, false)
+func (f *Frontend) waitForLoad(ctx context.Context, x *request, e *endpoint, w *loadWait, limit holdings.Wait) (loaded bool) {
+	recheck, stopWaiting := limit.Next(limit.Start, false)
 	t := f.clock.NewTimer(recheck)
 	defer t.Stop()
 	for !stopWaiting {
@@ -182,7 +201,7 @@
 		case <-ctx.Done():
 			stopWaiting = true
 		case <-t.C:
-			if recheck, stopWaiting = limit.Next(f.clock.Now(), f.isLoading(e, x.adapter)); !stopWaiting {
+			if recheck, stopWaiting = limit.Next(f.clock.Now(), f.mayLoad(e, x.adapter)); !stopWaiting {
 				t.Reset(recheck)
 			}
 		}
@@ -195,18 +214,18 @@
 		e.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter}}}, now)
 	}
 	loaded = ctx.Err() == nil && x.adapter.Version == f.currentVersion(x.adapter.Adapter) && e.holds(now, x.adapter) && f.endpoints[e.ID] == e && !e.closed(now)
-	f.metrics.loadWaits.Update(now.Sub(start).Seconds())
+	f.metrics.loadWaits.Update(now.Sub(limit.Start).Seconds())
 	f.log.Info("wait for the adapter ended", x.id(), slog.String("Adapter", x.adapter.String()), slog.String("Endpoint", string(e.ID)),
-		slog.Bool("Loaded", loaded), slog.Int64("DurationMilli", now.Sub(start).Milliseconds()))
+		slog.Bool("Loaded", loaded), slog.Int64("DurationMilli", now.Sub(limit.Start).Milliseconds()))
 	return loaded
 }
 
-// isLoading reports whether the agent's state lists the adapter as loading.
-func (f *Frontend) isLoading(e *endpoint, av ident.AdapterVersion) bool {
+// mayLoad reports whether the agent's state lists the adapter as loading, or is seldom updated because the engine has a limit.
+func (f *Frontend) mayLoad(e *endpoint, av ident.AdapterVersion) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := e.agentState(f.clock.Now())
-	return s != nil && slices.Contains(s.Holdings.Loading, av)
+	return s != nil && (e.limited || slices.Contains(s.Holdings.Loading, av))
 }
 
 func (e *endpoint) holds(now time.Time, av ident.AdapterVersion) bool {
--- a/daemon/sidecar/limit.go
+++ b/daemon/sidecar/limit.go
@@ -12,19 +12,24 @@
 const (
 	// ownCallsPerSecond is the rate of the agent's own calls to an engine with a limit, and ownCallShare the share of the limit by which it
 	// is higher. They come on top of the requests of callers.
-	ownCallsPerSecond = 0.7
+	ownCallsPerSecond = 0.5
 	ownCallShare      = 0.24
+	// maxOwnCalls is the number of calls that may be made at once after a pause. The engine's report is read when all of them have accrued,
+	// so that orders need not wait.
+	maxOwnCalls = 2
+	// loadReportDelay is the time after an order at which the report is expected to show its effect.
+	loadReportDelay = 300 * time.Millisecond
 )
 
-// ownCallInterval returns the least time between two calls of the agent to an engine with a limit.
-func ownCallInterval(l sendlimit.Limit) time.Duration {
-	return max(time.Duration(float64(time.Second)/(ownCallsPerSecond+ownCallShare*l.PerSecond)), pollInterval)
+// ownCallRate returns the rate of the agent's calls to an engine with a limit, in calls per second.
+func ownCallRate(l sendlimit.Limit) float64 {
+	return min(ownCallsPerSecond+ownCallShare*l.PerSecond, 1/pollInterval.Seconds())
 }
 
 // maxReportAge returns the age of the engine's last report from which the state counts as stale.
 func (s *Sidecar) maxReportAge() time.Duration {
 	if s.limit.Named {
-		return maxReportAge + 2*ownCallInterval(s.limit)
+		return maxReportAge + time.Duration(2*maxOwnCalls/ownCallRate(s.limit)*float64(time.Second))
 	}
 	return maxReportAge
 }
@@ -45,27 +50,45 @@
 	s.limit = l
 }
 
-// recordCall records a call to the engine.
-func (s *Sidecar) recordCall(report bool) {
-	s.calledAt, s.polled = s.clock.Now(), report
+// recordCall counts a call to the engine if it has a limit.
+func (s *Sidecar) recordCall() {
 	if s.limit.Named {
 		s.limitedCalls.Inc()
 	}
 }
 
-// callLimited makes the call that is due to an engine with a limit: an order that its last report leads to, or the next report.
-func (s *Sidecar) callLimited(ctx context.Context) {
-	now := s.clock.Now()
-	if now.Before(s.pausedUntil) || now.Sub(s.calledAt) < ownCallInterval(s.limit) {
-		return
+// accrueCalls adds the calls to an engine with a limit that have become due.
+func (s *Sidecar) accrueCalls(now time.Time) {
+	if !s.accruedAt.IsZero() {
+		s.ownCalls = min(s.ownCalls+now.Sub(s.accruedAt).Seconds()*ownCallRate(s.limit), maxOwnCalls)
 	}
-	if s.polled && s.failedPolls == 0 {
-		if o, ok := s.keeper.Next(now); ok {
-			s.sendOrder(ctx, o)
+	s.accruedAt = now
+}
+
+// callLimited makes the calls that are due to an engine with a limit: orders that its last report leads to, or the next report.
+func (s *Sidecar) callLimited(ctx context.Context) {
+	for range maxOwnCalls {
+		now := s.clock.Now()
+		s.accrueCalls(now)
+		if now.Before(s.pausedUntil) || s.ownCalls < 1 {
+			return
+		}
+		if s.failedPolls == 0 {
+			if o, ok := s.keeper.Next(now); ok {
+				s.ownCalls--
+				s.sendOrder(ctx, o)
+				continue
+			}
+		}
+		orderShows := s.orderedAt.After(s.reportedAt) && now.Sub(s.orderedAt) >= loadReportDelay
+		if s.ownCalls < maxOwnCalls && !orderShows && s.failedPolls == 0 {
+			return
+		}
+		s.ownCalls--
+		if !s.pollEngine(ctx) {
 			return
 		}
 	}
-	s.pollEngine(ctx)
 }
 
 // shareLimit records the limit that an entry has observed, or hands out the send that it asks for.
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -85,11 +85,11 @@
 	published     control.State
 	// incarnations are the last incarnations of the engine, the current one last.
 	incarnations []*incarnation
-	// limit is the rate of requests that the engine takes from all hosts together; calledAt is the time of the last call to the engine, and
-	// polled is set if that call has read its report.
-	limit    sendlimit.Limit
-	calledAt time.Time
-	polled   bool
+	// limit is the rate of requests that the engine takes from all hosts together. While it has one, ownCalls is the number of the agent's
+	// own calls that had accrued at accruedAt.
+	limit     sendlimit.Limit
+	ownCalls  float64
+	accruedAt time.Time
 	// orderedAt is the time of the last order to the engine.
 	orderedAt time.Time
 
@@ -316,7 +316,7 @@
 
 // pollEngine reads the engine's report into the keeper; ok is false if the engine's report or identity could not be read.
 func (s *Sidecar) pollEngine(ctx context.Context) (ok bool) {
-	s.recordCall(true)
+	s.recordCall()
 	r, err := s.engine.Report(ctx)
 	now := s.clock.Now()
 	if s.recordPause(now, err) {
@@ -325,7 +325,7 @@
 	if err != nil {
 		if upstream.Unsent(err) {
 			// The engine has got nothing, and its end is to be noticed soon.
-			s.calledAt = time.Time{}
+			s.ownCalls++
 		}
 		if s.failedPolls++; s.failedPolls == maxFailedPolls {
 			s.engineLosses.Inc()
@@ -374,7 +374,7 @@
 
 func (s *Sidecar) sendOrder(ctx context.Context, o holdings.Order) {
 	s.orders.Inc()
-	s.recordCall(false)
+	s.recordCall()
 	start := s.clock.Now()
 	s.orderedAt = start
 	result, err := s.engine.Order(ctx, o)
--- a/state/holdings/wait.go
+++ b/state/holdings/wait.go
@@ -6,6 +6,9 @@
 // no load has started by then, all slots of the engine are in use, and it is unknown when one becomes free.
 const loadStartTimeout = 500 * time.Millisecond
 
+// WaitFraction divides the time that a request has into the longest wait at one engine, so that other engines can still be tried.
+const WaitFraction = 3
+
 // Wait describes the wait of one request for an adapter at one engine.
 type Wait struct {
 	// Start is the time at which the wait started.
@@ -15,10 +18,9 @@
 }
 
 // Next returns the time after which to check again, and whether to give up and try another engine; loading states whether the engine
-// is loading the adapter. A wait lasts at most a third of the time from its start to the deadline, so that other engines can
-// still be tried.
+// is loading the adapter. A wait lasts at most the time from its start to the deadline divided by WaitFraction.
 func (w Wait) Next(now time.Time, loading bool) (recheck time.Duration, giveUp bool) {
-	maxWait := w.Deadline.Sub(w.Start) / 3
+	maxWait := w.Deadline.Sub(w.Start) / WaitFraction
 	waited := now.Sub(w.Start)
 	switch {
 	case waited >= maxWait || (waited >= loadStartTimeout && !loading):
--- a/state/sendpool/pool.go
+++ b/state/sendpool/pool.go
@@ -10,7 +10,7 @@
 
 const (
 	// probePerSecond is the least rate of requests to an endpoint whose limit can end unnoticed: only the response to a request tells.
-	probePerSecond = 0.25
+	probePerSecond = 0.2
 	// expiry is the time after which the limit of an endpoint that nobody asks for is forgotten.
 	expiry = time.Minute
 )
