frontend: a response counts only if it names its request or is the first on its connection

Callers got 503 for requests that had run, and such requests ran at a second engine: a faulty engine wrote an earlier refusal once more on a kept connection, without a request id, and the entry took it for the response to the current request. On a connection that has carried other requests, a response without an id may belong to any of them; it is treated as one of another request now.

--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -366,17 +366,19 @@
 	info := f.headers.DecodeResponse(response.Status, response.Header)
 	f.recordAnnouncement(e, info)
 	f.recordLimit(x, e, info, start)
-	refused := info.NotRun
-	invalid := (info.ID != "" && info.ID != x.call.ID) || info.Encoded || (response.Status < 300 && !info.Sealed) || response.Status < 200 || (response.Status >= 300 && response.Status < 400)
+	// On a connection that has carried other requests, a response that names none may belong to any of them.
+	own := info.ID == x.call.ID && info.ID != "" || info.ID == "" && response.First
+	refused := info.NotRun && own
+	invalid := !own || info.Encoded || (response.Status < 300 && !info.Sealed) || response.Status < 200 || (response.Status >= 300 && response.Status < 400)
 	// These statuses mean to callers that the request has not run. They are not forwarded unless the endpoint guarantees the same in
 	// its headers.
 	notRunStatus := meansNotRun(response.Status)
 	f.log.Info("endpoint responded", x.id(), slog.String("Endpoint", string(e.name)), slog.Int("Status", response.Status),
-		slog.Bool("NotRun", info.NotRun), slog.Bool("Sealed", info.Sealed), slog.Bool("Broken", invalid), slog.Int("Send", x.sends), slog.String("Adapter", x.adapter.String()),
+		slog.Bool("NotRun", info.NotRun), slog.Bool("Named", info.ID != ""), slog.Bool("Sealed", info.Sealed), slog.Bool("Broken", invalid), slog.Int("Send", x.sends), slog.String("Adapter", x.adapter.String()),
 		slog.String("Framing", string(response.Framing)), slog.String("ContentType", strings.Join(response.Header["Content-Type"], ", ")),
 		slog.Int64("DurationMilli", f.clock.Since(start).Milliseconds()))
 	switch {
-	case refused && (info.ID == "" || info.ID == x.call.ID):
+	case refused:
 		f.recordResult(e, !info.Misdirected, false /* unreachable */)
 		if info.Misdirected {
 			f.handleMisdirected(x, e)
--- a/protocol/upstream/exchange.go
+++ b/protocol/upstream/exchange.go
@@ -80,6 +80,8 @@
 	// Body returns io.EOF only if the response is complete according to its framing.
 	Body    io.Reader
 	Framing Framing
+	// First is set if no earlier request was sent on the connection, so that the response cannot belong to one.
+	First bool
 
 	pool              *Pool
 	connection        *connection
@@ -95,6 +97,8 @@
 	reader      *bufio.Reader
 	head        *headLimit
 	usableUntil time.Time
+	// used is set once a request has been sent on the connection.
+	used bool
 }
 
 // headLimit fails reads after a number of bytes while the head of a response is being read: net/http reads heads of any size.
@@ -155,7 +159,8 @@
 	defer func() {
 		err = eris.Wrapf(err, "%s to %s, %d bytes of the response received", r.Method, p.address, maxHeadBytes-c.head.remaining)
 	}()
-	response = &Response{pool: p, connection: c, requestWritten: make(chan struct{})}
+	response = &Response{pool: p, connection: c, requestWritten: make(chan struct{}), First: !c.used}
+	c.used = true
 	head := encodeHead(r)
 	if len(r.Body) < largeBodyBytes {
 		if _, err = c.conn.Write(append(head, r.Body...)); err != nil {
