--- a/daemon/direct/direct_test.go
+++ b/daemon/direct/direct_test.go
@@ -275,6 +275,10 @@
 	for _, x := range [][2]string{
 		{"op/config", "not json"}, {"op/version/m.a1", `{"model":1}`}, {"op/version/m.a2", "\xff"}, {"op/other", "{}"},
 		{"servers/ghost", `{"service":"plain","address":"nowhere","slots":6,"state":"ready"}`}, {"servers/", "{}"}, {"servers/odd", `{"slots":"six"}`},
+		{"op/config", strings.Repeat("[", 200000)}, {"op/version/m.a3", strings.Repeat(`{"model":`, 20000)}, {"op/version/m.a4", `{"model":"m","adapter":"a4","version":` + strings.Repeat("9", 400) + `e9}`},
+		{"servers/deep", strings.Repeat("[", 200000)}, {"servers/port", `{"service":"plain","address":"127.0.0.1:99999","slots":6,"state":"ready"}`},
+		{"servers/i-0\r\nX: y", `{"service":"plain","address":"127.0.0.1:80","slots":6,"state":"ready"}`}, {"servers/large", `{"service":"plain","address":"127.0.0.1:80","slots":1e400,"state":"ready"}`},
+		{"shallotring/quarantine/zz", "null"}, {"shallotring/quarantine/1", strings.Repeat("[", 200000)}, {"shallotring/quarantine/2", `{"Since":1e400}`},
 	} {
 		d.Store.Put(x[0], []byte(x[1]))
 	}
@@ -282,6 +286,11 @@
 	time.Sleep(300 * time.Millisecond)
 	d.sendUntilServed("/o/1", "after", "")
 	d.sendUntilServed("/g/1", "generation", "m/a1")
+	followed := d.log.count("configuration in force")
+	d.Configure(2)
+	waitFor(t, "entry and agents follow the store", func() bool {
+		return d.log.count("configuration in force") >= followed+1+trial.Small.Engines
+	})
 }
 
 // TestDrainServesOpenConnections guards against a planned stop that closes an open connection while a request on it is in progress.
