--- a/soak/live/fault.go
+++ b/soak/live/fault.go
@@ -46,7 +46,11 @@
 	{"agents killed", false, 1, func(d *deployment, r *rand.Rand) {
 		d.killAndStartAll(func(p *process) bool { return p.settings.Front == "" }, r)
 	}},
-	{"entry paused", false, 1, func(d *deployment, r *rand.Rand) { pauseProcess(d.randomEntry(r).process, r) }},
+	{"entry paused", false, 1, func(d *deployment, r *rand.Rand) {
+		e := d.randomEntry(r)
+		defer d.judge.excuse(e.host)()
+		pauseProcess(e.process, r)
+	}},
 	{"agent paused", false, 1, func(d *deployment, r *rand.Rand) { pauseProcess(d.randomEngine(r).agent, r) }},
 	{"endpoint crashed", false, 3, func(d *deployment, r *rand.Rand) { d.crashAndRestart(d.randomEndpoint(r), r) }},
 	{"endpoint misbehaves", false, 6, func(d *deployment, r *rand.Rand) { injectEndpointFaults(d.randomEndpoint(r), r) }},
@@ -350,15 +354,17 @@
 	d.judge.versionConfirmed(modelName, version)
 }
 
-// injectFaults alternates phases with all kinds of faults, phases in which engines crash on a part of prompts, and calm phases, both with
-// planned faults only, until the duration has passed.
+// injectFaults alternates phases with all kinds of faults, phases in which engines crash on a part of prompts, phases in which endpoints name
+// limits, and calm phases, until the duration has passed. Phases with crashes on a part and calm ones have planned faults only.
 // It ends with a calm phase, in which the system must recover.
 func (d *deployment) injectFaults(ctx context.Context, random *rand.Rand, duration time.Duration) (count int) {
 	faultSlots := make(chan struct{}, d.options.Overlap)
+	limited := rand.New(rand.NewPCG(d.options.Seed, 1<<33))
 	poisoned := rand.New(rand.NewPCG(d.options.Seed, 1<<32))
 	for end := time.Now().Add(duration); time.Now().Before(end) && ctx.Err() == nil; {
 		count += d.runPhase(ctx, random, faultSlots, time.Now().Add(randomDuration(random, 3000, 9000)), false)
 		count += d.runPoisonPhase(ctx, poisoned, faultSlots)
+		count += d.runLimitPhase(ctx, limited, faultSlots)
 		count += d.runPhase(ctx, random, faultSlots, time.Now().Add(quietPeriod+randomDuration(random, 3000, 8000)), true)
 	}
 	return count
--- a/soak/live/judge.go
+++ b/soak/live/judge.go
@@ -143,6 +143,7 @@
 	// poison is the part of prompts on which engines crash now. quietSent and quietServed count model requests in quiet periods.
 	poison                 *poison
 	quietSent, quietServed int
+	limitRecords
 }
 
 func newJudge(out io.Writer) *judge {
@@ -151,7 +152,7 @@
 		stopRequested: make(map[processIncarnation]time.Time), leavingSince: make(map[string]time.Time),
 		adapterVersions: make(map[string][]timedVersion), observedConfigurations: make(map[processIncarnation]timedVersion),
 		arrivals: make(map[string][]arrival), requestTimes: make(map[string][]time.Time),
-		lastDisturbance: time.Now(),
+		limitRecords: newLimitRecords(), lastDisturbance: time.Now(),
 	}
 }
 
@@ -317,6 +318,7 @@
 		}
 	}
 	j.checkPoison(c, a, now)
+	j.recordLimited(c, a, now)
 	if !a.Ran {
 		return
 	}
@@ -353,6 +355,7 @@
 	defer j.mu.Unlock()
 	now := time.Now()
 	quiet := j.quietBefore(c.sentAt)
+	j.recordTold(c, a, now)
 	j.countServed(c, a.complete && a.status == http.StatusOK)
 	switch {
 	case a.status == 0 || !a.complete:
--- a/soak/live/poison.go
+++ b/soak/live/poison.go
@@ -137,7 +137,7 @@
 
 // countServed counts a finished model request for the comparison of poisoned and quiet periods; the caller holds the lock.
 func (j *judge) countServed(c *call, served bool) {
-	if c.kind != modelCall || c.poisoned {
+	if c.kind != modelCall || c.poisoned || len(j.limits) > 0 {
 		return
 	}
 	if j.quietBefore(c.sentAt) {
