--- /dev/null
+++ b/daemon/frontend/limit_test.go
@@ -0,0 +1,85 @@
+package frontend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"shallotring.dev/platform/message"
+	"shallotring.dev/protocol/control"
+	"shallotring.dev/state/call"
+	"shallotring.dev/state/inventory"
+	"shallotring.dev/state/sendlimit"
+)
+
+// TestLimitFollowsTheNewestStatement guards against a limit that ends with a response that is older than it, that outlives its end, or that
+// an agent of an earlier release or a bad value clears.
+func TestLimitFollowsTheNewestStatement(t *testing.T) {
+	named := func(perSecond float64) sendlimit.Limit { return sendlimit.Limit{Named: true, PerSecond: perSecond} }
+	type step struct {
+		// wait passes before the step; the response belongs to a request that was sent at an age before it.
+		wait, age time.Duration
+		info      call.ResponseInfo
+		state     *control.State
+	}
+	response := func(l sendlimit.Limit) call.ResponseInfo { return call.ResponseInfo{Limit: l} }
+	state := func(shares bool, l sendlimit.Limit) *control.State {
+		return &control.State{SharesLimits: shares, Limit: l}
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+		want  sendlimit.Limit
+	}{
+		{"named", []step{{info: response(named(2))}}, named(2)},
+		{"changed upward", []step{{info: response(named(2))}, {wait: time.Second, info: response(named(9))}}, named(9)},
+		{"ended", []step{{info: response(named(2))}, {wait: time.Second, age: time.Millisecond}}, sendlimit.Limit{}},
+		{"older response without a limit", []step{{info: response(named(2))}, {wait: time.Second, age: 2 * time.Second}}, named(2)},
+		{"bad value", []step{{info: response(named(2))}, {wait: time.Second, info: call.ResponseInfo{InvalidLimit: true}}}, named(2)},
+		{"bad value beside a good one", []step{{info: call.ResponseInfo{InvalidLimit: true, Limit: named(3)}}}, named(3)},
+		{"bad value only", []step{{info: call.ResponseInfo{InvalidLimit: true}}}, sendlimit.Limit{}},
+		{"state of an agent of an earlier release", []step{{info: response(named(2))}, {wait: time.Minute, state: state(false, sendlimit.Limit{})}}, named(2)},
+		{"state of an agent that has not learned it", []step{{info: response(named(2))}, {wait: observationTime / 2, state: state(true, sendlimit.Limit{})}}, named(2)},
+		{"state of an agent that knows the end", []step{{info: response(named(2))}, {wait: observationTime, state: state(true, sendlimit.Limit{})}}, sendlimit.Limit{}},
+		{"state of an agent that knows it", []step{{state: state(true, named(4))}}, named(4)},
+	} {
+		clock := quartz.NewMock(t)
+		f := New(message.Headers{}, "edge-1", "a", WithClock(clock))
+		f.Configure(testRoutes)
+		f.UpdateEndpoint(inventory.Endpoint{ID: "i-0", Service: "s", Address: "127.0.0.1:1", Zone: "a", BatchSize: 6})
+		e, x := f.endpoints["i-0"], &request{}
+		for _, s := range c.steps {
+			clock.Advance(s.wait)
+			if s.state != nil {
+				e.adoptLimit(clock.Now(), *s.state)
+				f.updatePlacement(e)
+				continue
+			}
+			f.recordLimit(x, e, s.info, clock.Now().Add(-s.age))
+		}
+		if e.observed != c.want || e.limited != c.want.Named {
+			t.Errorf("%s: limit %+v, limited %t, want %+v", c.name, e.observed, e.limited, c.want)
+		}
+	}
+}
+
+// TestShareOfALimit guards against shares that exceed the limit in sum, or that are used in full while an agent may hand out the others.
+func TestShareOfALimit(t *testing.T) {
+	const entries, perSecond, seconds = 4, 2.0, 40
+	for agentLost, want := range map[bool]float64{false: perSecond * seconds, true: perSecond * seconds * lostAgentShare} {
+		now, sends := time.Unix(0, 0), 0
+		var list [entries]endpoint
+		for range seconds * 100 {
+			now = now.Add(10 * time.Millisecond)
+			for i := range list {
+				if list[i].takeShare(now, sendlimit.Limit{Named: true, PerSecond: perSecond}, entries, agentLost, float64(i)/entries, 0).Granted {
+					sends++
+				}
+			}
+		}
+		if float64(sends) > want+entries || float64(sends) < 0.9*want {
+			t.Errorf("agent lost %t: %d sends in %d s, want %.0f", agentLost, sends, seconds, want)
+		}
+	}
+}
