soak: a response of one event passes only if engines crash after an event

The check passed such a response at each stage of a crash, though only a crash after the first event of a response that ends with its connection explains it. The judge's test has the case of another stage.

--- a/soak/live/caller.go
+++ b/soak/live/caller.go
@@ -104,8 +104,8 @@
 		}
 		x.model = fmt.Sprintf("%s/a%d", modelName, adapter)
 		x.middle = []standin.Part{{ID: firstSession + c.random.Uint64N(sessionCount), Tokens: 40}}
-		if part, ok := c.deployment.judge.poisonPart(); ok && c.random.Float64() < poisonShare {
-			x.poisoned, x.middle = true, append(x.middle, standin.Part{ID: part, Tokens: 40})
+		if p, ok := c.deployment.judge.currentPoison(); ok && c.random.Float64() < poisonShare {
+			x.poison, x.middle = &p, append(x.middle, standin.Part{ID: p.Part, Tokens: 40})
 		}
 	case n < 7:
 		x.target = "/o/order?n=1"
--- a/soak/live/judge.go
+++ b/soak/live/judge.go
@@ -66,8 +66,8 @@
 	// disconnectedAt is the time at which the caller closed its connection.
 	disconnectedAt time.Time
 	refused        bool
-	// poisoned is set if the prompt has a part that crashes engines.
-	poisoned bool
+	// poison is the part of the prompt that crashes engines; nil if there is none.
+	poison *standin.Poison
 	// middle are the parts of the prompt between the first and the last one.
 	middle   []standin.Part
 	arrivals int
--- a/soak/live/judge_test.go
+++ b/soak/live/judge_test.go
@@ -60,14 +60,20 @@
 			a.body = standin.Event(standin.Arrival{ID: id, Model: "base/a1"}, 1)
 			j.onResponse(c, a)
 		}, "answers"},
+		{"first event only, engines crash inside it", func(j *judge, c *call) {
+			c.kind, c.model, c.poison = modelCall, "base/a1", &standin.Poison{Stage: standin.InsideEvent}
+			a := success(c)
+			a.body = standin.Event(standin.Arrival{ID: id, Model: "base/a1"}, 1)
+			j.onResponse(c, a)
+		}, "answers"},
 		{"first event only, its engine crashed", func(j *judge, c *call) {
-			c.kind, c.model, c.poisoned = modelCall, "base/a1", true
+			c.kind, c.model, c.poison = modelCall, "base/a1", &standin.Poison{Stage: standin.AfterEvent}
 			a := success(c)
 			a.body = standin.Event(standin.Arrival{ID: id, Model: "base/a1"}, 1)
 			j.onResponse(c, a)
 		}, ""},
 		{"a part of the first event, its engine crashed", func(j *judge, c *call) {
-			c.kind, c.model, c.poisoned = modelCall, "base/a1", true
+			c.kind, c.model, c.poison = modelCall, "base/a1", &standin.Poison{Stage: standin.AfterEvent}
 			a := success(c)
 			a.body = standin.Event(standin.Arrival{ID: id, Model: "base/a1"}, 1)[:8]
 			j.onResponse(c, a)
@@ -221,7 +227,7 @@
 			}
 			for i := range c.late {
 				x := send(i, "p")
-				x.poisoned = true
+				x.poison = &standin.Poison{Stage: standin.AfterEvent}
 				j.onArrival(nil, standin.Arrival{Engine: "engine-0-1", Service: "llm", ID: x.id, Method: x.method, Target: x.target, Model: x.model, Parts: []string{"7", "bad", "1"}})
 			}
 			for i := range c.sent {
--- a/soak/live/poison.go
+++ b/soak/live/poison.go
@@ -100,7 +100,7 @@
 // brokenOffUnnoticed reports whether the response ends after the first event, with which an engine crashed, and with its connection: nobody can
 // tell such a response from a complete one.
 func (c *call) brokenOffUnnoticed(a response) bool {
-	return c.poisoned && a.body == standin.Event(standin.Arrival{ID: c.id, Model: c.model}, 1)
+	return c.poison != nil && c.poison.Stage == standin.AfterEvent && a.body == standin.Event(standin.Arrival{ID: c.id, Model: c.model}, 1)
 }
 
 func (j *judge) onPoisonCrash() {
@@ -111,14 +111,14 @@
 	}
 }
 
-// poisonPart returns the part that crashes engines now.
-func (j *judge) poisonPart() (part uint64, ok bool) {
+// currentPoison returns the part that crashes engines now.
+func (j *judge) currentPoison() (p standin.Poison, ok bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.poison == nil {
-		return 0, false
+		return p, false
 	}
-	return j.poison.Part, true
+	return j.poison.Poison, true
 }
 
 // checkPoison checks the arrival of a model request at an engine; the caller holds the lock.
@@ -137,7 +137,7 @@
 
 // countServed counts a finished model request for the comparison of poisoned and quiet periods; the caller holds the lock.
 func (j *judge) countServed(c *call, served bool) {
-	if c.kind != modelCall || c.poisoned || len(j.limits) > 0 {
+	if c.kind != modelCall || c.poison != nil || len(j.limits) > 0 {
 		return
 	}
 	if j.quietBefore(c.sentAt) {
