--- a/soak/live/limit.go
+++ b/soak/live/limit.go
@@ -147,7 +147,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for id, x := range j.limits {
-		if start, n, allowed := x.worst(j.excuses, j.lastStarvation); float64(n) > allowed {
+		if start, n, allowed := x.worst(j.excuses); float64(n) > allowed {
 			j.addViolationLocked("limit", "%s got %d requests in %s from %s on, %.1f allowed; limits %v", id, n, limitWindow, start.Format("05.000"), allowed, x.limits)
 		}
 	}
@@ -155,13 +155,9 @@
 	clear(j.excuses)
 }
 
-// worst returns the window in which the arrivals exceed what is allowed most. Windows count from contactTimeout after the first limit, and
-// after a process has lacked a processor.
-func (x *limitedEndpoint) worst(excuses map[string][]excuse, starved time.Time) (start time.Time, n int, allowed float64) {
+// worst returns the window in which the arrivals exceed what is allowed most. Windows count from contactTimeout after the first limit.
+func (x *limitedEndpoint) worst(excuses map[string][]excuse) (start time.Time, n int, allowed float64) {
 	from := x.limits[0].at.Add(contactTimeout)
-	if s := starved.Add(quietPeriod); s.After(from) {
-		from = s
-	}
 	var counted []time.Time
 	for _, a := range x.arrivals {
 		if told := x.told[a.by]; a.at.Before(from) || told.IsZero() || a.at.Sub(told) < toldDelay || excusedAt(excuses[a.by.host], a.at) {
--- a/soak/live/limit_test.go
+++ b/soak/live/limit_test.go
@@ -32,22 +32,20 @@
 		arrivals []limitedArrival
 		told     map[processIncarnation]time.Time
 		excuses  map[string][]excuse
-		starved  time.Time
 		broken   bool
 	}{
-		{"as many as allowed", []timedLimit{{1, at(0)}}, evenly(0, 20, 2.6), both, nil, time.Time{}, false},
-		{"too many", []timedLimit{{1, at(0)}}, evenly(0, 20, 3.1), both, nil, time.Time{}, true},
-		{"too many, of one entry that was not told", []timedLimit{{1, at(0)}}, evenly(0, 20, 3.1), map[processIncarnation]time.Time{a: at(0.1)}, nil, time.Time{}, false},
-		{"too many, at first", []timedLimit{{1, at(0)}}, evenly(0, 2.9, 20), both, nil, time.Time{}, false},
-		{"too many, of a frozen entry", []timedLimit{{1, at(0)}}, evenly(0, 20, 3.1), both, map[string][]excuse{"edge-1": {{at(4), at(30)}}}, time.Time{}, false},
-		{"too many without a processor", []timedLimit{{1, at(0)}}, evenly(0, 9, 3.1), both, nil, at(7), false},
-		{"six at a limit of 0", []timedLimit{{0, at(0)}}, evenly(5, 6, 6), both, nil, time.Time{}, true},
-		{"five at a limit of 0", []timedLimit{{0, at(0)}}, evenly(5, 6, 5), both, nil, time.Time{}, false},
-		{"after a change upward", []timedLimit{{1, at(0)}, {4, at(10)}}, evenly(10, 20, 7), both, nil, time.Time{}, false},
-		{"after a change downward", []timedLimit{{4, at(0)}, {1, at(10)}}, evenly(0, 20, 7), both, nil, time.Time{}, true},
+		{"as many as allowed", []timedLimit{{1, at(0)}}, evenly(0, 20, 2.6), both, nil, false},
+		{"too many", []timedLimit{{1, at(0)}}, evenly(0, 20, 3.1), both, nil, true},
+		{"too many, of one entry that was not told", []timedLimit{{1, at(0)}}, evenly(0, 20, 3.1), map[processIncarnation]time.Time{a: at(0.1)}, nil, false},
+		{"too many, at first", []timedLimit{{1, at(0)}}, evenly(0, 2.9, 20), both, nil, false},
+		{"too many, of a frozen entry", []timedLimit{{1, at(0)}}, evenly(0, 20, 3.1), both, map[string][]excuse{"edge-1": {{at(4), at(30)}}}, false},
+		{"six at a limit of 0", []timedLimit{{0, at(0)}}, evenly(5, 6, 6), both, nil, true},
+		{"five at a limit of 0", []timedLimit{{0, at(0)}}, evenly(5, 6, 5), both, nil, false},
+		{"after a change upward", []timedLimit{{1, at(0)}, {4, at(10)}}, evenly(10, 20, 7), both, nil, false},
+		{"after a change downward", []timedLimit{{4, at(0)}, {1, at(10)}}, evenly(0, 20, 7), both, nil, true},
 	} {
 		x := limitedEndpoint{limits: c.limits, arrivals: c.arrivals, told: c.told}
-		if from, n, allowed := x.worst(c.excuses, c.starved); (float64(n) > allowed) != c.broken {
+		if from, n, allowed := x.worst(c.excuses); (float64(n) > allowed) != c.broken {
 			t.Errorf("%s: %d from %s on, %.1f allowed; broken should be %t", c.name, n, from.Sub(start), allowed, c.broken)
 		}
 	}
