--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -50,6 +50,7 @@
 	// pausedUntil is the time until which the endpoint has asked this host to send nothing.
 	pausedUntil time.Time
 	endpointLimit
+	endState
 	// superseded is set once a later incarnation uses the address.
 	superseded bool
 	// formerStarts are the start times of earlier incarnations with the same id, the latest last.
--- a/daemon/frontend/instrument.go
+++ b/daemon/frontend/instrument.go
@@ -28,7 +28,9 @@
 	// prefetches counts the adapters that were requested ahead of their requests.
 	prefetches *metrics.Counter
 	// interruptedRequests counts requests that were reported to agents because their connections to engines ended.
-	interruptedRequests  *metrics.Counter
+	interruptedRequests *metrics.Counter
+	// brokenByEnds counts requests that were broken off by the end of their endpoint.
+	brokenByEnds         *metrics.Counter
 	quarantineRefusals   *metrics.Counter
 	quarantinedParts     *metrics.Gauge
 	firstByte            *metrics.Histogram
@@ -54,6 +56,7 @@
 		limitDenials:         set.GetOrCreateCounter("shallotring_frontend_limit_denials_total"),
 		prefetches:           set.GetOrCreateCounter("shallotring_frontend_prefetches_total"),
 		interruptedRequests:  set.GetOrCreateCounter("shallotring_frontend_interrupted_requests_total"),
+		brokenByEnds:         set.GetOrCreateCounter("shallotring_frontend_broken_by_ends_total"),
 		quarantineRefusals:   set.GetOrCreateCounter("shallotring_frontend_quarantine_refusals_total"),
 		quarantinedParts:     set.GetOrCreateGauge("shallotring_frontend_quarantined_parts", nil),
 		firstByte:            set.GetOrCreateHistogram("shallotring_frontend_first_byte_seconds"),
--- a/daemon/frontend/quarantine.go
+++ b/daemon/frontend/quarantine.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -84,8 +85,9 @@
 	f.exposures(x.service).Record(x.call.SharedParts(), f.clock.Since(since))
 }
 
-// recordInterruption records that the end of its connection to the engine ended a model request.
-func (f *Frontend) recordInterruption(x *request, e *endpoint, orderly bool) {
+// recordInterruption records that the end of its connection to the endpoint ended a request.
+func (f *Frontend) recordInterruption(ctx context.Context, x *request, e *endpoint, orderly bool) {
+	f.recordBroken(ctx, x, e, orderly)
 	if x.call.Model == "" {
 		return
 	}
@@ -153,6 +155,9 @@
 	}
 	now := f.clock.Now()
 	for _, x := range c.List {
+		if e := f.endpoints[x.Endpoint]; e != nil && e.StartMilli == x.Born {
+			f.recordEnd(e, now, "agent")
+		}
 		changes := f.quarantine.Observe(now, quarantine.Crash{Endpoint: x.Endpoint, StartMilli: x.Born, Host: hostOf(l.address),
 			At: now.Add(-time.Duration(x.AgeMilli) * time.Millisecond), Requests: x.Requests, Suspects: x.Suspects})
 		f.log.Info("engine crash reported", slog.String("Endpoint", string(x.Endpoint)), slog.Int64("Born", x.Born), slog.Int64("AgeMilli", x.AgeMilli),
--- a/daemon/frontend/response.go
+++ b/daemon/frontend/response.go
@@ -67,11 +67,11 @@
 			return false, false
 		}
 		f.recordResult(e, true, false)
-		f.recordInterruption(x, e, false /* orderly */)
+		f.recordInterruption(ctx, x, e, false /* orderly */)
 		return false, f.prepareRetry(x, e, true)
 	}
 	if response.Framing == upstream.CloseFraming {
-		f.recordInterruption(x, e, true /* orderly */)
+		f.recordInterruption(ctx, x, e, true /* orderly */)
 	}
 	copyHeader(w, response)
 	if len(b) <= maxBufferedBytes {
@@ -155,7 +155,7 @@
 			}
 			f.logFinished(x, e, response.Status, total, chunks, nil, end()...)
 			if response.Framing == upstream.CloseFraming {
-				f.recordInterruption(x, e, true /* orderly */)
+				f.recordInterruption(ctx, x, e, true /* orderly */)
 			}
 			return true
 		}
@@ -164,7 +164,7 @@
 		if ctx.Err() == nil {
 			f.recordResult(e, true, false)
 			if writeErr == nil {
-				f.recordInterruption(x, e, false /* orderly */)
+				f.recordInterruption(ctx, x, e, false /* orderly */)
 			}
 		}
 		if !headerWritten && ctx.Err() == nil {
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,6 +17,7 @@
 	"shallotring.dev/protocol/mediatype"
 	"shallotring.dev/protocol/upstream"
 	"shallotring.dev/state/call"
+	"shallotring.dev/state/fingerprint"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
 	"shallotring.dev/state/placement"
@@ -76,6 +78,9 @@
 	runs  int
 	// interruptions counts the runs that ended with their connection to the engine.
 	interruptions int
+	// print is the fingerprint of the content if fingerprinted is set.
+	print         fingerprint.Fingerprint
+	fingerprinted bool
 }
 
 // requestIDKey is the log attribute of the request id; the timelines of the other programs use the same one.
@@ -342,7 +347,7 @@
 // handleSendError decides after a send without a response whether another endpoint may be tried.
 func (f *Frontend) handleSendError(ctx context.Context, x *request, e *endpoint, start time.Time, err error) (retry bool) {
 	unsent := upstream.Unsent(err)
-	f.log.Info("no response from the endpoint", x.id(), slog.String("Endpoint", string(e.name)), slog.Bool("Sent", !unsent), partsAttr(x),
+	f.log.Info("no response from the endpoint", x.id(), slog.String("Endpoint", string(e.name)), slog.Bool("Sent", !unsent), slog.Int("Send", x.sends), partsAttr(x),
 		slog.Int64("DurationMilli", f.clock.Since(start).Milliseconds()), slog.Any("Error", err))
 	if ctx.Err() != nil {
 		if !unsent {
@@ -352,11 +357,16 @@
 	}
 	f.recordResult(e, true, unsent && !eris.Is(err, upstream.ErrPoolFull))
 	if unsent {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			f.mu.Lock()
+			f.recordEnd(e, f.clock.Now(), "refused")
+			f.mu.Unlock()
+		}
 		// No byte of the request was sent, so sending it to another endpoint takes nothing from the retry budget.
 		x.excluded = append(x.excluded, e.name)
 		return x.sends < maxSends && x.deadline.Sub(f.clock.Now()) > minRemaining
 	}
-	f.recordInterruption(x, e, false /* orderly */)
+	f.recordInterruption(ctx, x, e, false /* orderly */)
 	return f.prepareRetry(x, e, true)
 }
 
--- a/state/call/call.go
+++ b/state/call/call.go
@@ -23,6 +23,8 @@
 // Call is the content of a request's headers.
 type Call struct {
 	ID ident.RequestID
+	// Caller identifies the caller; empty if the headers do not.
+	Caller ident.Caller
 	// Model is empty for plain services.
 	Model ident.BaseModel
 	// Adapter is empty if the base model is requested.
--- /dev/null
+++ b/state/fingerprint/doc.go
@@ -0,0 +1,2 @@
+// Package fingerprint identifies requests by their content, so that a request that comes again under another id is recognised.
+package fingerprint
