--- /dev/null
+++ b/daemon/direct/repeat_test.go
@@ -0,0 +1,292 @@
+package direct_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"shallotring.dev/daemon/trial"
+	"shallotring.dev/platform/standin"
+)
+
+const (
+	// toleratedCrashes is the number of crashes by one request after which, and after contactTime, maxLateRepeats more may reach engines.
+	toleratedCrashes = 3
+	maxLateRepeats   = 3
+)
+
+// repeatTraffic sends sound requests, and some that crash the engines that begin to run them.
+type repeatTraffic struct {
+	*deployment
+	fatal []standin.Poison
+	sent  atomic.Int64
+
+	mu       sync.Mutex
+	outcomes []callerOutcome
+	// reached has the times at which each fatal request reached an engine.
+	reached map[standin.Poison][]time.Time
+}
+
+func newRepeatTraffic(t *testing.T, size trial.Size, fatal ...standin.Poison) *repeatTraffic {
+	p := &repeatTraffic{fatal: fatal, reached: make(map[standin.Poison][]time.Time)}
+	p.deployment = deploySize(t, size, standin.WithJournal(p.observe), standin.WithPace(3, 20*time.Millisecond))
+	p.sendUntilServed("/l/0", "ready", "")
+	return p
+}
+
+// crashOnFatal makes all engines crash on the fatal requests.
+func (p *repeatTraffic) crashOnFatal() {
+	for _, e := range append(p.Engines, p.Instances...) {
+		e.SetPoison(p.fatal...)
+	}
+}
+
+// observe records the arrival of a request at an engine.
+func (p *repeatTraffic) observe(a standin.Arrival) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range p.fatal {
+		if a.Ran && f.In(a) {
+			p.reached[f] = append(p.reached[f], time.Now())
+		}
+	}
+}
+
+// call returns a request for a target; those below /g/ are for a model.
+func (p *repeatTraffic) call(method, target, body string) (call standin.Call) {
+	id := fmt.Sprint("r-", p.sent.Add(1))
+	if call = p.ServiceRequest(id); strings.HasPrefix(target, "/g/") {
+		call = p.ModelRequest(id)
+		call.Own.ID = uint64(p.sent.Load())
+	}
+	call.Method, call.Target, call.Body, call.Timeout = method, target, body, time.Second
+	return call
+}
+
+// sendFatal sends one of the fatal requests through a random entry.
+func (p *repeatTraffic) sendFatal(r *rand.Rand, f standin.Poison) (status int) {
+	method := http.MethodPost
+	if strings.HasPrefix(f.Target, "/l/") && f.Body == "" {
+		method = http.MethodGet
+	}
+	call := p.call(method, f.Target, f.Body)
+	call.Chunked = f.Body != "" && r.IntN(2) == 0
+	status, _ = p.exchange(r, call)
+	return status
+}
+
+// run sends sound requests until done is closed, half of them alike if alike is set.
+func (p *repeatTraffic) run(seed uint64, alike bool, done <-chan struct{}) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(r.IntN(60)) * time.Millisecond):
+		}
+		target := fmt.Sprint("/l/", 1+r.IntN(1_000_000))
+		if alike && r.IntN(2) == 0 {
+			target = "/l/popular"
+		}
+		start := time.Now()
+		status, _ := p.exchange(r, p.call(http.MethodGet, target, ""))
+		p.mu.Lock()
+		p.outcomes = append(p.outcomes, callerOutcome{sentAt: start, served: status == http.StatusOK})
+		p.mu.Unlock()
+	}
+}
+
+// start starts callers of sound requests; stop ends them.
+func (p *repeatTraffic) start(callers int, alike bool) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() { p.run(uint64(i), alike, done) })
+	}
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+// served returns the share of the sound requests that were sent in a period and served, and their number.
+func (p *repeatTraffic) served(from, to time.Time) (share float64, sent int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	served := 0
+	for _, o := range p.outcomes {
+		if o.sentAt.Before(from) || o.sentAt.After(to) {
+			continue
+		}
+		if sent++; o.served {
+			served++
+		}
+	}
+	return float64(served) / float64(max(sent, 1)), sent
+}
+
+// arrivals returns the times at which a fatal request reached engines, each of which it crashed.
+func (p *repeatTraffic) arrivals(f standin.Poison) []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]time.Time(nil), p.reached[f]...)
+}
+
+// repeatUntil sends each fatal request again and again, until a time after the third crash that each of them has caused; then it checks the
+// number of later arrivals.
+func (p *repeatTraffic) repeatUntil(after, interval time.Duration) (third time.Time) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var pending sync.WaitGroup
+	defer pending.Wait()
+	for limit := time.Now().Add(30*time.Second + toleratedCrashes*interval); time.Now().Before(limit); time.Sleep(interval) {
+		finished := true
+		for _, f := range p.fatal {
+			seed := r.Uint64()
+			pending.Go(func() { p.sendFatal(rand.New(rand.NewPCG(seed, 3)), f) })
+			at := p.arrivals(f)
+			finished = finished && len(at) >= toleratedCrashes && time.Since(at[toleratedCrashes-1]) > after
+		}
+		if finished {
+			break
+		}
+	}
+	for _, f := range p.fatal {
+		at := p.arrivals(f)
+		if len(at) < toleratedCrashes {
+			p.t.Fatalf("%s crashed %d engines", f.Target, len(at))
+		}
+		if third = at[toleratedCrashes-1]; len(at) > 0 {
+			late := 0
+			for _, t := range at {
+				if t.Sub(third) > contactTime {
+					late++
+				}
+			}
+			p.t.Logf("%s reached %d engines, %d of them late", f.Target, len(at), late)
+			if late > maxLateRepeats {
+				p.t.Errorf("%s reached %d engines later than %s after its third crash, %d in all", f.Target, late, contactTime, len(at))
+			}
+		}
+	}
+	return third
+}
+
+// TestRequestThatCrashesEngines guards against incident BUDGET (a whole request): a request that came again, with the same path and body,
+// reached one engine after another, and each of them crashed. The other requests for the service must be served.
+func TestRequestThatCrashesEngines(t *testing.T) {
+	long := strings.Repeat("x", 200_000)
+	for _, c := range []struct {
+		name     string
+		size     trial.Size
+		fatal    []standin.Poison
+		interval time.Duration
+		storeOff bool
+	}{
+		{"lookup", trial.Size{Engines: 2, Entries: 3, Instances: 4}, []standin.Poison{{Target: "/l/bad?page=3", Probability: 1}}, 150 * time.Millisecond, false},
+		{"order", trial.Size{Engines: 2, Entries: 4, Instances: 4}, []standin.Poison{{Target: "/o/bad", Body: "bad", Probability: 1}}, 150 * time.Millisecond, false},
+		{"stream", trial.Size{Engines: 8, Entries: 3}, []standin.Poison{{Target: "/g/bad", Body: "bad", Probability: 1, Stage: standin.InsideEvent}}, 150 * time.Millisecond, false},
+		{"long body", trial.Size{Engines: 2, Entries: 3, Instances: 4}, []standin.Poison{{Target: "/l/bad", Body: long, Probability: 1}}, 150 * time.Millisecond, false},
+		{"two requests", trial.Size{Engines: 2, Entries: 3, Instances: 6}, []standin.Poison{{Target: "/l/bad", Probability: 1}, {Target: "/o/bad", Body: "bad", Probability: 1}}, 150 * time.Millisecond, false},
+		{"seldom", trial.Size{Engines: 2, Entries: 3, Instances: 4}, []standin.Poison{{Target: "/l/bad", Probability: 1}}, 2 * time.Second, false},
+		{"no agents", trial.Size{Entries: 4, Instances: 4}, []standin.Poison{{Target: "/l/bad", Probability: 1}}, 150 * time.Millisecond, false},
+		{"no store", trial.Size{Engines: 2, Entries: 4, Instances: 4}, []standin.Poison{{Target: "/o/bad", Probability: 1}}, 150 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := newRepeatTraffic(t, c.size, c.fatal...)
+			defer p.start(6, false)()
+			start := time.Now()
+			time.Sleep(2 * time.Second)
+			before, sentBefore := p.served(start, time.Now())
+			if sentBefore < 20 || before < 0.9 {
+				t.Fatalf("%.2f of %d requests are served before the first crash", before, sentBefore)
+			}
+			p.Store.SetDown(c.storeOff)
+			p.KeepIDs.Store(c.storeOff)
+			p.crashOnFatal()
+			third := p.repeatUntil(3*contactTime, c.interval)
+			after, sent := p.served(third.Add(2*contactTime), third.Add(3*contactTime))
+			t.Logf("%.2f of %d sound requests are served, %.2f before", after, sent, before)
+			if sent < 20 || after < 0.9*before {
+				t.Errorf("%.2f of %d sound requests are served, %.2f before the crashes", after, sent, before)
+			}
+		})
+	}
+}
+
+// TestLateEntryKnowsRequestsThatCrashEngines guards against an entry that sends a request to engines that it has crashed before because the
+// entry has started later, with and without agents.
+func TestLateEntryKnowsRequestsThatCrashEngines(t *testing.T) {
+	for name, engines := range map[string]int{"agents": 2, "no agents": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fatal := standin.Poison{Target: "/l/bad", Probability: 1}
+			p := newRepeatTraffic(t, trial.Size{Engines: engines, Entries: 2, Instances: 4}, fatal)
+			p.crashOnFatal()
+			p.repeatUntil(contactTime, 150*time.Millisecond)
+			if err := p.AddEntry("edge-late"); err != nil {
+				t.Fatal(err)
+			}
+			p.Fronts = p.Fronts[len(p.Fronts)-1:]
+			r := rand.New(rand.NewPCG(4, 2))
+			waitFor(t, "the late entry serves", func() bool {
+				status, _ := p.exchange(r, p.call(http.MethodGet, "/l/1", ""))
+				return status == http.StatusOK
+			})
+			reached := len(p.arrivals(fatal))
+			for range 10 {
+				if status := p.sendFatal(r, fatal); status != http.StatusServiceUnavailable {
+					t.Errorf("status %d from the late entry, want 503", status)
+				}
+			}
+			if n := len(p.arrivals(fatal)); n != reached {
+				t.Errorf("the request reached %d engines through the late entry", n-reached)
+			}
+		})
+	}
+}
+
+// TestSoundRequestsAreNotRefused guards against the refusal of a request that comes often because it was in progress at engines that ended
+// for other reasons, or whose responses were lost.
+func TestSoundRequestsAreNotRefused(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		crashes int
+		lose    float64
+		// minServed is the least share of the requests that are served.
+		minServed float64
+	}{
+		{"ten crashes", 10, 0, 0.8},
+		{"three of ten responses are lost", 0, 0.3, 0.8},
+		{"crashes and lost responses", 6, 0.1, 0.8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := newRepeatTraffic(t, trial.Size{Engines: 2, Entries: 3, Instances: 6})
+			for _, e := range p.Instances {
+				e.SetFault(standin.Fault{Lose: c.lose})
+			}
+			defer p.start(12, true)()
+			r := rand.New(rand.NewPCG(1, 2))
+			start := time.Now()
+			for range c.crashes {
+				time.Sleep(time.Second)
+				p.CrashInstance(r.IntN(len(p.Instances)))
+			}
+			time.Sleep(5 * time.Second)
+			share, sent := p.served(start, time.Now().Add(-time.Second))
+			t.Logf("%d crashes; %.2f of %d requests are served", len(p.Crashes()), share, sent)
+			if sent < 100 || share < c.minServed {
+				t.Errorf("%.2f of %d requests are served, want %.2f", share, sent, c.minServed)
+			}
+			if n := p.log.count("request is in quarantine"); n > 0 {
+				t.Errorf("%d requests were put in quarantine", n)
+			}
+		})
+	}
+}
