--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -22,7 +22,7 @@
 type commandLine struct {
 	Run        runCommand        `cmd:"" default:"withargs" help:"Run the entry (the default command)."`
 	Platform   platformCommand   `cmd:"" help:"Run as an entry on the platform, with the settings file that the platform provides."`
-	Quarantine quarantineCommand `cmd:"" help:"List the prompt parts on which engines crash, or lift the quarantine of one, on the platform."`
+	Quarantine quarantineCommand `cmd:"" help:"List the prompt parts and requests on which engines crash, or lift the quarantine of one, on the platform."`
 	Check      checkCommand      `cmd:"" help:"Check a settings file."`
 	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
@@ -60,7 +60,7 @@
 }
 
 type quarantineCommand struct {
-	Lift string `placeholder:"PART" help:"Id of the part whose quarantine ends, in hexadecimal."`
+	Lift string `placeholder:"ID" help:"Id of the part, or fingerprint of the request, whose quarantine ends, in hexadecimal."`
 }
 
 // Run reads or writes the store that the settings file of the platform names.
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -18,6 +18,9 @@
 // ErrRecovered means that the store was away while a call waited, and responds again: the call may never be answered.
 var ErrRecovered = eris.New("the store was away during the call and responds again")
 
+// ErrChanged means that a key has been written or deleted since the revision that a write is based on.
+var ErrChanged = eris.New("the key has changed")
+
 // errRestored means that the store has been restored from an older copy since the last full read.
 var errRestored = eris.New("the store has been restored from an older copy")
 
--- /dev/null
+++ b/coordination/requestrecord/record.go
@@ -0,0 +1,69 @@
+package requestrecord
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"shallotring.dev/protocol/control"
+	"shallotring.dev/state/fingerprint"
+	"shallotring.dev/state/ident"
+	"shallotring.dev/state/suspicion"
+)
+
+// VerdictPrefix is the prefix of the keys of verdicts; each ends with the fingerprint of a request.
+const VerdictPrefix = "shallotring/quarantine/request/"
+
+// EvidencePrefix is the prefix of the keys with the evidence of entries; each ends with the entry's host.
+const EvidencePrefix = "shallotring/quarantine/evidence/"
+
+// Record is the value of a verdict's key.
+type Record struct {
+	// Lifted is set if the request is not in quarantine any more; earlier ends do not count against it then.
+	Lifted bool `json:",omitempty"`
+	Since  time.Time
+	// Ends, Incidents, Survivals and the probations are those of the verdict; Host is the entry host that wrote them.
+	Ends          int        `json:",omitempty"`
+	Incidents     int        `json:",omitempty"`
+	Survivals     int        `json:",omitempty"`
+	Probations    int        `json:",omitempty"`
+	NextProbation time.Time  `json:",omitzero"`
+	Host          ident.Host `json:",omitempty"`
+}
+
+// equal reports whether two records say the same of the request's state.
+func (r Record) equal(x Record) bool { return r.Lifted == x.Lifted && r.Probations == x.Probations }
+
+func newRecord(c suspicion.Change, host ident.Host) Record {
+	return Record{Lifted: c.Released, Since: c.Since, Ends: c.Ends, Incidents: c.Incidents, Survivals: c.Survivals,
+		Probations: c.Probations, NextProbation: c.NextProbation, Host: host}
+}
+
+func (r Record) verdict(p fingerprint.Fingerprint) suspicion.Verdict {
+	return suspicion.Verdict{Request: p, Since: r.Since, Ends: r.Ends, Incidents: r.Incidents, Survivals: r.Survivals, Probations: r.Probations, NextProbation: r.NextProbation}
+}
+
+// Key returns the key of a request's verdict.
+func Key(p fingerprint.Fingerprint) string { return VerdictPrefix + p.String() }
+
+// Decode returns the request and the record of a verdict's key.
+func Decode(key string, value []byte) (p fingerprint.Fingerprint, r Record, err error) {
+	defer func() { err = eris.Wrapf(err, "decode %s", key) }()
+	if p, err = fingerprint.Parse(strings.TrimPrefix(key, VerdictPrefix)); err != nil {
+		return p, r, err
+	}
+	return p, r, json.Unmarshal(value, &r)
+}
+
+// Observation is evidence of an entry without agents. The sequence grows over its restarts.
+type Observation struct {
+	Sequence int64
+	control.Evidence
+}
+
+// EvidenceRecord is the value of an entry's evidence: the last observations, whose ages are as of the write.
+type EvidenceRecord struct {
+	Observations []Observation
+}
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"shallotring.dev/coordination/mirror"
 	"shallotring.dev/coordination/quarantinerecord"
+	"shallotring.dev/coordination/requestrecord"
 	"shallotring.dev/daemon/frontend"
 	"shallotring.dev/platform/boot"
 	"shallotring.dev/platform/catalog"
@@ -49,6 +51,8 @@
 	// probeShare is the longest silence of the store, as a share of the time within which a configuration must be in force. The other half is
 	// left for the end of a watch that an outage has swallowed, and a full read.
 	probeShare = 0.5
+	// quarantineWatchPause is short, since entries without agents share the evidence in the store.
+	quarantineWatchPause = 20 * time.Millisecond
 	// quarantineWatchTimeout and quarantineFullReadInterval are long: entries learn of crashes from the agents; the store has what was found
 	// before they started.
 	quarantineWatchTimeout     = 30 * time.Second
@@ -64,6 +68,8 @@
 	store    *store.Client
 	// quarantine keeps the prompt parts in quarantine in the store.
 	quarantine *quarantinerecord.Keeper
+	// requests keeps the requests in quarantine in the store.
+	requests *requestrecord.Keeper
 }
 
 // NewEntry returns an entry for the settings.
@@ -71,8 +77,9 @@
 	set := metrics.NewSet()
 	client := store.New(s.Store, store.WithProbeInterval(scale(s.ConfigurationTimeout, probeShare)))
 	keeper := quarantinerecord.New(client, s.Host, quarantinerecord.WithLog(log))
-	return &Entry{settings: s, log: log, metrics: set, store: client, quarantine: keeper, frontend: frontend.New(message.Headers{}, s.Host, s.Zone,
-		frontend.WithLog(log), frontend.WithMetrics(set), frontend.WithControlPort(s.ControlPort), frontend.WithQuarantineRecord(keeper.Record),
+	requests := requestrecord.New(client, s.Host, requestrecord.WithLog(log))
+	return &Entry{settings: s, log: log, metrics: set, store: client, quarantine: keeper, requests: requests, frontend: frontend.New(message.Headers{}, s.Host, s.Zone,
+		frontend.WithLog(log), frontend.WithMetrics(set), frontend.WithControlPort(s.ControlPort), frontend.WithQuarantineRecord(keeper.Record), frontend.WithRequestRecord(requests),
 		frontend.WithRetryLimit(frontend.RetryLimit{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}))}
 }
 
@@ -122,10 +129,11 @@
 	operators := mirror.New(e.store, catalog.OperatorPrefix, e.applyOperatorChanges, mirror.WithLog(e.log))
 	endpoints := mirror.New(e.store, catalog.EndpointPrefix, e.applyDiscovery, mirror.WithLog(e.log), mirror.WithWatchPause(scale(e.settings.DrainTimeout, discoveryPauseShare)),
 		mirror.WithFullReadInterval(scale(e.settings.DrainTimeout, discoveryFullReadShare)))
-	quarantined := mirror.New(e.store, quarantinerecord.Prefix, func(list []mirror.Record) { e.quarantine.Apply(list, e.frontend) }, mirror.WithLog(e.log),
+	quarantined := mirror.New(e.store, quarantinerecord.Prefix, e.applyQuarantine, mirror.WithLog(e.log), mirror.WithWatchPause(quarantineWatchPause),
 		mirror.WithWatchTimeout(quarantineWatchTimeout), mirror.WithFullReadInterval(quarantineFullReadInterval))
 	wg.Go(func() { quarantined.Run(background) })
 	wg.Go(func() { e.quarantine.Run(background) })
+	wg.Go(func() { e.requests.Run(background) })
 	wg.Go(func() { operators.Run(background) })
 	wg.Go(func() { endpoints.Run(background) })
 	wg.Go(func() { e.frontend.Run(background) })
@@ -202,6 +210,18 @@
 	}
 }
 
+// applyQuarantine applies changes of the keys of parts and requests in quarantine.
+func (e *Entry) applyQuarantine(list []mirror.Record) {
+	var parts []mirror.Record
+	for _, r := range list {
+		if !strings.HasPrefix(r.Key, requestrecord.VerdictPrefix) && !strings.HasPrefix(r.Key, requestrecord.EvidencePrefix) {
+			parts = append(parts, r)
+		}
+	}
+	e.quarantine.Apply(parts, e.frontend)
+	e.requests.Apply(list, e.frontend)
+}
+
 func (e *Entry) applyDiscovery(list []mirror.Record) {
 	for _, r := range list {
 		id := ident.Endpoint(r.Key[len(catalog.EndpointPrefix):])
--- a/daemon/frontend/ended.go
+++ b/daemon/frontend/ended.go
@@ -155,6 +155,7 @@
 	broken := e.broken
 	e.broken, e.endedAt = nil, now
 	f.metrics.brokenByEnds.Add(len(broken))
+	f.recordSuspects(e, now, broken)
 	for _, b := range broken {
 		f.log.Info("endpoint ended with a request in progress", slog.String("Endpoint", string(e.name)), slog.Int64("Born", e.StartMilli), slog.String("Evidence", evidence),
 			slog.String("Fingerprint", b.request.String()), slog.Int("Requests", len(broken)), slog.Int64("AgeMilli", now.Sub(b.at).Milliseconds()))
--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -270,6 +270,8 @@
 	now := f.clock.Now()
 	f.applyRestoredEndpoints(now)
 	f.advanceExposures(now)
+	f.suspects.Expire(now)
+	f.updateSuspects()
 	for _, e := range f.endpoints {
 		f.reportInterruptions(e, now)
 		e.decayFailures(now)
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -21,6 +21,7 @@
 	"shallotring.dev/state/quarantine"
 	"shallotring.dev/state/retry"
 	"shallotring.dev/state/routing"
+	"shallotring.dev/state/suspicion"
 )
 
 const (
@@ -90,6 +91,9 @@
 	// trackers measure how often prompt parts are at the engines of each service; quarantine has those on which engines crash.
 	trackers   map[ident.Service]*exposure.Tracker
 	quarantine *quarantine.List
+	suspects   suspects
+	// suspecting is set while any request is under suspicion or in quarantine.
+	suspecting atomic.Bool
 	// recordQuarantine is called with each change of the quarantine that this entry finds, with the lock held.
 	recordQuarantine func(quarantine.Change)
 	// links has the link to each agent by its address. A link outlives the endpoint, since a restarted engine has the same agent.
@@ -133,7 +137,8 @@
 		endpoints: make(map[ident.Endpoint]*endpoint), departures: newDepartures(), versions: make(map[ident.Adapter]ident.Version),
 		retryBudgets: make(map[ident.Service]*retry.Window), links: make(map[string]*agentLink),
 		trackers: make(map[ident.Service]*exposure.Tracker), quarantine: quarantine.New(), recordQuarantine: func(quarantine.Change) {},
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		suspects: suspects{List: suspicion.New(), requestRecord: noRecord{}},
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range options {
 		o(f)
--- a/daemon/frontend/instrument.go
+++ b/daemon/frontend/instrument.go
@@ -30,7 +30,11 @@
 	// interruptedRequests counts requests that were reported to agents because their connections to engines ended.
 	interruptedRequests *metrics.Counter
 	// brokenByEnds counts requests that were broken off by the end of their endpoint.
-	brokenByEnds         *metrics.Counter
+	brokenByEnds *metrics.Counter
+	// suspectedRequests and quarantinedRequests are those known now, and probations the sends of requests in quarantine.
+	suspectedRequests    *metrics.Gauge
+	quarantinedRequests  *metrics.Gauge
+	probations           *metrics.Counter
 	quarantineRefusals   *metrics.Counter
 	quarantinedParts     *metrics.Gauge
 	firstByte            *metrics.Histogram
@@ -57,6 +61,9 @@
 		prefetches:           set.GetOrCreateCounter("shallotring_frontend_prefetches_total"),
 		interruptedRequests:  set.GetOrCreateCounter("shallotring_frontend_interrupted_requests_total"),
 		brokenByEnds:         set.GetOrCreateCounter("shallotring_frontend_broken_by_ends_total"),
+		suspectedRequests:    set.GetOrCreateGauge("shallotring_frontend_suspected_requests", nil),
+		quarantinedRequests:  set.GetOrCreateGauge("shallotring_frontend_quarantined_requests", nil),
+		probations:           set.GetOrCreateCounter("shallotring_frontend_probations_total"),
 		quarantineRefusals:   set.GetOrCreateCounter("shallotring_frontend_quarantine_refusals_total"),
 		quarantinedParts:     set.GetOrCreateGauge("shallotring_frontend_quarantined_parts", nil),
 		firstByte:            set.GetOrCreateHistogram("shallotring_frontend_first_byte_seconds"),
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -145,6 +145,10 @@
 			l.handleGrant(*s.Grant)
 			continue
 		}
+		if s.Evidence != nil {
+			l.f.ApplyEvidence(*s.Evidence)
+			continue
+		}
 		if s, err = states.State(s); err != nil {
 			return connected, err
 		}
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -58,6 +58,9 @@
 		if x.deadline.Sub(now) < minRemaining {
 			return nil, &outcome.Refusal{Reason: outcome.Deadline, RetryAfter: unavailableRetryAfter, Detail: "too little time remains"}
 		}
+		if refusal := f.suspectRefusal(ctx, x); refusal != nil {
+			return nil, refusal
+		}
 		f.mu.Lock()
 		if refusal := f.quarantineRefusal(now, x); refusal != nil {
 			f.mu.Unlock()
@@ -87,7 +90,7 @@
 				f.prefetch(now, x, q)
 			}
 			f.mu.Unlock()
-			if f.acquireSend(ctx, x, e, maxWait) {
+			if f.acquireSend(ctx, x, e, maxWait) && (maxWait == 0 || !f.isQuarantined(x)) {
 				return e, nil
 			}
 			f.removeRequest(x, e, q, false)
@@ -112,7 +115,7 @@
 			limit.Deadline = now.Add(holdings.WaitFraction * maxWait)
 		}
 		loaded := f.waitForLoad(ctx, x, e, w, limit)
-		if loaded && !f.isQuarantined(x) && f.acquireSend(ctx, x, e, maxWait) {
+		if loaded && f.acquireSend(ctx, x, e, maxWait) && !f.isQuarantined(x) {
 			return e, nil
 		}
 		f.removeRequest(x, e, q, false)
--- a/daemon/frontend/quarantine.go
+++ b/daemon/frontend/quarantine.go
@@ -10,6 +10,7 @@
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/call"
 	"shallotring.dev/state/exposure"
+	"shallotring.dev/state/fingerprint"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
 	"shallotring.dev/state/quarantine"
@@ -219,15 +220,28 @@
 	return &outcome.Refusal{Reason: outcome.Quarantined, RetryAfter: min(quarantineRetryAfter, e.Until.Sub(now)), Detail: fmt.Sprintf("engines crash on prompt part %s", e.Part)}
 }
 
-// isQuarantined reports whether the request has a prompt part that is in quarantine.
+// isQuarantined reports whether the request, or a part of its prompt, has been put in quarantine.
 func (f *Frontend) isQuarantined(x *request) bool {
+	suspect := f.suspecting.Load() && !x.probation
+	var p fingerprint.Fingerprint
+	if suspect {
+		p = x.fingerprint()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if suspect {
+		if _, ok := f.suspects.Find(p); ok {
+			return true
+		}
+	}
 	_, ok := f.quarantine.Find(f.clock.Now(), x.call.SharedParts())
 	return ok
 }
 
-// mayRepeatInterrupted reports whether a request that engines have broken off may run again; the lock is held.
+// mayRepeatInterrupted reports whether a request that endpoints have broken off may run again; the lock is held.
 func (f *Frontend) mayRepeatInterrupted(x *request) bool {
+	if x.probation || x.fingerprinted && f.suspects.Ends(x.print) > maxRepeatedEnds {
+		return false
+	}
 	return x.interruptions == 0 || x.interruptions < maxInterruptedRuns && !f.quarantine.Suspected(x.call.SharedParts())
 }
--- a/daemon/frontend/response.go
+++ b/daemon/frontend/response.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	f.recordCompleteRun(x, response)
 	return true, false
 }
 
@@ -157,6 +158,7 @@
 			if response.Framing == upstream.CloseFraming {
 				f.recordInterruption(ctx, x, e, true /* orderly */)
 			}
+			f.recordCompleteRun(x, response)
 			return true
 		}
 		f.metrics.interruptedResponses.Inc()
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -81,6 +81,8 @@
 	// print is the fingerprint of the content if fingerprinted is set.
 	print         fingerprint.Fingerprint
 	fingerprinted bool
+	// probation is set for the one send of a request in quarantine that may show that endpoints survive it.
+	probation bool
 }
 
 // requestIDKey is the log attribute of the request id; the timelines of the other programs use the same one.
--- a/daemon/sidecar/link.go
+++ b/daemon/sidecar/link.go
@@ -16,13 +16,15 @@
 	host ident.Host
 	// states holds at most one state, the newest one that has not been sent yet.
 	states chan control.State
+	// evidence holds what other entries have seen and this one has not been sent yet.
+	evidence chan control.Evidence
 	// reportedStart is the start time of the engine's incarnation that the entry's reports are about; only controlEngine uses it.
 	reportedStart int64
 }
 
 // serveEntry reads the messages of one entry; a second goroutine sends it the newest state.
 func (s *Sidecar) serveEntry(ctx context.Context, c net.Conn) {
-	link := &entryLink{conn: control.NewConn(c), states: make(chan control.State, 1)}
+	link := &entryLink{conn: control.NewConn(c), states: make(chan control.State, 1), evidence: make(chan control.Evidence, maxEvidence)}
 	defer link.conn.Close()
 	stop := context.AfterFunc(ctx, link.conn.Close)
 	defer stop()
@@ -44,6 +46,11 @@
 					link.conn.Close()
 					return
 				}
+			case v := <-link.evidence:
+				if err := link.conn.Send(control.State{Evidence: &v}); err != nil {
+					link.conn.Close()
+					return
+				}
 			case <-done:
 				return
 			}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -85,6 +85,8 @@
 	published     control.State
 	// incarnations are the last incarnations of the engine, the current one last.
 	incarnations []*incarnation
+	// evidence is what entries have seen of requests that may crash endpoints, the latest last.
+	evidence []receivedEvidence
 	// limit is the rate of requests that the engine takes from all hosts together. While it has one, ownCalls is the number of the agent's
 	// own calls that had accrued at accruedAt.
 	limit     sendlimit.Limit
@@ -256,6 +258,7 @@
 	if e.connected {
 		s.replaceLinks(now, e.link.host)
 		s.links[e.link] = true
+		s.sendKnownEvidence(now, e.link)
 		s.log.Info("entry connected", slog.String("Entry", string(e.link.host)), slog.Int("Entries", len(s.links)))
 		if s.published.Holdings != nil {
 			state := s.published
@@ -272,6 +275,10 @@
 		s.keeper.RemoveEntry(now, e.link.host)
 		return false
 	}
+	if e.report.Evidence != nil {
+		s.relayEvidence(now, e.link, *e.report.Evidence)
+		return false
+	}
 	current := s.aboutEngine(e.link, e.report)
 	if e.report.Interrupted != nil {
 		s.recordInterruption(now, e.link.host, e.link.reportedStart, e.report.Interrupted)
@@ -427,7 +434,7 @@
 	state := control.State{
 		Endpoint: s.endpoint, Born: s.startMilli, Up: up, Stale: up && now.Sub(s.reportedAt) > s.maxReportAge(), Leaving: r.Leaving, Running: r.Running, Queued: r.Queued,
 		Starting: r.Starting, PromptRate: int(s.keeper.PromptRate(now)), Pinned: s.keeper.Pinned(now), Entries: s.entryCount(),
-		SharesLimits: true, Limit: s.limit,
+		SharesLimits: true, Limit: s.limit, RelaysEvidence: true,
 		Holdings: control.NewHoldings(r.Models, r.Resident, r.Loading), Crashes: s.crashes(now),
 	}
 	if now.Sub(s.publishedAt) < maxStateInterval && similar(state, s.published) {
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -39,6 +39,8 @@
 	// Observed reports a limit of an endpoint, and Send asks for a send to one; entries of earlier releases send neither.
 	Observed *LimitObservation `json:",omitempty"`
 	Send     *SendRequest      `json:",omitempty"`
+	// Evidence is passed on to the other entries; entries of earlier releases do not send it.
+	Evidence *Evidence `json:",omitempty"`
 }
 
 // State is the message of an agent to an entry: the state of its engine. StateWriter and StateReader omit and restore what is unchanged.
@@ -63,6 +65,8 @@
 	// SharesLimits is set if the agent answers a SendRequest; agents of earlier releases do not. Limit is the limit of its engine.
 	SharesLimits bool            `json:",omitempty"`
 	Limit        sendlimit.Limit `json:",omitzero"`
+	// RelaysEvidence is set if the agent passes on the Evidence of entries; agents of earlier releases do not.
+	RelaysEvidence bool `json:",omitempty"`
 	// Same is set in a message that describes the same state as the previous one, but for the prompt rate if the message has one.
 	Same bool `json:",omitempty"`
 	// Holdings is nil in a message if it is unchanged since the previous one or described by Changes.
@@ -72,6 +76,8 @@
 	Crashes *Crashes `json:",omitempty"`
 	// Grant is the response to a SendRequest; a message with it has nothing else.
 	Grant *SendGrant `json:",omitempty"`
+	// Evidence is that of another entry; a message with it has nothing else.
+	Evidence *Evidence `json:",omitempty"`
 }
 
 // Holdings are the models and adapters that an engine has loaded or is loading.
--- /dev/null
+++ b/protocol/control/evidence.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"time"
+
+	"shallotring.dev/state/fingerprint"
+	"shallotring.dev/state/ident"
+)
+
+// Evidence is what one entry has seen of requests that may crash endpoints. Agents pass it on to all other entries.
+type Evidence struct {
+	Host      ident.Host
+	Ends      []EndEvidence      `json:",omitempty"`
+	Survivals []SurvivalEvidence `json:",omitempty"`
+}
+
+// EndEvidence is the end of an endpoint with requests in progress.
+type EndEvidence struct {
+	Endpoint ident.Endpoint
+	Born     int64 `json:",omitempty"`
+	// AgeMilli is the time since the first request was broken off.
+	AgeMilli int64 `json:",omitempty"`
+	Requests []fingerprint.Fingerprint
+}
+
+// SurvivalEvidence is the number of complete runs of a request since the first end under it.
+type SurvivalEvidence struct {
+	Request fingerprint.Fingerprint
+	Count   int
+}
+
+// Aged returns the evidence as of some time after it was sent.
+func (v Evidence) Aged(by time.Duration) Evidence {
+	ends := make([]EndEvidence, len(v.Ends))
+	for i, x := range v.Ends {
+		x.AgeMilli += by.Milliseconds()
+		ends[i] = x
+	}
+	v.Ends = ends
+	return v
+}
--- /dev/null
+++ b/state/suspicion/doc.go
@@ -0,0 +1,2 @@
+// Package suspicion finds requests that crash the endpoints that run them, from the requests that were in progress at endpoints that ended.
+package suspicion
