--- a/soak/live/caller.go
+++ b/soak/live/caller.go
@@ -104,9 +104,6 @@
 		}
 		x.model = fmt.Sprintf("%s/a%d", modelName, adapter)
 		x.middle = []standin.Part{{ID: firstSession + c.random.Uint64N(sessionCount), Tokens: 40}}
-		if p, ok := c.deployment.judge.currentPoison(); ok && c.random.Float64() < poisonShare {
-			x.poison, x.middle = &p, append(x.middle, standin.Part{ID: p.Part, Tokens: 40})
-		}
 	case n < 7:
 		x.target = "/o/order?n=1"
 	case n < 9:
@@ -115,6 +112,9 @@
 		x.version = max(1, c.deployment.configurationVersion.Load()-c.random.Int64N(4))
 		x.target = fmt.Sprintf("/v%d/order", x.version)
 	}
+	if p := c.deployment.judge.currentPoison(); p != nil && c.random.Float64() < poisonShare {
+		x.addPoison(p)
+	}
 	return x
 }
 
--- a/soak/live/deployment.go
+++ b/soak/live/deployment.go
@@ -266,6 +266,9 @@
 	}
 	e.heartbeatPaused = false
 	e.Start()
+	if err = e.callLink.Refuse(false); err != nil {
+		return err
+	}
 	e.server, err = serve(e.listenAddress, e.Engine)
 	return err
 }
@@ -281,6 +284,21 @@
 func (e *endpoint) crash() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.stopServing()
+}
+
+// crashAndRefuse crashes the endpoint like crash, and callers' connections are refused instead of reset until its next start.
+func (e *endpoint) crashAndRefuse() (running bool, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if running = e.stopServing(); running {
+		err = e.callLink.Refuse(true)
+	}
+	return running, err
+}
+
+// stopServing is crash with the lock held.
+func (e *endpoint) stopServing() bool {
 	if e.server == nil {
 		return false
 	}
--- a/soak/live/fault.go
+++ b/soak/live/fault.go
@@ -354,16 +354,18 @@
 	d.judge.versionConfirmed(modelName, version)
 }
 
-// injectFaults alternates phases with all kinds of faults, phases in which engines crash on a part of prompts, phases in which endpoints name
-// limits, and calm phases, until the duration has passed. Phases with crashes on a part and calm ones have planned faults only.
+// injectFaults alternates phases with all kinds of faults, phases in which engines crash on a part of prompts or on one request, phases in which endpoints name
+// limits, and calm phases, until the duration has passed. Phases with such crashes and calm ones have planned faults only.
 // It ends with a calm phase, in which the system must recover.
 func (d *deployment) injectFaults(ctx context.Context, random *rand.Rand, duration time.Duration) (count int) {
 	faultSlots := make(chan struct{}, d.options.Overlap)
 	limited := rand.New(rand.NewPCG(d.options.Seed, 1<<33))
+	repeated := rand.New(rand.NewPCG(d.options.Seed, 1<<34))
 	poisoned := rand.New(rand.NewPCG(d.options.Seed, 1<<32))
 	for end := time.Now().Add(duration); time.Now().Before(end) && ctx.Err() == nil; {
 		count += d.runPhase(ctx, random, faultSlots, time.Now().Add(randomDuration(random, 3000, 9000)), false)
 		count += d.runPoisonPhase(ctx, poisoned, faultSlots)
+		count += d.runRepeatPhase(ctx, repeated, faultSlots)
 		count += d.runLimitPhase(ctx, limited, faultSlots)
 		count += d.runPhase(ctx, random, faultSlots, time.Now().Add(quietPeriod+randomDuration(random, 3000, 8000)), true)
 	}
--- a/soak/live/judge.go
+++ b/soak/live/judge.go
@@ -66,7 +66,7 @@
 	// disconnectedAt is the time at which the caller closed its connection.
 	disconnectedAt time.Time
 	refused        bool
-	// poison is the part of the prompt that crashes engines; nil if there is none.
+	// poison is the part of the prompt, or the request, that crashes endpoints; nil if there is none.
 	poison *standin.Poison
 	// middle are the parts of the prompt between the first and the last one.
 	middle   []standin.Part
@@ -140,9 +140,9 @@
 	lateAbandoned          int
 	arrivals               map[string][]arrival
 	requestTimes           map[string][]time.Time
-	// poison is the part of prompts on which engines crash now. quietSent and quietServed count model requests in quiet periods.
-	poison                 *poison
-	quietSent, quietServed int
+	// poison is the part of prompts, or the request, on which endpoints crash now. quietCounts has the requests of each kind in quiet periods.
+	poison      *poison
+	quietCounts [modelCall + 1]servedCount
 	limitRecords
 }
 
--- a/soak/live/judge_test.go
+++ b/soak/live/judge_test.go
@@ -192,6 +192,8 @@
 	const part = 0xbad
 	for _, c := range []struct {
 		name string
+		// request is set if one request crashes engines instead of a part.
+		request bool
 		// crashes is the number of crashes, age the time since the last of them; late requests with the part and as many as sent without it follow.
 		crashes       int
 		age           time.Duration
@@ -205,6 +207,10 @@
 		{name: "few late", crashes: 5, age: 4 * time.Second, late: 3},
 		{name: "late", crashes: 5, age: 4 * time.Second, late: 4, rules: []string{"budget"}},
 		{name: "late after fewer crashes", crashes: 2, age: 4 * time.Second, late: 4, rules: []string{"budget"}},
+		{name: "one request, soon after the third crash", request: true, crashes: 3, age: time.Second, late: 10},
+		{name: "one request, few late", request: true, crashes: 9, age: 4 * time.Second, late: 3},
+		{name: "one request, late", request: true, crashes: 3, age: 4 * time.Second, late: 4, rules: []string{"budget"}},
+		{name: "one request, others not served", request: true, crashes: 3, age: 7 * time.Second, sent: 40, served: 19, quiet: 40, before: 40, rules: []string{"lost"}},
 		{name: "others served", crashes: 5, age: 7 * time.Second, sent: 40, served: 21, quiet: 40, before: 40},
 		{name: "others not served", crashes: 5, age: 7 * time.Second, sent: 40, served: 19, quiet: 40, before: 40, rules: []string{"lost"}},
 		{name: "others not served yet", crashes: 5, age: 5 * time.Second, sent: 40, quiet: 40, before: 40},
@@ -213,10 +219,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			var out strings.Builder
 			j := newJudge(&out)
-			j.quietSent, j.quietServed = c.quiet, c.before
+			j.quietCounts[modelCall] = servedCount{sent: c.quiet, served: c.before}
 			endFault := j.beginFault()
 			defer endFault()
-			end := j.beginPoison(standin.Poison{Part: part, Probability: 1})
+			p := standin.Poison{Part: part, Probability: 1}
+			if c.request {
+				p = standin.Poison{Target: "/g/complete", Body: "bad", Probability: 1}
+			}
+			end := j.beginPoison(p, modelCall)
 			for range c.crashes {
 				j.poison.crashes = append(j.poison.crashes, time.Now().Add(-c.age))
 			}
@@ -228,7 +238,11 @@
 			for i := range c.late {
 				x := send(i, "p")
 				x.poison = &standin.Poison{Stage: standin.AfterEvent}
-				j.onArrival(nil, standin.Arrival{Engine: "engine-0-1", Service: "llm", ID: x.id, Method: x.method, Target: x.target, Model: x.model, Parts: []string{"7", "bad", "1"}})
+				parts := []string{"7", "bad", "1"}
+				if c.request {
+					x.body, parts = "bad", nil
+				}
+				j.onArrival(nil, standin.Arrival{Engine: "engine-0-1", Service: "llm", ID: x.id, Method: x.method, Target: x.target, Body: x.body, Model: x.model, Parts: parts})
 			}
 			for i := range c.sent {
 				x := send(i, "s")
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -27,10 +27,12 @@
 
 // Link forwards connections to one address.
 type Link struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// listener is nil while the link refuses connections.
+	listener  net.Listener
 	fault     Fault
 	changed   chan struct{}
 	openConns map[*net.TCPConn]bool
@@ -44,11 +46,31 @@
 	if err != nil {
 		return nil, err
 	}
-	l = &Link{listener: listener, target: target, changed: make(chan struct{}), openConns: make(map[*net.TCPConn]bool)}
-	go l.accept()
+	l = &Link{address: listener.Addr().String(), listener: listener, target: target, changed: make(chan struct{}), openConns: make(map[*net.TCPConn]bool)}
+	go l.accept(listener)
 	return l, nil
 }
 
+// Refuse makes the link refuse connections, as a host does on which no process listens, or ends that; open connections stay.
+func (l *Link) Refuse(refuse bool) (err error) {
+	defer func() { err = eris.Wrapf(err, "link %s to %s", l.address, l.target) }()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if refuse == (l.listener == nil) || l.closed {
+		return nil
+	}
+	if refuse {
+		err = l.listener.Close()
+		l.listener = nil
+		return err
+	}
+	if l.listener, err = net.Listen("tcp", l.address); err != nil {
+		return err
+	}
+	go l.accept(l.listener)
+	return nil
+}
+
 // Set replaces the fault.
 func (l *Link) Set(f Fault) {
 	l.mu.Lock()
@@ -75,14 +97,18 @@
 func (l *Link) Close() (err error) {
 	l.mu.Lock()
 	l.closed = true
+	listener := l.listener
 	l.mu.Unlock()
 	l.Reset()
-	return l.listener.Close()
+	if listener == nil {
+		return nil
+	}
+	return listener.Close()
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	for {
-		c, err := l.listener.Accept()
+		c, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -89,3 +89,29 @@
 		t.Error("a new connection was not reset while the link is cut")
 	}
 }
+
+// TestRefuse guards against a link that accepts connections for a process that has ended, or that refuses them after its next start.
+func TestRefuse(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	l, err := New("127.0.0.1:0", target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for _, refuse := range []bool{true, true, false, false, true} {
+		if err := l.Refuse(refuse); err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp", l.address)
+		if err == nil {
+			c.Close()
+		}
+		if (err != nil) != refuse {
+			t.Errorf("a connection to a link that refuses %t: %v", refuse, err)
+		}
+	}
+}
