--- a/coordination/quarantinerecord/keeper.go
+++ b/coordination/quarantinerecord/keeper.go
@@ -150,6 +150,10 @@
 		k.queue(p, known)
 		return false
 	}
+	if own, ok := k.pending[p]; ok && r.Lifted && !own.Lifted {
+		// An operator has lifted the quarantine before this entry has written it.
+		delete(k.pending, p)
+	}
 	k.stored[p] = r
 	return true
 }
--- a/coordination/quarantinerecord/keeper_test.go
+++ b/coordination/quarantinerecord/keeper_test.go
@@ -160,3 +160,18 @@
 		t.Errorf("quarantine %v, lifted %v, %d writes", q.parts, q.lifted, s.writes)
 	}
 }
+
+// TestLiftIsNotOverwritten guards against an entry that writes what it has found before an operator lifted it.
+func TestLiftIsNotOverwritten(t *testing.T) {
+	s, q := newFakes()
+	first, second := New(s, "edge-1"), New(s, "edge-2")
+	first.Record(change(7))
+	second.Record(change(7))
+	first.writeAll(t.Context())
+	s.values[Key(7)], _ = json.Marshal(Record{Lifted: true})
+	second.Apply(s.records(), q)
+	second.writeAll(t.Context())
+	if _, r, err := Decode(Key(7), s.values[Key(7)]); err != nil || !r.Lifted {
+		t.Errorf("the store has %+v %v after the lift", r, err)
+	}
+}
