--- a/coordination/requestrecord/keeper.go
+++ b/coordination/requestrecord/keeper.go
@@ -202,6 +202,10 @@
 		signal(k.wake)
 		return false
 	}
+	if own, ok := k.pending[p]; ok && !own.Lifted {
+		// The verdict has been recorded by another entry, or lifted meanwhile.
+		delete(k.pending, p)
+	}
 	return true
 }
 
--- a/coordination/requestrecord/keeper_test.go
+++ b/coordination/requestrecord/keeper_test.go
@@ -205,7 +205,7 @@
 	clock := quartz.NewMock(t)
 	first, second := New(s, "edge-1", WithClock(clock)), New(s, "edge-2")
 	share := func(endpoint ident.Endpoint) {
-		first.Share(control.Evidence{Host: "edge-1", Ends: []control.EndEvidence{{Endpoint: endpoint, Requests: []fingerprint.Fingerprint{request}}}})
+		first.Share(control.Evidence{Host: "edge-1", Ends: []control.EndEvidence{{Endpoint: endpoint, Requests: []control.BrokenRequest{{Request: request}}}}})
 		if !first.writeEvidence(t.Context()) {
 			t.Fatal("the evidence is not written")
 		}
@@ -252,3 +252,20 @@
 		t.Errorf("verdicts %v, evidence %v, %d writes", q.verdicts, q.evidence, s.writes)
 	}
 }
+
+// TestLiftIsNotOverwritten guards against an entry that writes what it has found before an operator lifted it.
+func TestLiftIsNotOverwritten(t *testing.T) {
+	s, q := newFakeStore(), newFakeQuarantine()
+	first, second := New(s, "edge-1"), New(s, "edge-2")
+	first.Record(suspicion.Change{Verdict: verdict})
+	second.Record(suspicion.Change{Verdict: verdict})
+	first.writeVerdicts(t.Context())
+	s.values[Key(request)], _ = json.Marshal(Record{Lifted: true})
+	s.revision++
+	s.revisions[Key(request)] = s.revision
+	second.Apply(s.records(), q)
+	second.writeVerdicts(t.Context())
+	if _, r, err := Decode(Key(request), s.values[Key(request)]); err != nil || !r.Lifted {
+		t.Errorf("the store has %+v %v after the lift", r, err)
+	}
+}
--- a/daemon/direct/repeat_test.go
+++ b/daemon/direct/repeat_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"shallotring.dev/daemon/direct"
 	"shallotring.dev/daemon/trial"
 	"shallotring.dev/platform/standin"
 )
@@ -193,6 +194,7 @@
 		{"long body", trial.Size{Engines: 2, Entries: 3, Instances: 4}, []standin.Poison{{Target: "/l/bad", Body: long, Probability: 1}}, 150 * time.Millisecond, false},
 		{"two requests", trial.Size{Engines: 2, Entries: 3, Instances: 6}, []standin.Poison{{Target: "/l/bad", Probability: 1}, {Target: "/o/bad", Body: "bad", Probability: 1}}, 150 * time.Millisecond, false},
 		{"seldom", trial.Size{Engines: 2, Entries: 3, Instances: 4}, []standin.Poison{{Target: "/l/bad", Probability: 1}}, 2 * time.Second, false},
+		{"orderly end", trial.Size{Engines: 2, Entries: 3, Instances: 4}, []standin.Poison{{Target: "/l/bad", Probability: 1, Stage: standin.AfterEvent}}, 150 * time.Millisecond, false},
 		{"no agents", trial.Size{Entries: 4, Instances: 4}, []standin.Poison{{Target: "/l/bad", Probability: 1}}, 150 * time.Millisecond, false},
 		{"no store", trial.Size{Engines: 2, Entries: 4, Instances: 4}, []standin.Poison{{Target: "/o/bad", Probability: 1}}, 150 * time.Millisecond, true},
 	} {
@@ -251,6 +253,54 @@
 	}
 }
 
+// TestRequestLeavesQuarantine guards against a request that is refused for good although endpoints survive it now, and against a quarantine that
+// operators can neither see nor lift.
+func TestRequestLeavesQuarantine(t *testing.T) {
+	for _, lift := range []bool{false, true} {
+		t.Run(fmt.Sprint("lifted ", lift), func(t *testing.T) {
+			t.Parallel()
+			fatal := standin.Poison{Target: "/l/bad", Probability: 1}
+			p := newRepeatTraffic(t, trial.Size{Engines: 2, Entries: 3, Instances: 4}, fatal)
+			settings, err := p.OperatorSettings()
+			if err != nil {
+				t.Fatal(err)
+			}
+			listed := func() string {
+				var b strings.Builder
+				if err := direct.WriteQuarantine(t.Context(), settings, &b); err != nil {
+					t.Error(err)
+				}
+				return b.String()
+			}
+			p.crashOnFatal()
+			p.repeatUntil(0, 150*time.Millisecond)
+			waitFor(t, "the store lists the request", func() bool { return strings.Contains(listed(), ": in quarantine since ") })
+			for _, e := range p.Instances {
+				e.SetPoison()
+			}
+			reached := len(p.arrivals(fatal))
+			if lift {
+				name, _, _ := strings.Cut(strings.TrimPrefix(listed(), "request "), ":")
+				if err := direct.LiftQuarantine(t.Context(), settings, name); err != nil {
+					t.Fatal(err)
+				}
+			}
+			r := rand.New(rand.NewPCG(5, 2))
+			served := 0
+			for limit := time.Now().Add(25 * time.Second); served < 20 && time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
+				if status := p.sendFatal(r, fatal); status == http.StatusOK {
+					served++
+				}
+			}
+			if served < 20 {
+				t.Errorf("the request is served %d times, want 20; the store lists %q", served, listed())
+			}
+			t.Logf("the request has reached %d instances since, served %d times; the store lists %q", len(p.arrivals(fatal))-reached, served, listed())
+			waitFor(t, "the store lists the request as lifted", func() bool { return strings.Contains(listed(), ": lifted;") })
+		})
+	}
+}
+
 // TestSoundRequestsAreNotRefused guards against the refusal of a request that comes often because it was in progress at engines that ended
 // for other reasons, or whose responses were lost.
 func TestSoundRequestsAreNotRefused(t *testing.T) {
--- a/daemon/frontend/ended.go
+++ b/daemon/frontend/ended.go
@@ -31,6 +31,8 @@
 type brokenRequest struct {
 	at      time.Time
 	request fingerprint.Fingerprint
+	// ran is the time since its send.
+	ran time.Duration
 	// orderly is set if the response looks complete, which it may although the endpoint has ended.
 	orderly bool
 }
@@ -59,7 +61,7 @@
 	b := brokenRequest{request: x.fingerprint(), orderly: orderly}
 	f.mu.Lock()
 	now := f.clock.Now()
-	b.at = now
+	b.at, b.ran = now, now.Sub(x.sentAt)
 	if s := e.agentState(now); e.Leaving || s != nil && s.Leaving {
 		f.mu.Unlock()
 		return
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -15,6 +15,7 @@
 
 	"shallotring.dev/state/call"
 	"shallotring.dev/state/exposure"
+	"shallotring.dev/state/fingerprint"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/inventory"
 	"shallotring.dev/state/placement"
@@ -137,7 +138,7 @@
 		endpoints: make(map[ident.Endpoint]*endpoint), departures: newDepartures(), versions: make(map[ident.Adapter]ident.Version),
 		retryBudgets: make(map[ident.Service]*retry.Window), links: make(map[string]*agentLink),
 		trackers: make(map[ident.Service]*exposure.Tracker), quarantine: quarantine.New(), recordQuarantine: func(quarantine.Change) {},
-		suspects: suspects{List: suspicion.New(), requestRecord: noRecord{}},
+		suspects: suspects{List: suspicion.New(), requestRecord: noRecord{}, unused: make(map[fingerprint.Fingerprint]bool)},
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range options {
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -76,6 +76,8 @@
 	// sends counts the sends to endpoints, and runs those of them in which the request may have run.
 	sends int
 	runs  int
+	// sentAt is the time of the last send.
+	sentAt time.Time
 	// interruptions counts the runs that ended with their connection to the engine.
 	interruptions int
 	// print is the fingerprint of the content if fingerprinted is set.
@@ -230,6 +232,7 @@
 // refuseUnplaced refuses a request that cannot be sent to an endpoint any more. If an endpoint may have run it, the request fails
 // instead, because a refusal guarantees that it has not run.
 func (f *Frontend) refuseUnplaced(ctx context.Context, w http.ResponseWriter, x *request, r *outcome.Refusal) {
+	f.keepProbation(x)
 	disconnected := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimeout)
 	if x.runs > 0 || disconnected {
 		f.fail(ctx, w, x)
@@ -325,6 +328,7 @@
 		}
 	}
 	defer func() { remove(false) }()
+	x.sentAt = start
 	x.sends++
 	f.countLimitedSend(x, e)
 	defer f.recordExposure(x, start)
--- a/daemon/frontend/suspicion.go
+++ b/daemon/frontend/suspicion.go
@@ -58,15 +58,15 @@
 type suspects struct {
 	*suspicion.List
 	requestRecord RequestRecord
+	// unused are probations that this entry has taken and whose request reached no endpoint.
+	unused map[fingerprint.Fingerprint]bool
 }
 
 // recordSuspects records the requests that were in progress at an endpoint that ended, and tells the other entries; the lock is held.
 func (f *Frontend) recordSuspects(e *endpoint, now time.Time, broken []brokenRequest) {
 	v := control.EndEvidence{Endpoint: e.name, Born: e.StartMilli, AgeMilli: now.Sub(broken[0].at).Milliseconds()}
 	for _, b := range broken {
-		if !slices.Contains(v.Requests, b.request) {
-			v.Requests = append(v.Requests, b.request)
-		}
+		v.Requests = append(v.Requests, control.BrokenRequest{Request: b.request, RanMilli: b.ran.Milliseconds()})
 	}
 	f.observeEnd(now, v)
 	f.shareEvidence(now, control.Evidence{Host: f.host, Ends: []control.EndEvidence{v}})
@@ -74,8 +74,11 @@
 
 // observeEnd applies the evidence of this entry or another one; the lock is held.
 func (f *Frontend) observeEnd(now time.Time, v control.EndEvidence) {
-	changes := f.suspects.RecordEnd(now, suspicion.End{Endpoint: v.Endpoint, StartMilli: v.Born, At: now.Add(-time.Duration(v.AgeMilli) * time.Millisecond), Requests: v.Requests})
-	for _, c := range changes {
+	end := suspicion.End{Endpoint: v.Endpoint, StartMilli: v.Born, At: now.Add(-time.Duration(v.AgeMilli) * time.Millisecond)}
+	for _, b := range v.Requests {
+		end.Requests = append(end.Requests, suspicion.BrokenRequest{Request: b.Request, Ran: time.Duration(b.RanMilli) * time.Millisecond})
+	}
+	for _, c := range f.suspects.RecordEnd(now, end) {
 		f.applyVerdict(c)
 	}
 	f.updateSuspects()
@@ -158,6 +161,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if v, ok := f.suspects.Find(p); ok && x.probation {
+		delete(f.suspects.unused, p)
 		f.suspects.Lift(p)
 		f.applyVerdict(suspicion.Change{Verdict: v, Released: true})
 		f.updateSuspects()
@@ -184,6 +188,12 @@
 	now := f.clock.Now()
 	v, ok := f.suspects.Find(p)
 	due := false
+	if ok && f.suspects.unused[p] {
+		delete(f.suspects.unused, p)
+		f.mu.Unlock()
+		x.probation = true
+		return nil
+	}
 	if ok && x.sends == 0 && v.ProbationDue(now) {
 		if _, _, due = f.placement.Cheapest(now, f.placementQuery(x)); due {
 			f.suspects.Defer(p, now.Add(claimInterval))
@@ -214,6 +224,19 @@
 	return &outcome.Refusal{Reason: outcome.Quarantined, RetryAfter: retryAfter, Detail: "endpoints end under this request"}
 }
 
+// keepProbation keeps a probation for the next such request if this one has reached no endpoint.
+func (f *Frontend) keepProbation(x *request) {
+	if !x.probation || x.runs > 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.suspects.Find(x.print); ok {
+		f.suspects.unused[x.print] = true
+	}
+	f.log.Info("probation is kept: the request reached no endpoint", x.id(), slog.String("Fingerprint", x.print.String()))
+}
+
 // RestoreVerdict adds a verdict that another process has recorded.
 func (f *Frontend) RestoreVerdict(v suspicion.Verdict) {
 	f.mu.Lock()
@@ -226,6 +249,7 @@
 func (f *Frontend) LiftVerdict(p fingerprint.Fingerprint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(f.suspects.unused, p)
 	if f.suspects.Lift(p) {
 		f.log.Warn("quarantine of a request is lifted", slog.String("Fingerprint", p.String()))
 	}
--- a/protocol/control/evidence.go
+++ b/protocol/control/evidence.go
@@ -20,7 +20,14 @@
 	Born     int64 `json:",omitempty"`
 	// AgeMilli is the time since the first request was broken off.
 	AgeMilli int64 `json:",omitempty"`
-	Requests []fingerprint.Fingerprint
+	Requests []BrokenRequest
+}
+
+// BrokenRequest is a request that was in progress at the end.
+type BrokenRequest struct {
+	Request fingerprint.Fingerprint
+	// RanMilli is the time from its send to the end.
+	RanMilli int64 `json:",omitempty"`
 }
 
 // SurvivalEvidence is the number of complete runs of a request since the first end under it.
--- a/soak/live/deployment.go
+++ b/soak/live/deployment.go
@@ -280,11 +280,11 @@
 	return e.incarnations
 }
 
-// crash closes the endpoint's server and all its connections without a drain. It reports whether the endpoint was running.
-func (e *endpoint) crash() bool {
+// crash closes the endpoint's server and all its connections without a drain.
+func (e *endpoint) crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.stopServing()
+	e.stopServing()
 }
 
 // crashAndRefuse crashes the endpoint like crash, and callers' connections are refused instead of reset until its next start.
@@ -297,8 +297,8 @@
 	return running, err
 }
 
-// stopServing is crash with the lock held.
-func (e *endpoint) stopServing() bool {
+// stopServing is crash with the lock held. It reports whether the endpoint was running.
+func (e *endpoint) stopServing() (running bool) {
 	if e.server == nil {
 		return false
 	}
--- a/state/suspicion/end.go
+++ b/state/suspicion/end.go
@@ -25,7 +25,14 @@
 	StartMilli int64
 	At         time.Time
 	// Requests are those that the endpoint broke off; any of them may be the reason.
-	Requests []fingerprint.Fingerprint
+	Requests []BrokenRequest
+}
+
+// BrokenRequest is a request that an endpoint broke off when it ended.
+type BrokenRequest struct {
+	Request fingerprint.Fingerprint
+	// Ran is the time from its send to the end.
+	Ran time.Duration
 }
 
 // ending is one end as all entries have reported it.
@@ -52,13 +59,20 @@
 	return x
 }
 
-// countIncidents returns the number of groups of ends that may have one cause each.
-func countIncidents(ends []*ending) (n int) {
+// exposure is a request at an endpoint that ended.
+type exposure struct {
+	*ending
+	sentAt time.Time
+}
+
+// countIncidents returns the number of groups of ends that may have one cause each outside the request. A request that was sent to an endpoint
+// after another one had ended under it is evidence of its own, however soon the second end follows.
+func countIncidents(ends []exposure) (n int) {
 	sorted := slices.Clone(ends)
-	slices.SortFunc(sorted, func(a, b *ending) int { return a.at.Compare(b.at) })
+	slices.SortFunc(sorted, func(a, b exposure) int { return a.at.Compare(b.at) })
 	var start time.Time
 	for i, x := range sorted {
-		if i == 0 || x.at.Sub(start) > sameIncident {
+		if i == 0 || x.at.Sub(start) > sameIncident || x.sentAt.After(start) {
 			n, start = n+1, x.at
 		}
 	}
--- a/state/suspicion/list.go
+++ b/state/suspicion/list.go
@@ -62,7 +62,7 @@
 
 // suspect is a request that was in progress at endpoints that ended.
 type suspect struct {
-	ends []*ending
+	ends []exposure
 	// survivals are the complete runs that have not outweighed an end yet, and reported those that each entry has reported.
 	survivals int
 	reported  map[ident.Host]int
@@ -112,39 +112,51 @@
 // RecordEnd records an end and returns the requests that are in quarantine from now on.
 func (l *List) RecordEnd(now time.Time, e End) (changes []Change) {
 	x := l.ending(now, e)
-	for _, p := range e.Requests {
-		if _, ok := l.verdicts[p]; ok {
+	for _, b := range e.Requests {
+		if _, ok := l.verdicts[b.Request]; ok {
 			l.explain(x)
 		}
 	}
-	for _, p := range e.Requests {
-		if _, ok := l.verdicts[p]; !ok && x.explained {
+	for _, b := range e.Requests {
+		v, ok := l.verdicts[b.Request]
+		if !ok && x.explained {
 			continue
 		}
-		s := l.suspect(now, p)
-		if !slices.Contains(s.ends, x) {
-			s.ends = append(s.ends, x)
-		}
+		s := l.suspect(now, b.Request)
+		s.add(exposure{ending: x, sentAt: e.At.Add(-b.Ran)})
 		s.lastEnd = now
-		if v, ok := l.verdicts[p]; ok {
+		if ok {
 			v.Ends, v.Incidents = len(s.ends), countIncidents(s.ends)
-			l.verdicts[p] = v
+			l.verdicts[b.Request] = v
 		}
 	}
-	for _, p := range e.Requests {
-		if c, ok := l.judge(now, p); ok {
+	for _, b := range e.Requests {
+		if c, ok := l.judge(now, b.Request); ok {
 			changes = append(changes, c)
 		}
 	}
 	// Requests that were at all of these ends alike stay in quarantine together, until a probation tells which of them is the reason.
 	for _, c := range changes {
 		for _, x := range l.suspects[c.Request].ends {
-			l.explain(x)
+			l.explain(x.ending)
 		}
 	}
 	return changes
 }
 
+// add records that the request was at an endpoint that ended, perhaps sent by several entries.
+func (s *suspect) add(x exposure) {
+	for i, known := range s.ends {
+		if known.ending == x.ending {
+			if x.sentAt.After(known.sentAt) {
+				s.ends[i] = x
+			}
+			return
+		}
+	}
+	s.ends = append(s.ends, x)
+}
+
 // suspect returns the state of a request under suspicion, which it creates.
 func (l *List) suspect(now time.Time, p fingerprint.Fingerprint) *suspect {
 	if s := l.suspects[p]; s != nil {
@@ -222,7 +234,7 @@
 		if _, ok := l.verdicts[p]; ok {
 			continue
 		}
-		s.ends = slices.DeleteFunc(s.ends, func(e *ending) bool { return e == x })
+		s.ends = slices.DeleteFunc(s.ends, func(e exposure) bool { return e.ending == x })
 		if len(s.ends) == 0 {
 			delete(l.suspects, p)
 		}
--- a/state/suspicion/list_test.go
+++ b/state/suspicion/list_test.go
@@ -18,9 +18,16 @@
 
 var fatal, sound, other = request("fatal"), request("sound"), request("other")
 
+// runTime is the time for which requests have run at the ends of their endpoints.
+const runTime = 20 * time.Millisecond
+
 // end is the end of an endpoint at a time after start.
-func end(endpoint int, at time.Duration, requests ...fingerprint.Fingerprint) End {
-	return End{Endpoint: ident.Endpoint(fmt.Sprint("i-", endpoint)), StartMilli: 1, At: start.Add(at), Requests: requests}
+func end(endpoint int, at time.Duration, requests ...fingerprint.Fingerprint) (e End) {
+	e = End{Endpoint: ident.Endpoint(fmt.Sprint("i-", endpoint)), StartMilli: 1, At: start.Add(at)}
+	for _, p := range requests {
+		e.Requests = append(e.Requests, BrokenRequest{Request: p, Ran: runTime})
+	}
+	return e
 }
 
 // TestVerdicts guards against incident BUDGET (a whole request), and against the quarantine of requests that were in progress by chance.
@@ -94,6 +101,7 @@
 		want []time.Duration
 	}{
 		{"independent ends", time.Second, []time.Duration{2*time.Second + firstProbation, 2*time.Second + firstProbation + nextProbation}},
+		{"one after the other at once", 2 * runTime, []time.Duration{firstProbation + time.Second, firstProbation + time.Second + nextProbation}},
 		{"one incident", 0, []time.Duration{soonProbation, soonProbation + nextProbation}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -147,7 +155,7 @@
 	l, now := New(), start
 	for i := range 3 * maxSuspects {
 		now = now.Add(time.Second / 100)
-		l.RecordEnd(now, End{Endpoint: ident.Endpoint(fmt.Sprint(i)), At: now, Requests: []fingerprint.Fingerprint{request(fmt.Sprint(i)), request(fmt.Sprint("x", i))}})
+		l.RecordEnd(now, End{Endpoint: ident.Endpoint(fmt.Sprint(i)), At: now, Requests: []BrokenRequest{{Request: request(fmt.Sprint(i))}, {Request: request(fmt.Sprint("x", i))}}})
 	}
 	if len(l.suspects) > maxSuspects || len(l.ends) > maxEnds {
 		t.Errorf("%d suspects and %d ends are kept", len(l.suspects), len(l.ends))
@@ -248,8 +256,10 @@
 // of each other late, while endpoints end for other reasons, one by one and several at once.
 func TestPopularRequestAmongEnds(t *testing.T) {
 	const (
-		delay, runTime = 200 * time.Millisecond, 100 * time.Millisecond
-		tick           = 25 * time.Millisecond
+		delay = 200 * time.Millisecond
+		// complete runs take longer than those that end with their endpoint.
+		completeTime = 5 * runTime
+		tick         = 25 * time.Millisecond
 		// survivors is the number of endpoints that go on.
 		survivors = 3
 	)
@@ -285,7 +295,7 @@
 				}
 				for range survivors {
 					if f.random.IntN(2) == 0 {
-						completions = append(completions, now.Add(runTime))
+						completions = append(completions, now.Add(completeTime))
 					}
 				}
 				continue
