--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -58,6 +58,9 @@
 		if x.deadline.Sub(now) < minRemaining {
 			return nil, &outcome.Refusal{Reason: outcome.Deadline, RetryAfter: unavailableRetryAfter, Detail: "too little time remains"}
 		}
+		if f.endsTooLate(x) {
+			return nil, &outcome.Refusal{Reason: outcome.Stopping, RetryAfter: unavailableRetryAfter, Detail: "the entry is stopping"}
+		}
 		if refusal := f.suspectRefusal(ctx, x); refusal != nil {
 			return nil, refusal
 		}
@@ -90,7 +93,7 @@
 				f.prefetch(now, x, q)
 			}
 			f.mu.Unlock()
-			if f.acquireSend(ctx, x, e, maxWait) && (maxWait == 0 || !f.isQuarantined(x)) {
+			if f.acquireSend(ctx, x, e, maxWait) && (maxWait == 0 || f.mayStillBeSent(x)) {
 				return e, nil
 			}
 			f.removeRequest(x, e, q, false)
@@ -115,7 +118,7 @@
 			limit.Deadline = now.Add(holdings.WaitFraction * maxWait)
 		}
 		loaded := f.waitForLoad(ctx, x, e, w, limit)
-		if loaded && f.acquireSend(ctx, x, e, maxWait) && !f.isQuarantined(x) {
+		if loaded && f.acquireSend(ctx, x, e, maxWait) && f.mayStillBeSent(x) {
 			return e, nil
 		}
 		f.removeRequest(x, e, q, false)
@@ -141,6 +144,17 @@
 	return nil, &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: unavailableRetryAfter, Detail: "no engine loaded the adapter in time"}
 }
 
+// mayStillBeSent reports whether a request that has waited may be sent: meanwhile it may have been put in quarantine, or the entry has begun to stop.
+func (f *Frontend) mayStillBeSent(x *request) bool {
+	return !f.isQuarantined(x) && !f.endsTooLate(x)
+}
+
+// endsTooLate reports whether the entry is stopping and may end before the request.
+func (f *Frontend) endsTooLate(x *request) bool {
+	end := f.endTime.Load()
+	return end != nil && (x.route.Kind == routing.Stream || x.deadline.After(*end))
+}
+
 // noEndpointRefusal returns the refusal of a request that no endpoint can take now, with the time until one is expected to; the lock is held.
 func (f *Frontend) noEndpointRefusal(now time.Time, x *request) *outcome.Refusal {
 	r := &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: restartRetryAfter, Detail: fmt.Sprintf("for service %s", x.service)}
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -158,7 +158,7 @@
 	}
 	x.hasBody = len(x.body) > 0 || r.ContentLength == 0 && r.Method != http.MethodGet && r.Method != http.MethodHead
 	x.header = endToEndHeaders(r.Header)
-	if end := f.endTime.Load(); end != nil && (route.Kind == routing.Stream || x.deadline.After(*end)) {
+	if f.endsTooLate(x) {
 		return x, http.StatusServiceUnavailable, eris.New("the entry is stopping")
 	}
 	f.mu.Lock()
--- a/protocol/engine/truncated_test.go
+++ b/protocol/engine/truncated_test.go
@@ -81,3 +81,29 @@
 		t.Errorf("effect %v, error %v", EffectOf(err), err)
 	}
 }
+
+// TestCutHeadIsNoResponse guards against a response whose endpoint closed the connection inside the head and that counts as one with an empty
+// or short body, in the product's own form.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 40\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\n",
+	} {
+		for n := range len(head) {
+			c := startEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer conn.Close()
+				fmt.Fprint(conn, head[:n])
+			})
+			call := Call{ID: tryID, Service: true, Method: http.MethodPost, Path: "/x", Body: []byte(`{}`)}
+			_, _, err := c.Run(t.Context(), 7, call, func(ResponseHead, []byte) error { return nil })
+			if got := EffectOf(err); got != MayHaveEffect {
+				t.Errorf("head cut at byte %d, %q: effect %v, error %v; want %v", n, head[:n], got, err, MayHaveEffect)
+			}
+		}
+	}
+}
--- a/state/outcome/outcome.go
+++ b/state/outcome/outcome.go
@@ -33,7 +33,8 @@
 	EngineDown     Reason = "engine-down"     // the endpoint cannot be reached
 	UnknownAdapter Reason = "unknown-adapter" // the adapter or version is not declared
 	NoEndpoint     Reason = "no-endpoint"     // no endpoint can take the request
-	Quarantined    Reason = "quarantined"     // engines crash on a part of the prompt
+	Quarantined    Reason = "quarantined"     // endpoints crash on the request or on a part of its prompt
+	Stopping       Reason = "stopping"        // the entry may end before the request
 	LedgerDown     Reason = "ledger-down"     // the idempotency record cannot be written
 )
 
