--- a/daemon/direct/repeat_test.go
+++ b/daemon/direct/repeat_test.go
@@ -340,3 +340,37 @@
 		})
 	}
 }
+
+// TestAdapterThatCrashesEngines guards against the same cause as in incident BUDGET (a whole request) in loads: an adapter whose load crashes the
+// engine was loaded by one engine after another, six of them for one request.
+func TestAdapterThatCrashesEngines(t *testing.T) {
+	t.Parallel()
+	p := newRepeatTraffic(t, trial.Size{Engines: 8, Entries: 3}, standin.Poison{Adapter: "a2", Probability: 1})
+	p.sendUntilServed("/g/1", "ready", "m/a1")
+	p.crashOnFatal()
+	r := rand.New(rand.NewPCG(1, 2))
+	send := func(model string) (status int) {
+		call := p.call(http.MethodPost, "/g/1", "prompt")
+		call.Model, call.Timeout = model, 4*time.Second
+		status, _ = p.exchange(r, call)
+		return status
+	}
+	start := time.Now()
+	for time.Since(start) < 3*contactTime {
+		send("m/a2")
+		time.Sleep(150 * time.Millisecond)
+	}
+	crashes, late := p.Crashes(), 0
+	for _, at := range crashes {
+		if len(crashes) >= toleratedCrashes && at.Sub(crashes[toleratedCrashes-1]) > contactTime {
+			late++
+		}
+	}
+	t.Logf("%d engines crashed, %d of them late", len(crashes), late)
+	if len(crashes) < toleratedCrashes || late > maxLateRepeats || len(crashes) > 2*toleratedCrashes {
+		t.Errorf("%d engines crashed, %d of them later than %s after the third crash", len(crashes), late, contactTime)
+	}
+	for _, model := range []string{"m/a1", "m/a3"} {
+		waitFor(t, model+" is served", func() bool { return send(model) == http.StatusOK })
+	}
+}
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -110,6 +110,12 @@
 			x.excluded = append(x.excluded, e.name)
 			continue
 		}
+		f.mu.Unlock()
+		if refusal := f.loadRefusal(ctx, x); refusal != nil {
+			f.removeRequest(x, e, q, false)
+			return nil, refusal
+		}
+		f.mu.Lock()
 		w := e.addWaiting(x.adapter)
 		e.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter, Waiting: w.requests}}}, now)
 		f.mu.Unlock()
@@ -118,6 +124,7 @@
 			limit.Deadline = now.Add(holdings.WaitFraction * maxWait)
 		}
 		loaded := f.waitForLoad(ctx, x, e, w, limit)
+		f.recordLoad(x, e, loaded, now)
 		if loaded && f.acquireSend(ctx, x, e, maxWait) && f.mayStillBeSent(x) {
 			return e, nil
 		}
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -85,6 +85,8 @@
 	fingerprinted bool
 	// probation is set for the one send of a request in quarantine that may show that endpoints survive it.
 	probation bool
+	// loadProbation is the same for the load of its adapter.
+	loadProbation bool
 }
 
 // requestIDKey is the log attribute of the request id; the timelines of the other programs use the same one.
--- a/daemon/frontend/suspicion.go
+++ b/daemon/frontend/suspicion.go
@@ -152,15 +152,11 @@
 	f.updateSuspects()
 }
 
-// recordSurvival records that an endpoint has run a request completely.
-func (f *Frontend) recordSurvival(x *request) {
-	if !f.suspecting.Load() {
-		return
-	}
-	p := x.fingerprint()
+// recordSurvival records that an endpoint has run a request, or loaded an adapter, completely; probation is set if that was its probation.
+func (f *Frontend) recordSurvival(p fingerprint.Fingerprint, probation bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v, ok := f.suspects.Find(p); ok && x.probation {
+	if v, ok := f.suspects.Find(p); ok && probation {
 		delete(f.suspects.unused, p)
 		f.suspects.Lift(p)
 		f.applyVerdict(suspicion.Change{Verdict: v, Released: true})
@@ -178,31 +174,37 @@
 	f.updateSuspects()
 }
 
-// suspectRefusal returns the refusal of a request in quarantine, nil if it may be sent. One entry at a time gets a probation.
+// suspectRefusal returns the refusal of a request in quarantine, nil if it may be sent.
 func (f *Frontend) suspectRefusal(ctx context.Context, x *request) *outcome.Refusal {
 	if x.probation || !f.suspecting.Load() {
 		return nil
 	}
-	p := x.fingerprint()
+	return f.verdictRefusal(ctx, x, x.fingerprint(), &x.probation, "endpoints end under this request")
+}
+
+// verdictRefusal returns the refusal of a request because of the verdict on a fingerprint, nil if there is none. One entry at a time gets a
+// probation, which it sets.
+func (f *Frontend) verdictRefusal(ctx context.Context, x *request, p fingerprint.Fingerprint, probation *bool, detail string) *outcome.Refusal {
 	f.mu.Lock()
 	now := f.clock.Now()
 	v, ok := f.suspects.Find(p)
-	due := false
-	if ok && f.suspects.unused[p] {
+	if !ok {
+		f.mu.Unlock()
+		return nil
+	}
+	if f.suspects.unused[p] {
 		delete(f.suspects.unused, p)
 		f.mu.Unlock()
-		x.probation = true
+		*probation = true
 		return nil
 	}
-	if ok && x.sends == 0 && v.ProbationDue(now) {
+	due := false
+	if x.sends == 0 && v.ProbationDue(now) {
 		if _, _, due = f.placement.Cheapest(now, f.placementQuery(x)); due {
 			f.suspects.Defer(p, now.Add(claimInterval))
 		}
 	}
 	f.mu.Unlock()
-	if !ok {
-		return nil
-	}
 	if due {
 		ctx, cancel := context.WithTimeout(ctx, probationTimeout)
 		defer cancel()
@@ -211,7 +213,7 @@
 		if granted {
 			f.metrics.probations.Inc()
 			f.RestoreVerdict(v.TakeProbation(f.clock.Now()))
-			x.probation = true
+			*probation = true
 			return nil
 		}
 	}
@@ -221,7 +223,7 @@
 	if d := v.NextProbation.Sub(now); d > 0 {
 		retryAfter = min(retryAfter, max(d, unavailableRetryAfter))
 	}
-	return &outcome.Refusal{Reason: outcome.Quarantined, RetryAfter: retryAfter, Detail: "endpoints end under this request"}
+	return &outcome.Refusal{Reason: outcome.Quarantined, RetryAfter: retryAfter, Detail: detail}
 }
 
 // keepProbation keeps a probation for the next such request if this one has reached no endpoint.
@@ -259,7 +261,7 @@
 // recordCompleteRun records a response that its endpoint has completed. An endpoint that has ended may seem to complete one that ends with its
 // connection, and an endpoint that fails may not have begun to run the request.
 func (f *Frontend) recordCompleteRun(x *request, response *upstream.Response) {
-	if response.Framing != upstream.CloseFraming && response.Status < http.StatusInternalServerError {
-		f.recordSurvival(x)
+	if f.suspecting.Load() && response.Framing != upstream.CloseFraming && response.Status < http.StatusInternalServerError {
+		f.recordSurvival(x.fingerprint(), x.probation)
 	}
 }
