--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -111,7 +111,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	if err = conn.Send(control.UsageReport{Host: l.f.host, Deltas: true}); err != nil {
+	if err = conn.Send(control.UsageReport{Host: l.f.host, Deltas: true, TakesEvidence: true}); err != nil {
 		return false, err
 	}
 	done := make(chan struct{})
--- a/daemon/sidecar/evidence.go
+++ b/daemon/sidecar/evidence.go
@@ -45,6 +45,9 @@
 }
 
 func (s *Sidecar) enqueueEvidence(to *entryLink, v control.Evidence) {
+	if !to.takesEvidence {
+		return
+	}
 	select {
 	case to.evidence <- v:
 	default:
--- a/daemon/sidecar/link.go
+++ b/daemon/sidecar/link.go
@@ -16,6 +16,8 @@
 	host ident.Host
 	// states holds at most one state, the newest one that has not been sent yet.
 	states chan control.State
+	// takesEvidence is set if the entry can read evidence.
+	takesEvidence bool
 	// evidence holds what other entries have seen and this one has not been sent yet.
 	evidence chan control.Evidence
 	// reportedStart is the start time of the engine's incarnation that the entry's reports are about; only controlEngine uses it.
@@ -33,7 +35,7 @@
 		s.log.Warn("connection of an entry closed: its first message is missing, invalid or names no host", slog.String("Peer", c.RemoteAddr().String()), slog.Any("Error", err))
 		return
 	}
-	link.host = first.Host
+	link.host, link.takesEvidence = first.Host, first.TakesEvidence
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
--- a/protocol/control/conn.go
+++ b/protocol/control/conn.go
@@ -39,8 +39,10 @@
 	// Observed reports a limit of an endpoint, and Send asks for a send to one; entries of earlier releases send neither.
 	Observed *LimitObservation `json:",omitempty"`
 	Send     *SendRequest      `json:",omitempty"`
-	// Evidence is passed on to the other entries; entries of earlier releases do not send it.
-	Evidence *Evidence `json:",omitempty"`
+	// Evidence is passed on to the other entries; entries of earlier releases do not send it. TakesEvidence is set in the first message of an
+	// entry that can read that of others: to another one, a message with it would be a state.
+	Evidence      *Evidence `json:",omitempty"`
+	TakesEvidence bool      `json:",omitempty"`
 }
 
 // State is the message of an agent to an entry: the state of its engine. StateWriter and StateReader omit and restore what is unchanged.
