--- a/daemon/direct/repeat_test.go
+++ b/daemon/direct/repeat_test.go
@@ -253,6 +253,49 @@
 	}
 }
 
+// TestEvidenceOutlivesEntries guards against ends that are forgotten with the entries that have seen them: while all entries are replaced, each
+// new one would let a request crash three more engines.
+func TestEvidenceOutlivesEntries(t *testing.T) {
+	for name, engines := range map[string]int{"agents": 2, "no agents": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fatal := standin.Poison{Target: "/l/bad", Probability: 1}
+			p := newRepeatTraffic(t, trial.Size{Engines: engines, Entries: 2, Instances: 5}, fatal)
+			p.crashOnFatal()
+			r := rand.New(rand.NewPCG(6, 2))
+			// The entry sends the lookup to a second instance after the end of the first.
+			p.sendFatal(r, fatal)
+			if n := len(p.arrivals(fatal)); n != 2 {
+				t.Fatalf("one lookup has reached %d instances, want 2", n)
+			}
+			for round := range 2 {
+				if err := p.AddEntry(fmt.Sprint("edge-next-", round)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			p.Fronts = p.Fronts[2:]
+			for range 2 {
+				waitFor(t, "the next entries serve", func() bool {
+					status, _ := p.exchange(r, p.call(http.MethodGet, "/l/1", ""))
+					return status == http.StatusOK
+				})
+			}
+			// The new entries have what the earlier ones have seen before those end.
+			time.Sleep(time.Second)
+			p.StopEntry(0)
+			p.StopEntry(1)
+			time.Sleep(2 * time.Second)
+			for range 10 {
+				p.sendFatal(r, fatal)
+				time.Sleep(50 * time.Millisecond)
+			}
+			if n := len(p.arrivals(fatal)); n != toleratedCrashes {
+				t.Errorf("the request has crashed %d instances, want %d", n, toleratedCrashes)
+			}
+		})
+	}
+}
+
 // TestRequestLeavesQuarantine guards against a request that is refused for good although endpoints survive it now, and against a quarantine that
 // operators can neither see nor lift.
 func TestRequestLeavesQuarantine(t *testing.T) {
--- a/daemon/trial/deployment.go
+++ b/daemon/trial/deployment.go
@@ -71,6 +71,8 @@
 	settings standin.Settings
 	servers  []*http.Server
 	programs sync.WaitGroup
+	// stopEntries has the function that ends each entry.
+	stopEntries []context.CancelFunc
 	// stopAgents has the function that ends the agent of each model engine.
 	stopAgents []context.CancelFunc
 	// crash has the function that crashes each model engine, crashInstance that of each instance of the plain service.
@@ -140,10 +142,15 @@
 	if d.Fronts = append(d.Fronts, s.Front); len(d.Fronts) == 1 {
 		d.Front, d.Ready = s.Front, s.Ready
 	}
-	d.startProgram(func() error { return direct.NewEntry(s, d.log).Run(d.ctx, "") })
+	ctx, stop := context.WithCancel(d.ctx)
+	d.stopEntries = append(d.stopEntries, stop)
+	d.startProgram(func() error { return direct.NewEntry(s, d.log).Run(ctx, "") })
 	return nil
 }
 
+// StopEntry makes an entry drain and exit.
+func (d *Deployment) StopEntry(entry int) { d.stopEntries[entry]() }
+
 // entrySettings returns the settings of an entry with free ports.
 func (d *Deployment) entrySettings(host string) (s boot.Settings, err error) {
 	var addresses [2]string
