--- a/soak/live/poison.go
+++ b/soak/live/poison.go
@@ -160,10 +160,10 @@
 	}
 }
 
-// brokenOffUnnoticed reports whether the response ends after the first event, with which an engine crashed, and with its connection: nobody can
+// brokenOffUnnoticed reports whether the response ends after the first piece, with which an endpoint crashed, and with its connection: nobody can
 // tell such a response from a complete one.
 func (c *call) brokenOffUnnoticed(a response) bool {
-	return c.poison != nil && c.poison.Stage == standin.AfterEvent && a.body == standin.Event(standin.Arrival{ID: c.id, Model: c.model}, 1)
+	return c.poison != nil && c.poison.Stage == standin.AfterEvent && a.body == standin.FirstPiece(standin.Arrival{ID: c.id, Method: c.method, Target: c.target, Body: c.body, Model: c.model})
 }
 
 func (j *judge) onPoisonCrash() {
