--- a/daemon/direct/repeat_test.go
+++ b/daemon/direct/repeat_test.go
@@ -77,6 +77,9 @@
 	}
 	call := p.call(method, f.Target, f.Body)
 	call.Chunked = f.Body != "" && r.IntN(2) == 0
+	if call.Model != "" && f.Stage == standin.AfterHead {
+		call.Model = fmt.Sprint(trial.Model, "/a", 1+r.IntN(3))
+	}
 	status, _ = p.exchange(r, call)
 	return status
 }
@@ -191,6 +194,7 @@
 		{"lookup", trial.Size{Engines: 2, Entries: 3, Instances: 4}, []standin.Poison{{Target: "/l/bad?page=3", Probability: 1}}, 150 * time.Millisecond, false},
 		{"order", trial.Size{Engines: 2, Entries: 4, Instances: 4}, []standin.Poison{{Target: "/o/bad", Body: "bad", Probability: 1}}, 150 * time.Millisecond, false},
 		{"stream", trial.Size{Engines: 8, Entries: 3}, []standin.Poison{{Target: "/g/bad", Body: "bad", Probability: 1, Stage: standin.InsideEvent}}, 150 * time.Millisecond, false},
+		{"stream on several adapters", trial.Size{Engines: 8, Entries: 3}, []standin.Poison{{Target: "/g/bad", Body: "bad", Probability: 1, Stage: standin.AfterHead}}, 150 * time.Millisecond, false},
 		{"long body", trial.Size{Engines: 2, Entries: 3, Instances: 4}, []standin.Poison{{Target: "/l/bad", Body: long, Probability: 1}}, 150 * time.Millisecond, false},
 		{"two requests", trial.Size{Engines: 2, Entries: 3, Instances: 6}, []standin.Poison{{Target: "/l/bad", Probability: 1}, {Target: "/o/bad", Body: "bad", Probability: 1}}, 150 * time.Millisecond, false},
 		{"seldom", trial.Size{Engines: 2, Entries: 3, Instances: 4}, []standin.Poison{{Target: "/l/bad", Probability: 1}}, 2 * time.Second, false},
--- a/daemon/frontend/ended.go
+++ b/daemon/frontend/ended.go
@@ -31,6 +31,8 @@
 type brokenRequest struct {
 	at      time.Time
 	request fingerprint.Fingerprint
+	// content is zero if it is the whole request.
+	content fingerprint.Fingerprint
 	// ran is the time since its send.
 	ran time.Duration
 	// orderly is set if the response looks complete, which it may although the endpoint has ended.
@@ -47,18 +49,30 @@
 	checked chan struct{}
 }
 
-// fingerprint returns the fingerprint of the request's content.
-func (x *request) fingerprint() fingerprint.Fingerprint {
-	if !x.fingerprinted {
-		x.print, x.fingerprinted = fingerprint.Of(x.method, x.host, x.target, x.call.Caller, x.body), true
+// fingerprint returns the fingerprint of the request. The one of its content leaves out what a request to a model has besides: its adapter and
+// the parts of its prompt, but for the last one, which is specific to the request or its session. It is zero for other requests.
+func (x *request) fingerprint() (whole, content fingerprint.Fingerprint) {
+	if x.fingerprinted {
+		return x.print, x.contentPrint
 	}
-	return x.print
+	x.fingerprinted = true
+	x.print = fingerprint.Of(x.method, x.host, x.target, x.call.Caller, x.body)
+	if x.call.Model != "" {
+		fields := []string{string(x.call.Model), string(x.call.Adapter)}
+		for _, p := range x.call.SharedParts() {
+			fields = append(fields, p.ID.String())
+		}
+		x.contentPrint = x.print
+		x.print = x.contentPrint.With(fields...)
+	}
+	return x.print, x.contentPrint
 }
 
 // recordBroken records that the end of its connection ended a request, and waits for a moment until it is known whether the endpoint has
 // ended. Requests at endpoints that have announced that they leave are not recorded: their end has another reason.
 func (f *Frontend) recordBroken(ctx context.Context, x *request, e *endpoint, orderly bool) {
-	b := brokenRequest{request: x.fingerprint(), orderly: orderly}
+	b := brokenRequest{orderly: orderly}
+	b.request, b.content = x.fingerprint()
 	f.mu.Lock()
 	now := f.clock.Now()
 	b.at, b.ran = now, now.Sub(x.sentAt)
--- a/daemon/frontend/quarantine.go
+++ b/daemon/frontend/quarantine.go
@@ -223,14 +223,14 @@
 // isQuarantined reports whether the request, or a part of its prompt, has been put in quarantine.
 func (f *Frontend) isQuarantined(x *request) bool {
 	suspect := f.suspecting.Load() && !x.probation
-	var p fingerprint.Fingerprint
+	var whole, content fingerprint.Fingerprint
 	if suspect {
-		p = x.fingerprint()
+		whole, content = x.fingerprint()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if suspect {
-		if _, ok := f.suspects.Find(p); ok {
+	for _, p := range []fingerprint.Fingerprint{whole, content} {
+		if _, ok := f.suspects.Find(p); ok && suspect {
 			return true
 		}
 	}
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -80,11 +80,12 @@
 	sentAt time.Time
 	// interruptions counts the runs that ended with their connection to the engine.
 	interruptions int
-	// print is the fingerprint of the content if fingerprinted is set.
-	print         fingerprint.Fingerprint
-	fingerprinted bool
-	// probation is set for the one send of a request in quarantine that may show that endpoints survive it.
-	probation bool
+	// print and contentPrint are the fingerprints of the request if fingerprinted is set.
+	print, contentPrint fingerprint.Fingerprint
+	fingerprinted       bool
+	// probation is set for the one send of a request in quarantine that may show that endpoints survive it, and probationOf has its fingerprint.
+	probation   bool
+	probationOf fingerprint.Fingerprint
 	// loadProbation is the same for the load of its adapter.
 	loadProbation bool
 }
--- a/daemon/frontend/suspicion.go
+++ b/daemon/frontend/suspicion.go
@@ -66,7 +66,7 @@
 func (f *Frontend) recordSuspects(e *endpoint, now time.Time, broken []brokenRequest) {
 	v := control.EndEvidence{Endpoint: e.name, Born: e.StartMilli, AgeMilli: now.Sub(broken[0].at).Milliseconds()}
 	for _, b := range broken {
-		v.Requests = append(v.Requests, control.BrokenRequest{Request: b.request, RanMilli: b.ran.Milliseconds()})
+		v.Requests = append(v.Requests, control.BrokenRequest{Request: b.request, Content: b.content, RanMilli: b.ran.Milliseconds()})
 	}
 	f.observeEnd(now, v)
 	f.shareEvidence(now, control.Evidence{Host: f.host, Ends: []control.EndEvidence{v}})
@@ -76,7 +76,7 @@
 func (f *Frontend) observeEnd(now time.Time, v control.EndEvidence) {
 	end := suspicion.End{Endpoint: v.Endpoint, StartMilli: v.Born, At: now.Add(-time.Duration(v.AgeMilli) * time.Millisecond)}
 	for _, b := range v.Requests {
-		end.Requests = append(end.Requests, suspicion.BrokenRequest{Request: b.Request, Ran: time.Duration(b.RanMilli) * time.Millisecond})
+		end.Requests = append(end.Requests, suspicion.BrokenRequest{Request: b.Request, Content: b.Content, Ran: time.Duration(b.RanMilli) * time.Millisecond})
 	}
 	for _, c := range f.suspects.RecordEnd(now, end) {
 		f.applyVerdict(c)
@@ -179,7 +179,17 @@
 	if x.probation || !f.suspecting.Load() {
 		return nil
 	}
-	return f.verdictRefusal(ctx, x, x.fingerprint(), &x.probation, "endpoints end under this request")
+	whole, content := x.fingerprint()
+	for _, p := range []fingerprint.Fingerprint{whole, content} {
+		if r := f.verdictRefusal(ctx, x, p, &x.probation, "endpoints end under this request"); r != nil {
+			return r
+		}
+		if x.probation {
+			x.probationOf = p
+			return nil
+		}
+	}
+	return nil
 }
 
 // verdictRefusal returns the refusal of a request because of the verdict on a fingerprint, nil if there is none. One entry at a time gets a
@@ -233,10 +243,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, ok := f.suspects.Find(x.print); ok {
-		f.suspects.unused[x.print] = true
+	if _, ok := f.suspects.Find(x.probationOf); ok {
+		f.suspects.unused[x.probationOf] = true
 	}
-	f.log.Info("probation is kept: the request reached no endpoint", x.id(), slog.String("Fingerprint", x.print.String()))
+	f.log.Info("probation is kept: the request reached no endpoint", x.id(), slog.String("Fingerprint", x.probationOf.String()))
 }
 
 // RestoreVerdict adds a verdict that another process has recorded.
@@ -261,7 +271,11 @@
 // recordCompleteRun records a response that its endpoint has completed. An endpoint that has ended may seem to complete one that ends with its
 // connection, and an endpoint that fails may not have begun to run the request.
 func (f *Frontend) recordCompleteRun(x *request, response *upstream.Response) {
-	if f.suspecting.Load() && response.Framing != upstream.CloseFraming && response.Status < http.StatusInternalServerError {
-		f.recordSurvival(x.fingerprint(), x.probation)
+	if !f.suspecting.Load() || response.Framing == upstream.CloseFraming || response.Status >= http.StatusInternalServerError {
+		return
+	}
+	whole, content := x.fingerprint()
+	for _, p := range []fingerprint.Fingerprint{whole, content} {
+		f.recordSurvival(p, x.probation && x.probationOf == p)
 	}
 }
--- a/daemon/frontend/suspicion_test.go
+++ b/daemon/frontend/suspicion_test.go
@@ -60,11 +60,12 @@
 			f := New(message.Headers{}, "edge-1", "a", WithLog(slog.New(slog.DiscardHandler)))
 			x, other := newSuspectRequest(), newSuspectRequest()
 			other.target = "/g/2"
-			endUnder(f, x.fingerprint(), c.ends[:1]...)
+			whole, _ := x.fingerprint()
+			endUnder(f, whole, c.ends[:1]...)
 			for range c.runs {
 				f.recordCompleteRun(newSuspectRequest(), &upstream.Response{Status: http.StatusOK, Framing: upstream.LengthFraming})
 			}
-			endUnder(f, x.fingerprint(), c.ends[1:]...)
+			endUnder(f, whole, c.ends[1:]...)
 			r := f.suspectRefusal(t.Context(), x)
 			if (r != nil) != c.refused || r != nil && (r.Reason != outcome.Quarantined || r.RetryAfter <= 0) {
 				t.Errorf("refusal %+v, want one: %t", r, c.refused)
--- a/daemon/trial/deployment.go
+++ b/daemon/trial/deployment.go
@@ -45,7 +45,7 @@
 type Size struct {
 	Engines int
 	Entries int
-	// Instances is the number of instances of the plain service; 0 means one.
+	// Instances is the number of instances of the plain service; 0 means one, to which no options apply.
 	Instances int
 }
 
@@ -115,7 +115,10 @@
 		d.stopAgents = append(d.stopAgents, stopAgent)
 		d.startProgram(func() error { return direct.NewAgent(s, log).Run(agentCtx, "") })
 	}
-	for i := range max(size.Instances, 1) {
+	if size.Instances == 0 {
+		size.Instances, options = 1, nil
+	}
+	for i := range size.Instances {
 		// Each has its own address, so that no connection gets its port while it is down.
 		e, _, err := d.startEngine(fmt.Sprintf("127.0.1.%d", i+1), fmt.Sprint("i-s", i), plainService, options...)
 		if err != nil {
--- a/protocol/control/evidence.go
+++ b/protocol/control/evidence.go
@@ -26,6 +26,8 @@
 // BrokenRequest is a request that was in progress at the end.
 type BrokenRequest struct {
 	Request fingerprint.Fingerprint
+	// Content is that of all requests with the same content; zero for requests that have nothing else.
+	Content fingerprint.Fingerprint `json:",omitzero"`
 	// RanMilli is the time from its send to the end.
 	RanMilli int64 `json:",omitempty"`
 }
--- a/state/fingerprint/fingerprint.go
+++ b/state/fingerprint/fingerprint.go
@@ -15,10 +15,23 @@
 
 // Of returns the fingerprint of a request. The target includes the query, and caller is empty if nothing identifies the caller.
 func Of(method, host, target string, caller ident.Caller, body []byte) (p Fingerprint) {
+	return digest([]byte(method), []byte(host), []byte(target), []byte(caller), body)
+}
+
+// With returns the fingerprint of a request that also has other fields in common.
+func (p Fingerprint) With(fields ...string) Fingerprint {
+	list := [][]byte{p[:]}
+	for _, field := range fields {
+		list = append(list, []byte(field))
+	}
+	return digest(list...)
+}
+
+func digest(fields ...[]byte) (p Fingerprint) {
 	h := sha256.New()
 	var length [8]byte
 	// Each field is preceded by its length, since otherwise one field could continue in the next.
-	for _, field := range [][]byte{[]byte(method), []byte(host), []byte(target), []byte(caller), body} {
+	for _, field := range fields {
 		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
 		h.Write(length[:])
 		h.Write(field)
--- a/state/suspicion/end.go
+++ b/state/suspicion/end.go
@@ -31,6 +31,8 @@
 // BrokenRequest is a request that an endpoint broke off when it ended.
 type BrokenRequest struct {
 	Request fingerprint.Fingerprint
+	// Content is that of requests with the same content that may differ in other respects, such as their adapter; zero if there are none.
+	Content fingerprint.Fingerprint
 	// Ran is the time from its send to the end.
 	Ran time.Duration
 }
@@ -42,6 +44,8 @@
 	at         time.Time
 	// explained is set if one of its requests is in quarantine; the others are not under suspicion then.
 	explained bool
+	// contents has the request for each content that only one of the requests has; the fingerprint is zero if several have it.
+	contents map[fingerprint.Fingerprint]fingerprint.Fingerprint
 }
 
 // ending returns the end that a report is about, a new one if there is none.
@@ -52,7 +56,7 @@
 		}
 	}
 	l.ends = slices.DeleteFunc(l.ends, func(x *ending) bool { return now.Sub(x.at) > endExpiry })
-	x := &ending{endpoint: e.Endpoint, startMilli: e.StartMilli, at: e.At}
+	x := &ending{endpoint: e.Endpoint, startMilli: e.StartMilli, at: e.At, contents: make(map[fingerprint.Fingerprint]fingerprint.Fingerprint)}
 	if l.ends = append(l.ends, x); len(l.ends) > maxEnds {
 		l.ends = slices.Delete(l.ends, 0, 1)
 	}
--- a/state/suspicion/list.go
+++ b/state/suspicion/list.go
@@ -109,39 +109,85 @@
 	return 0
 }
 
-// RecordEnd records an end and returns the requests that are in quarantine from now on.
+// RecordEnd records an end and returns the requests that are in quarantine from now on, or not any more.
 func (l *List) RecordEnd(now time.Time, e End) (changes []Change) {
 	x := l.ending(now, e)
 	for _, b := range e.Requests {
-		if _, ok := l.verdicts[b.Request]; ok {
-			l.explain(x)
+		for _, p := range []fingerprint.Fingerprint{b.Request, b.Content} {
+			if _, ok := l.verdicts[p]; ok {
+				l.explain(x)
+			}
 		}
 	}
 	for _, b := range e.Requests {
-		v, ok := l.verdicts[b.Request]
-		if !ok && x.explained {
+		at := exposure{ending: x, sentAt: e.At.Add(-b.Ran)}
+		l.expose(now, b.Request, at)
+		if b.Content == (fingerprint.Fingerprint{}) {
 			continue
 		}
-		s := l.suspect(now, b.Request)
-		s.add(exposure{ending: x, sentAt: e.At.Add(-b.Ran)})
-		s.lastEnd = now
-		if ok {
-			v.Ends, v.Incidents = len(s.ends), countIncidents(s.ends)
-			l.verdicts[b.Request] = v
+		switch other, ok := x.contents[b.Content]; {
+		case !ok:
+			x.contents[b.Content] = b.Request
+			l.expose(now, b.Content, at)
+		case other != b.Request:
+			// Different requests have this content, so it does not identify the one that may be the reason.
+			x.contents[b.Content] = fingerprint.Fingerprint{}
+			if c, ok := l.withdraw(b.Content, x); ok {
+				changes = append(changes, c)
+			}
 		}
 	}
+	// What several requests have in common is under suspicion only for ends that none of the requests explains.
 	for _, b := range e.Requests {
-		if c, ok := l.judge(now, b.Request); ok {
-			changes = append(changes, c)
-		}
+		changes = l.judge(now, b.Request, changes)
+	}
+	l.explainAll(changes)
+	for _, b := range e.Requests {
+		changes = l.judge(now, b.Content, changes)
 	}
-	// Requests that were at all of these ends alike stay in quarantine together, until a probation tells which of them is the reason.
+	l.explainAll(changes)
+	return changes
+}
+
+// expose records that a request was at an endpoint that ended, unless the end is explained.
+func (l *List) expose(now time.Time, p fingerprint.Fingerprint, at exposure) {
+	v, ok := l.verdicts[p]
+	if !ok && at.explained {
+		return
+	}
+	s := l.suspect(now, p)
+	s.add(at)
+	if s.lastEnd = now; ok {
+		v.Ends, v.Incidents = len(s.ends), countIncidents(s.ends)
+		l.verdicts[p] = v
+	}
+}
+
+// withdraw removes an end from those that count against a request, which may release it.
+func (l *List) withdraw(p fingerprint.Fingerprint, x *ending) (c Change, released bool) {
+	s := l.suspects[p]
+	if s == nil {
+		return c, false
+	}
+	s.ends = slices.DeleteFunc(s.ends, func(e exposure) bool { return e.ending == x })
+	v, ok := l.verdicts[p]
+	if !ok || len(s.ends) >= minEnds {
+		return c, false
+	}
+	delete(l.verdicts, p)
+	return Change{Verdict: v, Released: true}, true
+}
+
+// explainAll marks the ends under requests that have just been put in quarantine. Requests that were at all of these ends alike stay in
+// quarantine together, until a probation tells which of them is the reason.
+func (l *List) explainAll(changes []Change) {
 	for _, c := range changes {
-		for _, x := range l.suspects[c.Request].ends {
-			l.explain(x.ending)
+		if s := l.suspects[c.Request]; s != nil && !c.Released {
+			for _, x := range s.ends {
+				l.explain(x.ending)
+			}
 		}
 	}
-	return changes
 }
 
 // add records that the request was at an endpoint that ended, perhaps sent by several entries.
@@ -197,18 +243,19 @@
 	}
 }
 
-// judge puts a request in quarantine if the evidence suffices.
-func (l *List) judge(now time.Time, p fingerprint.Fingerprint) (c Change, changed bool) {
+// judge puts a request in quarantine if the evidence suffices, and adds the change.
+func (l *List) judge(now time.Time, p fingerprint.Fingerprint, changes []Change) []Change {
 	s := l.suspects[p]
 	if _, ok := l.verdicts[p]; ok || s == nil || len(s.ends) < minEnds || survivalsPerEnd*(len(s.ends)-minEnds) < s.survivals {
-		return c, false
+		return changes
 	}
+	var c Change
 	c.Verdict = Verdict{Request: p, Since: now, Ends: len(s.ends), Incidents: countIncidents(s.ends), Survivals: s.survivals, NextProbation: now.Add(firstProbation)}
 	if c.Incidents < minEnds {
 		c.NextProbation = now.Add(soonProbation)
 	}
 	l.setVerdict(c.Verdict)
-	return c, true
+	return append(changes, c)
 }
 
 func (l *List) setVerdict(v Verdict) {
--- a/state/suspicion/list_test.go
+++ b/state/suspicion/list_test.go
@@ -16,7 +16,15 @@
 	return fingerprint.Of("GET", "a.example", name, "", nil)
 }
 
-var fatal, sound, other = request("fatal"), request("sound"), request("other")
+var fatal, sound, other, content = request("fatal"), request("sound"), request("other"), request("content")
+
+// withContent gives all requests of an end the same content.
+func withContent(e End) End {
+	for i := range e.Requests {
+		e.Requests[i].Content = content
+	}
+	return e
+}
 
 // runTime is the time for which requests have run at the ends of their endpoints.
 const runTime = 20 * time.Millisecond
@@ -67,6 +75,10 @@
 			[]fingerprint.Fingerprint{sound}},
 		{"complete runs before the first end", append([]step{survivals(9, "edge-1")}, ends(end(1, 0, sound), end(2, s, sound), end(3, 2*s, sound))...), []fingerprint.Fingerprint{sound}},
 		{"complete runs at several entries", append(append(ends(end(1, 0, sound), end(2, s, sound)), survivals(1, "edge-1"), survivals(2, "edge-2"), survivals(1, "edge-1")), ends(end(3, 2*s, sound))...), nil},
+		{"one content, other adapters", ends(withContent(end(1, 0, fatal)), withContent(end(2, s, sound)), withContent(end(3, 2*s, other))), []fingerprint.Fingerprint{content}},
+		{"one content, one request", ends(withContent(end(1, 0, fatal)), withContent(end(2, s, fatal)), withContent(end(3, 2*s, fatal))), []fingerprint.Fingerprint{fatal}},
+		{"one content, several requests at each end", ends(withContent(end(1, 0, fatal, sound)), withContent(end(2, s, sound, other)), withContent(end(3, 2*s, fatal, other))), nil},
+		{"one content, several requests at an end that entries report one by one", ends(withContent(end(1, 0, fatal)), withContent(end(2, s, sound)), withContent(end(3, 2*s, other)), withContent(end(3, 2*s, fatal))), nil},
 		{"a complete run after the verdict", append(ends(end(1, 0, sound), end(2, s, sound), end(3, 2*s, sound)), survivals(1, "edge-1")), []fingerprint.Fingerprint{sound}},
 		{"a complete run after a verdict on one incident", append(ends(end(1, 0, sound), end(2, 0, sound), end(3, 0, sound)), survivals(1, "edge-1")), nil},
 		{"complete runs after the verdict", append(ends(end(1, 0, sound), end(2, s, sound), end(3, 2*s, sound)), survivals(3, "edge-1")), nil},
