--- a/daemon/direct/repeat_test.go
+++ b/daemon/direct/repeat_test.go
@@ -183,6 +183,7 @@
 // TestRequestThatCrashesEngines guards against incident BUDGET (a whole request): a request that came again, with the same path and body,
 // reached one engine after another, and each of them crashed. The other requests for the service must be served.
 func TestRequestThatCrashesEngines(t *testing.T) {
+	t.Parallel()
 	long := strings.Repeat("x", 200_000)
 	for _, c := range []struct {
 		name     string
@@ -228,6 +229,7 @@
 // TestLateEntryKnowsRequestsThatCrashEngines guards against an entry that sends a request to engines that it has crashed before because the
 // entry has started later, with and without agents.
 func TestLateEntryKnowsRequestsThatCrashEngines(t *testing.T) {
+	t.Parallel()
 	for name, engines := range map[string]int{"agents": 2, "no agents": 0} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -260,6 +262,7 @@
 // TestEvidenceOutlivesEntries guards against ends that are forgotten with the entries that have seen them: while all entries are replaced, each
 // new one would let a request crash three more engines.
 func TestEvidenceOutlivesEntries(t *testing.T) {
+	t.Parallel()
 	for name, engines := range map[string]int{"agents": 2, "no agents": 0} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -303,6 +306,7 @@
 // TestRequestLeavesQuarantine guards against a request that is refused for good although endpoints survive it now, and against a quarantine that
 // operators can neither see nor lift.
 func TestRequestLeavesQuarantine(t *testing.T) {
+	t.Parallel()
 	for _, lift := range []bool{false, true} {
 		t.Run(fmt.Sprint("lifted ", lift), func(t *testing.T) {
 			t.Parallel()
@@ -351,6 +355,7 @@
 // TestSoundRequestsAreNotRefused guards against the refusal of a request that comes often because it was in progress at engines that ended
 // for other reasons, or whose responses were lost.
 func TestSoundRequestsAreNotRefused(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		crashes int
--- a/protocol/upstream/exchange.go
+++ b/protocol/upstream/exchange.go
@@ -172,10 +172,12 @@
 		}
 		close(response.requestWritten)
 	} else {
+		// The result is nil after an error, so the goroutine must not use it.
+		written := response.requestWritten
 		go func() {
 			buffers := net.Buffers{head, r.Body}
 			if _, e := buffers.WriteTo(c.conn); e == nil {
-				close(response.requestWritten)
+				close(written)
 			}
 		}()
 	}
