--- a/coordination/quarantinerecord/keeper_test.go
+++ b/coordination/quarantinerecord/keeper_test.go
@@ -1,40 +1,18 @@
 package quarantinerecord
 
 import (
-	"context"
 	"encoding/json"
-	"maps"
-	"slices"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/coordination/mirror"
+	"shallotring.dev/coordination/sharedrecord/storetest"
 	"shallotring.dev/state/call"
-	"shallotring.dev/state/ident"
 	"shallotring.dev/state/quarantine"
 )
 
-// fakeStore keeps the values of keys; it fails while err is set.
-type fakeStore struct {
-	mu     sync.Mutex
-	values map[string][]byte
-	writes int
-	err    error
-}
-
-func (s *fakeStore) Put(_ context.Context, key string, value []byte) (at ident.Position, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.writes++
-	if s.err == nil {
-		s.values[key] = value
-	}
-	return at, s.err
-}
-
 // fakeQuarantine has the parts in quarantine and those that were lifted.
 type fakeQuarantine struct {
 	parts  map[call.PartID]bool
@@ -44,8 +22,20 @@
 func (q *fakeQuarantine) RestoreQuarantine(e quarantine.Entry) { q.parts[e.Part] = true }
 func (q *fakeQuarantine) LiftQuarantine(p call.PartID)         { delete(q.parts, p); q.lifted[p] = true }
 
-func newFakes() (s *fakeStore, q *fakeQuarantine) {
-	return &fakeStore{values: make(map[string][]byte)}, &fakeQuarantine{parts: make(map[call.PartID]bool), lifted: make(map[call.PartID]bool)}
+func newFakes() (s *storetest.Store, q *fakeQuarantine) {
+	return storetest.New(), &fakeQuarantine{parts: make(map[call.PartID]bool), lifted: make(map[call.PartID]bool)}
+}
+
+// lift writes the record with which an operator lifts a part.
+func lift(t *testing.T, s *storetest.Store, p call.PartID) {
+	t.Helper()
+	value, err := json.Marshal(Record{Lifted: true})
+	if err == nil {
+		_, err = s.Put(t.Context(), Key(p), value)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
 }
 
 func change(p call.PartID) quarantine.Change {
@@ -53,26 +43,18 @@
 	return quarantine.Change{Entry: quarantine.Entry{Part: p, Since: now, Until: now.Add(time.Hour), Incidents: 4, Of: 5, Share: 0.1, Evidence: 13}}
 }
 
-// records returns what a mirror reports of the store.
-func (s *fakeStore) records() (list []mirror.Record) {
-	for _, key := range slices.Sorted(maps.Keys(s.values)) {
-		list = append(list, mirror.Record{Key: key, Value: s.values[key]})
-	}
-	return list
-}
-
 // TestQuarantineIsShared guards against a process that does not learn of a part in quarantine from the store, and against writes of what the store has.
 func TestQuarantineIsShared(t *testing.T) {
 	s, q := newFakes()
 	first, second := New(s, "edge-1"), New(s, "edge-2")
 	first.Record(change(7))
 	second.Record(change(7))
-	if !first.writeAll(t.Context()) || s.writes != 1 {
-		t.Fatalf("%d writes", s.writes)
+	if !first.table.WriteAll(t.Context()) || s.Writes() != 1 {
+		t.Fatalf("%d writes", s.Writes())
 	}
-	second.Apply(s.records(), q)
-	if !second.writeAll(t.Context()) || s.writes != 1 {
-		t.Errorf("%d writes of one record", s.writes)
+	second.Apply(s.Records(), q)
+	if !second.table.WriteAll(t.Context()) || s.Writes() != 1 {
+		t.Errorf("%d writes of one record", s.Writes())
 	}
 	if !q.parts[7] {
 		t.Error("the part of the store is not in quarantine")
@@ -83,23 +65,23 @@
 func TestLostRecordsAreWrittenAgain(t *testing.T) {
 	s, q := newFakes()
 	k := New(s, "edge-1")
-	s.err = eris.New("away")
+	s.Fail(eris.New("away"))
 	k.Record(change(7))
-	if k.writeAll(t.Context()) {
+	if k.table.WriteAll(t.Context()) {
 		t.Fatal("a failed write counts as done")
 	}
-	s.err = nil
-	if !k.writeAll(t.Context()) || len(s.values) != 1 {
-		t.Fatalf("the store has %d records after its return", len(s.values))
+	s.Fail(nil)
+	if !k.table.WriteAll(t.Context()) || len(s.Values()) != 1 {
+		t.Fatalf("the store has %d records after its return", len(s.Values()))
 	}
-	k.Apply(s.records(), q)
-	clear(s.values)
+	k.Apply(s.Records(), q)
+	s.Restore(nil)
 	k.Apply([]mirror.Record{{Key: Key(7), Deleted: true}}, q)
 	if !q.parts[7] || q.lifted[7] {
 		t.Error("a missing record has lifted the quarantine")
 	}
-	if !k.writeAll(t.Context()) || len(s.values) != 1 {
-		t.Errorf("the store has %d records after the restoration", len(s.values))
+	if !k.table.WriteAll(t.Context()) || len(s.Values()) != 1 {
+		t.Errorf("the store has %d records after the restoration", len(s.Values()))
 	}
 }
 
@@ -108,19 +90,19 @@
 	s, q := newFakes()
 	k := New(s, "edge-1")
 	k.Record(change(7))
-	k.writeAll(t.Context())
-	k.Apply(s.records(), q)
-	older := maps.Clone(s.values)
-	s.values[Key(7)], _ = json.Marshal(Record{Lifted: true})
-	k.Apply(s.records(), q)
-	s.values = older
-	list := s.records()
+	k.table.WriteAll(t.Context())
+	k.Apply(s.Records(), q)
+	older := s.Values()
+	lift(t, s, 7)
+	k.Apply(s.Records(), q)
+	s.Restore(older)
+	list := s.Records()
 	list[0].Restored = true
 	k.Apply(list, q)
-	k.writeAll(t.Context())
-	k.Apply(s.records(), q)
+	k.table.WriteAll(t.Context())
+	k.Apply(s.Records(), q)
 	var r Record
-	if err := json.Unmarshal(s.values[Key(7)], &r); err != nil || !r.Lifted || q.parts[7] {
+	if err := json.Unmarshal(s.Value(Key(7)), &r); err != nil || !r.Lifted || q.parts[7] {
 		t.Errorf("record %+v %v, in quarantine: %t", r, err, q.parts[7])
 	}
 }
@@ -130,21 +112,23 @@
 	s, q := newFakes()
 	k := New(s, "edge-1")
 	k.Record(change(7))
-	k.writeAll(t.Context())
-	k.Apply(s.records(), q)
-	s.values[Key(7)], _ = json.Marshal(Record{Lifted: true})
-	k.Apply(s.records(), q)
+	k.table.WriteAll(t.Context())
+	k.Apply(s.Records(), q)
+	lift(t, s, 7)
+	k.Apply(s.Records(), q)
 	if q.parts[7] || !q.lifted[7] {
 		t.Error("the part is still in quarantine")
 	}
+	s.Restore(nil)
 	k.Apply([]mirror.Record{{Key: Key(7), Deleted: true}}, q)
-	if k.writeAll(t.Context()); s.writes != 1 {
-		t.Errorf("%d writes; the lifted quarantine was written again", s.writes)
+	writes := s.Writes()
+	if k.table.WriteAll(t.Context()); s.Writes() != writes {
+		t.Errorf("%d writes, want none; the lifted quarantine was written again", s.Writes()-writes)
 	}
 	// New crashes count.
 	k.Record(change(7))
-	if k.writeAll(t.Context()); s.writes != 2 {
-		t.Errorf("%d writes after new crashes, want 2", s.writes)
+	if k.table.WriteAll(t.Context()); s.Writes() != writes+1 {
+		t.Errorf("%d writes after new crashes, want 1", s.Writes()-writes)
 	}
 }
 
@@ -156,8 +140,8 @@
 		k.Apply([]mirror.Record{{Key: x[0], Value: []byte(x[1])}}, q)
 		k.Apply([]mirror.Record{{Key: x[0], Deleted: true}}, q)
 	}
-	if len(q.parts)+len(q.lifted)+s.writes > 0 {
-		t.Errorf("quarantine %v, lifted %v, %d writes", q.parts, q.lifted, s.writes)
+	if len(q.parts)+len(q.lifted)+s.Writes() > 0 {
+		t.Errorf("quarantine %v, lifted %v, %d writes", q.parts, q.lifted, s.Writes())
 	}
 }
 
@@ -167,11 +151,11 @@
 	first, second := New(s, "edge-1"), New(s, "edge-2")
 	first.Record(change(7))
 	second.Record(change(7))
-	first.writeAll(t.Context())
-	s.values[Key(7)], _ = json.Marshal(Record{Lifted: true})
-	second.Apply(s.records(), q)
-	second.writeAll(t.Context())
-	if _, r, err := Decode(Key(7), s.values[Key(7)]); err != nil || !r.Lifted {
+	first.table.WriteAll(t.Context())
+	lift(t, s, 7)
+	second.Apply(s.Records(), q)
+	second.table.WriteAll(t.Context())
+	if _, r, err := Decode(Key(7), s.Value(Key(7))); err != nil || !r.Lifted {
 		t.Errorf("the store has %+v %v after the lift", r, err)
 	}
 }
--- a/coordination/requestrecord/record.go
+++ b/coordination/requestrecord/record.go
@@ -33,9 +33,6 @@
 	Host          ident.Host `json:",omitempty"`
 }
 
-// equal reports whether two records say the same of the request's state.
-func (r Record) equal(x Record) bool { return r.Lifted == x.Lifted && r.Probations == x.Probations }
-
 func newRecord(c suspicion.Change, host ident.Host) Record {
 	return Record{Lifted: c.Released, Since: c.Since, Ends: c.Ends, Incidents: c.Incidents, Survivals: c.Survivals,
 		Probations: c.Probations, NextProbation: c.NextProbation, Host: host}
@@ -57,6 +54,31 @@
 	return p, r, json.Unmarshal(value, &r)
 }
 
+// kind says how the records of requests relate.
+type kind struct{}
+
+// Key returns the key of a request's verdict.
+func (kind) Key(p fingerprint.Fingerprint) string { return Key(p) }
+
+// Decode returns the request and the record of a verdict's key.
+func (kind) Decode(key string, value []byte) (p fingerprint.Fingerprint, r Record, err error) {
+	return Decode(key, value)
+}
+
+// Covers reports whether the stored verdict is the same, with as many probations.
+func (kind) Covers(stored, r Record) bool {
+	return stored.Lifted == r.Lifted && (r.Lifted || stored.Probations >= r.Probations)
+}
+
+// Same reports whether two records say the same of the request.
+func (kind) Same(a, b Record) bool { return a.Lifted == b.Lifted && a.Probations == b.Probations }
+
+// Lifted reports whether the record ends a quarantine.
+func (kind) Lifted(r Record) bool { return r.Lifted }
+
+// Expired returns false: a request stays in quarantine.
+func (kind) Expired(Record, time.Time) bool { return false }
+
 // Observation is evidence of an entry without agents. The sequence grows over its restarts.
 type Observation struct {
 	Sequence int64
--- /dev/null
+++ b/coordination/wait/doc.go
@@ -0,0 +1,2 @@
+// Package wait pauses goroutines on a clock that is passed in.
+package wait
--- a/daemon/frontend/ended.go
+++ b/daemon/frontend/ended.go
@@ -9,98 +9,81 @@
 	"syscall"
 	"time"
 
-	"shallotring.dev/state/fingerprint"
+	"shallotring.dev/coordination/wait"
+	"shallotring.dev/state/suspicion"
 )
 
 const (
-	// brokenMemory is the time for which requests that an endpoint broke off are remembered until it is known whether the endpoint has ended.
-	brokenMemory = 5 * time.Second
-	// maxBroken bounds these requests at one endpoint.
-	maxBroken = 64
-	// endCheckTimeout bounds one connection attempt to an endpoint that broke off a request, and endCheckWait how long the request waits for
+	// suspectMemory is the time for which interrupted requests are remembered until it is known whether their endpoint has ended.
+	suspectMemory = 5 * time.Second
+	// maxSuspectsPerEnd bounds these requests at one endpoint.
+	maxSuspectsPerEnd = 64
+	// endCheckTimeout bounds one connection attempt to an endpoint that interrupted a request, and endCheckWait how long the request waits for
 	// the first of them before it is sent elsewhere.
 	endCheckTimeout = 250 * time.Millisecond
 	endCheckWait    = 50 * time.Millisecond
-	// sameEnd is the time within which broken requests belong to one end of an endpoint that refuses connections or whose agent has seen it.
-	sameEnd = time.Second
 )
 
 // endCheckDelays are the delays before the connection attempts: an endpoint may accept connections for a moment after it has closed others.
 var endCheckDelays = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}
 
-// brokenRequest is a request whose response ended with its connection.
-type brokenRequest struct {
-	at      time.Time
-	request fingerprint.Fingerprint
-	// content is zero if it is the whole request.
-	content fingerprint.Fingerprint
-	// ran is the time since its send.
-	ran time.Duration
-	// orderly is set if the response looks complete, which it may although the endpoint has ended.
-	orderly bool
-}
+// endSign is what shows that an endpoint has ended.
+type endSign string
+
+const (
+	// connectionRefused is a connection attempt that was refused.
+	connectionRefused endSign = "refused"
+	// crashReported is a report of the engine's agent.
+	crashReported endSign = "agent"
+	// nextIncarnation is the next incarnation under the id or at the address, which is noticed some seconds later.
+	nextIncarnation endSign = "next incarnation"
+	// endKnown is an earlier sign of the same end.
+	endKnown endSign = "known"
+)
 
 // endState is what an entry knows of the end of an endpoint; the frontend's lock guards it.
 type endState struct {
-	// broken are requests that the endpoint broke off; if it turns out to have ended, one of them may be the reason.
-	broken []brokenRequest
+	// suspects are interrupted requests; if the endpoint turns out to have ended, one of them may be the reason.
+	suspects []interruption
 	// endedAt is the time at which the endpoint was found to have ended.
 	endedAt time.Time
 	// checked is closed after the first connection attempt of the check that is in progress; nil if there is none.
 	checked chan struct{}
 }
 
-// fingerprint returns the fingerprint of the request. The one of its content leaves out what a request to a model has besides: its adapter and
-// the parts of its prompt, but for the last one, which is specific to the request or its session. It is zero for other requests.
-func (x *request) fingerprint() (whole, content fingerprint.Fingerprint) {
-	if x.fingerprinted {
-		return x.print, x.contentPrint
-	}
-	x.fingerprinted = true
-	x.print = fingerprint.Of(x.method, x.host, x.target, x.call.Caller, x.body)
-	if x.call.Model != "" {
-		fields := []string{string(x.call.Model), string(x.call.Adapter)}
-		for _, p := range x.call.SharedParts() {
-			fields = append(fields, p.ID.String())
-		}
-		x.contentPrint = x.print
-		x.print = x.contentPrint.With(fields...)
-	}
-	return x.print, x.contentPrint
+// dropSuspects forgets the interrupted requests that are older than a time.
+func (e *endpoint) dropSuspects(now time.Time, age time.Duration) {
+	e.suspects = slices.DeleteFunc(e.suspects, func(i interruption) bool { return now.Sub(i.at) > age })
 }
 
-// recordBroken records that the end of its connection ended a request, and waits for a moment until it is known whether the endpoint has
-// ended. Requests at endpoints that have announced that they leave are not recorded: their end has another reason.
-func (f *Frontend) recordBroken(ctx context.Context, x *request, e *endpoint, orderly bool) {
-	b := brokenRequest{orderly: orderly}
-	b.request, b.content = x.fingerprint()
-	f.mu.Lock()
-	now := f.clock.Now()
-	b.at, b.ran = now, now.Sub(x.sentAt)
-	if s := e.agentState(now); e.Leaving || s != nil && s.Leaving {
-		f.mu.Unlock()
-		return
+// suspectEnd remembers an interrupted request in case its endpoint has ended, and begins to check that. It returns the channel of the check in
+// progress, nil if there is none; the lock is held. The end of an endpoint that has announced that it leaves has another reason.
+func (f *Frontend) suspectEnd(e *endpoint, i interruption) (checked <-chan struct{}) {
+	if s := e.agentState(i.at); e.Leaving || s != nil && s.Leaving {
+		return nil
 	}
-	e.dropBroken(now)
-	if len(e.broken) < maxBroken {
-		e.broken = append(e.broken, b)
+	e.dropSuspects(i.at, suspectMemory)
+	if len(e.suspects) < maxSuspectsPerEnd {
+		e.suspects = append(e.suspects, i)
 	}
-	if now.Sub(e.endedAt) < sameEnd {
-		f.recordEnd(e, now, "known")
-		f.mu.Unlock()
-		return
+	if i.at.Sub(e.endedAt) < suspicion.SameEnd {
+		f.recordEnd(e, i.at, endKnown)
+		return nil
 	}
-	// Some endpoints end each response with its connection, so these are checked by other evidence only.
-	if !orderly && e.checked == nil && f.ctx != nil && f.ctx.Err() == nil {
-		checked := make(chan struct{})
-		e.checked = checked
-		f.wg.Go(func() { f.checkEnd(e, checked) })
+	// Some endpoints end each response with its connection, so these are not checked.
+	if !i.orderly && e.checked == nil && f.ctx != nil && f.ctx.Err() == nil {
+		done := make(chan struct{})
+		e.checked = done
+		f.wg.Go(func() { f.checkEnd(e, done) })
 	}
-	checked := e.checked
-	f.mu.Unlock()
-	if orderly || checked == nil {
-		return
+	if e.checked == nil {
+		return nil
 	}
+	return e.checked
+}
+
+// awaitCheck waits for the first connection attempt of a check, for endCheckWait at most.
+func (f *Frontend) awaitCheck(ctx context.Context, checked <-chan struct{}) {
 	t := f.clock.NewTimer(endCheckWait)
 	defer t.Stop()
 	select {
@@ -110,49 +93,31 @@
 	}
 }
 
-// dropBroken forgets the broken requests that are too old.
-func (e *endpoint) dropBroken(now time.Time) {
-	n := 0
-	for n < len(e.broken) && now.Sub(e.broken[n].at) > brokenMemory {
-		n++
-	}
-	e.broken = e.broken[n:]
-}
-
-// checkEnd tries to connect to an endpoint that broke off a request. A refused connection shows that its process has ended: one that lives
+// checkEnd tries to connect to an endpoint that interrupted a request. A refused connection shows that its process has ended: one that lives
 // accepts or resets connections, and one that is cut off does not respond.
-func (f *Frontend) checkEnd(e *endpoint, checked chan struct{}) {
+func (f *Frontend) checkEnd(e *endpoint, done chan<- struct{}) {
 	refused := false
 	for i, delay := range endCheckDelays {
-		f.sleep(delay)
+		wait.For(f.ctx, f.clock, delay)
 		refused = f.refusesConnections(e.pool.Address())
 		f.mu.Lock()
 		if refused {
-			f.recordEnd(e, f.clock.Now(), "refused")
+			f.recordEnd(e, f.clock.Now(), connectionRefused)
 		}
 		f.mu.Unlock()
 		if i == 0 {
-			close(checked)
+			close(done)
 		}
 		if refused || f.ctx.Err() != nil {
 			break
 		}
 	}
-	f.log.Info("endpoint checked after a broken request", slog.String("Endpoint", string(e.name)), slog.Bool("Ended", refused))
+	f.log.Info("endpoint checked after an interrupted request", slog.String("Endpoint", string(e.name)), slog.Bool("Ended", refused))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e.checked = nil
 }
 
-func (f *Frontend) sleep(d time.Duration) {
-	t := f.clock.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-f.ctx.Done():
-	}
-}
-
 func (f *Frontend) refusesConnections(address string) bool {
 	d := net.Dialer{Timeout: endCheckTimeout}
 	c, err := d.DialContext(f.ctx, "tcp", address)
@@ -163,22 +128,23 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// recordEnd records that an endpoint has ended, with the requests that it broke off; the lock is held.
-func (f *Frontend) recordEnd(e *endpoint, now time.Time, evidence string) {
-	e.dropBroken(now)
-	if evidence != "restarted" && evidence != "superseded" {
-		// The endpoint has outlived the earlier ones; only its next incarnation is noticed later.
-		e.broken = slices.DeleteFunc(e.broken, func(b brokenRequest) bool { return now.Sub(b.at) > sameEnd })
+// recordEnd records that an endpoint has ended, with the requests that it interrupted; the lock is held.
+func (f *Frontend) recordEnd(e *endpoint, now time.Time, sign endSign) {
+	age := suspicion.SameEnd
+	if sign == nextIncarnation {
+		age = suspectMemory
 	}
-	if len(e.broken) == 0 {
+	// The endpoint has outlived older ones.
+	e.dropSuspects(now, age)
+	if len(e.suspects) == 0 {
 		return
 	}
-	broken := e.broken
-	e.broken, e.endedAt = nil, now
-	f.metrics.brokenByEnds.Add(len(broken))
-	f.recordSuspects(e, now, broken)
-	for _, b := range broken {
-		f.log.Info("endpoint ended with a request in progress", slog.String("Endpoint", string(e.name)), slog.Int64("Born", e.StartMilli), slog.String("Evidence", evidence),
-			slog.String("Fingerprint", b.request.String()), slog.Int("Requests", len(broken)), slog.Int64("AgeMilli", now.Sub(b.at).Milliseconds()))
+	list := e.suspects
+	e.suspects, e.endedAt = nil, now
+	f.metrics.interruptedByEnds.Add(len(list))
+	for _, i := range list {
+		f.log.Info("endpoint ended with a request in progress", slog.String("Endpoint", string(e.name)), slog.Int64("Born", e.StartMilli), slog.String("Sign", string(sign)),
+			slog.String("Fingerprint", i.request.String()), slog.Int("Requests", len(list)), slog.Int64("AgeMilli", now.Sub(i.at).Milliseconds()))
 	}
+	f.reportEnd(e, now, list)
 }
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -241,7 +241,7 @@
 		}
 		if !previous.superseded {
 			previous.superseded = true
-			f.recordEnd(previous, f.clock.Now(), "superseded")
+			f.recordEnd(previous, f.clock.Now(), nextIncarnation)
 			f.log.Info("endpoint superseded", slog.String("Endpoint", string(previous.ID)), slog.String("Address", e.Address), slog.Int64("Born", previous.StartMilli))
 			f.updatePlacement(previous)
 		}
--- a/daemon/frontend/incarnation.go
+++ b/daemon/frontend/incarnation.go
@@ -24,7 +24,7 @@
 // replaceEndpoint replaces an endpoint by its next incarnation at the same address, of which discovery or the agent has told first. Nothing
 // that is known of the previous incarnation counts for it; the requests in progress continue. The lock is held.
 func (f *Frontend) replaceEndpoint(previous *endpoint, d inventory.Endpoint) *endpoint {
-	f.recordEnd(previous, f.clock.Now(), "restarted")
+	f.recordEnd(previous, f.clock.Now(), nextIncarnation)
 	f.forgetEndpoint(previous, "restarted")
 	e := f.addEndpoint(d)
 	e.link = previous.link
--- a/daemon/frontend/instrument.go
+++ b/daemon/frontend/instrument.go
@@ -29,8 +29,8 @@
 	prefetches *metrics.Counter
 	// interruptedRequests counts requests that were reported to agents because their connections to engines ended.
 	interruptedRequests *metrics.Counter
-	// brokenByEnds counts requests that were broken off by the end of their endpoint.
-	brokenByEnds *metrics.Counter
+	// interruptedByEnds counts requests that the end of their endpoint interrupted.
+	interruptedByEnds *metrics.Counter
 	// suspectedRequests and quarantinedRequests are those known now, and probations the sends of requests in quarantine.
 	suspectedRequests    *metrics.Gauge
 	quarantinedRequests  *metrics.Gauge
@@ -60,7 +60,7 @@
 		limitDenials:         set.GetOrCreateCounter("shallotring_frontend_limit_denials_total"),
 		prefetches:           set.GetOrCreateCounter("shallotring_frontend_prefetches_total"),
 		interruptedRequests:  set.GetOrCreateCounter("shallotring_frontend_interrupted_requests_total"),
-		brokenByEnds:         set.GetOrCreateCounter("shallotring_frontend_broken_by_ends_total"),
+		interruptedByEnds:    set.GetOrCreateCounter("shallotring_frontend_interrupted_by_ends_total"),
 		suspectedRequests:    set.GetOrCreateGauge("shallotring_frontend_suspected_requests", nil),
 		quarantinedRequests:  set.GetOrCreateGauge("shallotring_frontend_quarantined_requests", nil),
 		probations:           set.GetOrCreateCounter("shallotring_frontend_probations_total"),
--- a/daemon/frontend/quarantine.go
+++ b/daemon/frontend/quarantine.go
@@ -27,11 +27,15 @@
 	quarantineRetryAfter = 10 * time.Second
 )
 
-// interruption is a request that ended because its connection to the engine ended.
+// interruption is a request that ended because its connection to the endpoint ended.
 type interruption struct {
-	at    time.Time
+	at time.Time
+	// ran is the time since its send.
+	ran time.Duration
+	identity
+	// parts are those of its prompt that other requests may share.
 	parts []call.Part
-	// orderly is set if the response looks complete, which it may although the engine has crashed.
+	// orderly is set if the response looks complete, which it may although the endpoint has ended.
 	orderly bool
 }
 
@@ -86,27 +90,29 @@
 	f.exposures(x.service).Record(x.call.SharedParts(), f.clock.Since(since))
 }
 
-// recordInterruption records that the end of its connection to the endpoint ended a request.
+// recordInterruption records that the end of its connection to the endpoint ended a request, and waits for a moment until it is known whether
+// the endpoint has ended.
 func (f *Frontend) recordInterruption(ctx context.Context, x *request, e *endpoint, orderly bool) {
-	f.recordBroken(ctx, x, e, orderly)
-	if x.call.Model == "" {
-		return
-	}
-	if !orderly {
+	i := interruption{identity: x.identify(), parts: x.call.SharedParts(), orderly: orderly}
+	if x.call.Model != "" && !orderly {
 		x.interruptions++
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if e.link == nil {
-		return
-	}
 	now := f.clock.Now()
-	e.dropInterruptions(now)
-	if len(e.interruptions) < maxInterruptions {
-		e.interruptions = append(e.interruptions, interruption{at: now, parts: x.call.SharedParts(), orderly: orderly})
+	i.at, i.ran = now, now.Sub(x.sentAt)
+	if x.call.Model != "" && e.link != nil {
+		e.dropInterruptions(now)
+		if len(e.interruptions) < maxInterruptions {
+			e.interruptions = append(e.interruptions, i)
+		}
+		if f.endpoints[e.ID] != e {
+			f.reportInterruptions(e, now)
+		}
 	}
-	if f.endpoints[e.ID] != e {
-		f.reportInterruptions(e, now)
+	checked := f.suspectEnd(e, i)
+	f.mu.Unlock()
+	if checked != nil && !orderly {
+		f.awaitCheck(ctx, checked)
 	}
 }
 
@@ -157,7 +163,7 @@
 	now := f.clock.Now()
 	for _, x := range c.List {
 		if e := f.endpoints[x.Endpoint]; e != nil && e.StartMilli == x.Born {
-			f.recordEnd(e, now, "agent")
+			f.recordEnd(e, now, crashReported)
 		}
 		changes := f.quarantine.Observe(now, quarantine.Crash{Endpoint: x.Endpoint, StartMilli: x.Born, Host: hostOf(l.address),
 			At: now.Add(-time.Duration(x.AgeMilli) * time.Millisecond), Requests: x.Requests, Suspects: x.Suspects})
@@ -222,15 +228,14 @@
 
 // isQuarantined reports whether the request, or a part of its prompt, has been put in quarantine.
 func (f *Frontend) isQuarantined(x *request) bool {
-	suspect := f.suspecting.Load() && !x.probation
-	var whole, content fingerprint.Fingerprint
-	if suspect {
-		whole, content = x.fingerprint()
+	var i identity
+	if f.suspecting.Load() && x.probation == (fingerprint.Fingerprint{}) {
+		i = x.identify()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, p := range []fingerprint.Fingerprint{whole, content} {
-		if _, ok := f.suspects.Find(p); ok && suspect {
+	for _, p := range i.fingerprints() {
+		if _, ok := f.suspects.Find(p); ok {
 			return true
 		}
 	}
@@ -240,7 +245,7 @@
 
 // mayRepeatInterrupted reports whether a request that endpoints have broken off may run again; the lock is held.
 func (f *Frontend) mayRepeatInterrupted(x *request) bool {
-	if x.probation || x.fingerprinted && f.suspects.Ends(x.print) > maxRepeatedEnds {
+	if x.probation != (fingerprint.Fingerprint{}) || x.identity != nil && f.suspects.Ends(x.identity.request) > maxRepeatedEnds {
 		return false
 	}
 	return x.interruptions == 0 || x.interruptions < maxInterruptedRuns && !f.quarantine.Suspected(x.call.SharedParts())
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -80,14 +80,11 @@
 	sentAt time.Time
 	// interruptions counts the runs that ended with their connection to the engine.
 	interruptions int
-	// print and contentPrint are the fingerprints of the request if fingerprinted is set.
-	print, contentPrint fingerprint.Fingerprint
-	fingerprinted       bool
-	// probation is set for the one send of a request in quarantine that may show that endpoints survive it, and probationOf has its fingerprint.
-	probation   bool
-	probationOf fingerprint.Fingerprint
-	// loadProbation is the same for the load of its adapter.
-	loadProbation bool
+	// identity is nil until it is needed.
+	identity *identity
+	// probation is the fingerprint in quarantine for which this send may show that endpoints survive it, and loadProbation that of the load of
+	// its adapter; zero for other requests.
+	probation, loadProbation fingerprint.Fingerprint
 }
 
 // requestIDKey is the log attribute of the request id; the timelines of the other programs use the same one.
@@ -368,7 +365,7 @@
 	if unsent {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			f.mu.Lock()
-			f.recordEnd(e, f.clock.Now(), "refused")
+			f.recordEnd(e, f.clock.Now(), connectionRefused)
 			f.mu.Unlock()
 		}
 		// No byte of the request was sent, so sending it to another endpoint takes nothing from the retry budget.
--- a/daemon/frontend/suspect_load.go
+++ b/daemon/frontend/suspect_load.go
@@ -7,31 +7,27 @@
 
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/fingerprint"
-	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
 )
 
-// loadFingerprint returns the fingerprint of the load of an adapter. No request has it, since no request has this method.
-func loadFingerprint(av ident.AdapterVersion) fingerprint.Fingerprint {
-	return fingerprint.Of("load adapter", "", av.String(), "", nil)
-}
-
 // loadRefusal returns the refusal of a request whose adapter crashes the engines that load it, nil if it may be loaded.
-func (f *Frontend) loadRefusal(ctx context.Context, x *request) *outcome.Refusal {
+func (f *Frontend) loadRefusal(ctx context.Context, x *request) (refusal *outcome.Refusal) {
 	if !f.suspecting.Load() {
 		return nil
 	}
-	return f.verdictRefusal(ctx, x, loadFingerprint(x.adapter), &x.loadProbation, "engines end while they load the adapter")
+	x.loadProbation, refusal = f.verdictRefusal(ctx, x, loadFingerprint(x.adapter), "engines end while they load the adapter")
+	return refusal
 }
 
 // recordLoad records the end of a wait for an adapter: a load that an engine has survived, or an engine that ended before it was complete. The
 // lock is not held.
 func (f *Frontend) recordLoad(x *request, e *endpoint, loaded bool, start time.Time) {
 	probation := x.loadProbation
-	x.loadProbation = false
+	x.loadProbation = fingerprint.Fingerprint{}
 	if loaded {
 		if f.suspecting.Load() {
-			f.recordSurvival(loadFingerprint(x.adapter), probation)
+			p := loadFingerprint(x.adapter)
+			f.recordSurvival(p, probation == p)
 		}
 		return
 	}
@@ -44,7 +40,7 @@
 	p := loadFingerprint(x.adapter)
 	f.log.Info("engine ended while it loaded an adapter", x.id(), slog.String("Endpoint", string(e.name)), slog.Int64("Born", e.StartMilli), slog.String("Adapter", x.adapter.String()),
 		slog.String("Fingerprint", p.String()), slog.Int64("DurationMilli", now.Sub(start).Milliseconds()))
-	v := control.EndEvidence{Endpoint: e.name, Born: e.StartMilli, Requests: []control.BrokenRequest{{Request: p, RanMilli: now.Sub(start).Milliseconds()}}}
+	v := control.EndEvidence{Endpoint: e.name, Born: e.StartMilli, Requests: []control.InterruptedRequest{{Request: p, RanMilli: now.Sub(start).Milliseconds()}}}
 	f.observeEnd(now, v)
 	f.shareEvidence(now, control.Evidence{Host: f.host, Ends: []control.EndEvidence{v}})
 }
--- a/daemon/frontend/suspicion.go
+++ b/daemon/frontend/suspicion.go
@@ -62,11 +62,11 @@
 	unused map[fingerprint.Fingerprint]bool
 }
 
-// recordSuspects records the requests that were in progress at an endpoint that ended, and tells the other entries; the lock is held.
-func (f *Frontend) recordSuspects(e *endpoint, now time.Time, broken []brokenRequest) {
-	v := control.EndEvidence{Endpoint: e.name, Born: e.StartMilli, AgeMilli: now.Sub(broken[0].at).Milliseconds()}
-	for _, b := range broken {
-		v.Requests = append(v.Requests, control.BrokenRequest{Request: b.request, Content: b.content, RanMilli: b.ran.Milliseconds()})
+// reportEnd records the requests that were in progress at an endpoint that ended, and tells the other entries; the lock is held.
+func (f *Frontend) reportEnd(e *endpoint, now time.Time, list []interruption) {
+	v := control.EndEvidence{Endpoint: e.name, Born: e.StartMilli, AgeMilli: now.Sub(list[0].at).Milliseconds()}
+	for _, i := range list {
+		v.Requests = append(v.Requests, control.InterruptedRequest{Request: i.request, Content: i.content, RanMilli: i.ran.Milliseconds()})
 	}
 	f.observeEnd(now, v)
 	f.shareEvidence(now, control.Evidence{Host: f.host, Ends: []control.EndEvidence{v}})
@@ -76,7 +76,7 @@
 func (f *Frontend) observeEnd(now time.Time, v control.EndEvidence) {
 	end := suspicion.End{Endpoint: v.Endpoint, StartMilli: v.Born, At: now.Add(-time.Duration(v.AgeMilli) * time.Millisecond)}
 	for _, b := range v.Requests {
-		end.Requests = append(end.Requests, suspicion.BrokenRequest{Request: b.Request, Content: b.Content, Ran: time.Duration(b.RanMilli) * time.Millisecond})
+		end.Requests = append(end.Requests, suspicion.InterruptedRequest{Request: b.Request, Content: b.Content, Ran: time.Duration(b.RanMilli) * time.Millisecond})
 	}
 	for _, c := range f.suspects.RecordEnd(now, end) {
 		f.applyVerdict(c)
@@ -176,37 +176,37 @@
 
 // suspectRefusal returns the refusal of a request in quarantine, nil if it may be sent.
 func (f *Frontend) suspectRefusal(ctx context.Context, x *request) *outcome.Refusal {
-	if x.probation || !f.suspecting.Load() {
+	none := fingerprint.Fingerprint{}
+	if x.probation != none || !f.suspecting.Load() {
 		return nil
 	}
-	whole, content := x.fingerprint()
-	for _, p := range []fingerprint.Fingerprint{whole, content} {
-		if r := f.verdictRefusal(ctx, x, p, &x.probation, "endpoints end under this request"); r != nil {
-			return r
+	for _, p := range x.identify().fingerprints() {
+		probation, refusal := f.verdictRefusal(ctx, x, p, "endpoints end under this request")
+		if refusal != nil {
+			return refusal
 		}
-		if x.probation {
-			x.probationOf = p
+		if probation != none {
+			x.probation = probation
 			return nil
 		}
 	}
 	return nil
 }
 
-// verdictRefusal returns the refusal of a request because of the verdict on a fingerprint, nil if there is none. One entry at a time gets a
-// probation, which it sets.
-func (f *Frontend) verdictRefusal(ctx context.Context, x *request, p fingerprint.Fingerprint, probation *bool, detail string) *outcome.Refusal {
+// verdictRefusal returns the refusal of a request because of the verdict on a fingerprint, nil if there is none. One request at a time gets a
+// probation instead, which is the fingerprint then and zero otherwise.
+func (f *Frontend) verdictRefusal(ctx context.Context, x *request, p fingerprint.Fingerprint, detail string) (probation fingerprint.Fingerprint, refusal *outcome.Refusal) {
 	f.mu.Lock()
 	now := f.clock.Now()
 	v, ok := f.suspects.Find(p)
 	if !ok {
 		f.mu.Unlock()
-		return nil
+		return probation, nil
 	}
 	if f.suspects.unused[p] {
 		delete(f.suspects.unused, p)
 		f.mu.Unlock()
-		*probation = true
-		return nil
+		return p, nil
 	}
 	due := false
 	if x.sends == 0 && v.ProbationDue(now) {
@@ -215,17 +215,8 @@
 		}
 	}
 	f.mu.Unlock()
-	if due {
-		ctx, cancel := context.WithTimeout(ctx, probationTimeout)
-		defer cancel()
-		granted := f.suspects.requestRecord.Claim(ctx, v)
-		f.log.Warn("probation of a request in quarantine claimed", x.id(), slog.String("Fingerprint", p.String()), slog.Int("Probations", v.Probations), slog.Bool("Granted", granted))
-		if granted {
-			f.metrics.probations.Inc()
-			f.RestoreVerdict(v.TakeProbation(f.clock.Now()))
-			*probation = true
-			return nil
-		}
+	if due && f.claimProbation(ctx, x, v) {
+		return p, nil
 	}
 	f.metrics.quarantineRefusals.Inc()
 	// If the next probation shows that endpoints survive the request, it is served from then on.
@@ -233,20 +224,33 @@
 	if d := v.NextProbation.Sub(now); d > 0 {
 		retryAfter = min(retryAfter, max(d, unavailableRetryAfter))
 	}
-	return &outcome.Refusal{Reason: outcome.Quarantined, RetryAfter: retryAfter, Detail: detail}
+	return probation, &outcome.Refusal{Reason: outcome.Quarantined, RetryAfter: retryAfter, Detail: detail}
+}
+
+// claimProbation takes a probation for a request; granted is false if another entry has it or the result is not known.
+func (f *Frontend) claimProbation(ctx context.Context, x *request, v suspicion.Verdict) (granted bool) {
+	ctx, cancel := context.WithTimeout(ctx, probationTimeout)
+	defer cancel()
+	granted = f.suspects.requestRecord.Claim(ctx, v)
+	f.log.Warn("probation of a request in quarantine claimed", x.id(), slog.String("Fingerprint", v.Request.String()), slog.Int("Probations", v.Probations), slog.Bool("Granted", granted))
+	if granted {
+		f.metrics.probations.Inc()
+		f.RestoreVerdict(v.TakeProbation(f.clock.Now()))
+	}
+	return granted
 }
 
 // keepProbation keeps a probation for the next such request if this one has reached no endpoint.
 func (f *Frontend) keepProbation(x *request) {
-	if !x.probation || x.runs > 0 {
+	if x.probation == (fingerprint.Fingerprint{}) || x.runs > 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, ok := f.suspects.Find(x.probationOf); ok {
-		f.suspects.unused[x.probationOf] = true
+	if _, ok := f.suspects.Find(x.probation); ok {
+		f.suspects.unused[x.probation] = true
 	}
-	f.log.Info("probation is kept: the request reached no endpoint", x.id(), slog.String("Fingerprint", x.probationOf.String()))
+	f.log.Info("probation is kept: the request reached no endpoint", x.id(), slog.String("Fingerprint", x.probation.String()))
 }
 
 // RestoreVerdict adds a verdict that another process has recorded.
@@ -274,8 +278,7 @@
 	if !f.suspecting.Load() || response.Framing == upstream.CloseFraming || response.Status >= http.StatusInternalServerError {
 		return
 	}
-	whole, content := x.fingerprint()
-	for _, p := range []fingerprint.Fingerprint{whole, content} {
-		f.recordSurvival(p, x.probation && x.probationOf == p)
+	for _, p := range x.identify().fingerprints() {
+		f.recordSurvival(p, x.probation == p)
 	}
 }
--- a/daemon/frontend/suspicion_test.go
+++ b/daemon/frontend/suspicion_test.go
@@ -23,7 +23,7 @@
 func endUnder(f *Frontend, p fingerprint.Fingerprint, endpoints ...int) {
 	for _, i := range endpoints {
 		// The ends are independent, a second after each other.
-		f.ApplyEvidence(control.Evidence{Host: "edge-2", Ends: []control.EndEvidence{{Endpoint: ident.Endpoint(fmt.Sprint("i-", i)), AgeMilli: int64(10_000 - 1000*i), Requests: []control.BrokenRequest{{Request: p}}}}})
+		f.ApplyEvidence(control.Evidence{Host: "edge-2", Ends: []control.EndEvidence{{Endpoint: ident.Endpoint(fmt.Sprint("i-", i)), AgeMilli: int64(10_000 - 1000*i), Requests: []control.InterruptedRequest{{Request: p}}}}})
 	}
 }
 
@@ -37,8 +37,8 @@
 			t.Error("the request is refused")
 		}
 		f.recordCompleteRun(x, response)
-	}); n > 0 || x.fingerprinted {
-		t.Errorf("%.0f allocations, fingerprint computed: %t", n, x.fingerprinted)
+	}); n > 0 || x.identity != nil {
+		t.Errorf("%.0f allocations, identity computed: %t", n, x.identity != nil)
 	}
 }
 
@@ -60,7 +60,7 @@
 			f := New(message.Headers{}, "edge-1", "a", WithLog(slog.New(slog.DiscardHandler)))
 			x, other := newSuspectRequest(), newSuspectRequest()
 			other.target = "/g/2"
-			whole, _ := x.fingerprint()
+			whole := x.identify().request
 			endUnder(f, whole, c.ends[:1]...)
 			for range c.runs {
 				f.recordCompleteRun(newSuspectRequest(), &upstream.Response{Status: http.StatusOK, Framing: upstream.LengthFraming})
@@ -84,7 +84,7 @@
 	b.ReportAllocs()
 	x := newSuspectRequest()
 	for b.Loop() {
-		x.fingerprinted = false
+		x.identity = nil
 		if f.suspectRefusal(b.Context(), x) != nil {
 			b.Fatal("refused")
 		}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/coder/quartz"
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/coordination/wait"
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/protocol/upstream"
 	"shallotring.dev/state/holdings"
@@ -203,7 +204,7 @@
 			logged = true
 			s.log.Warn("no fencing number yet; the engine gets no orders until the claim succeeds", slog.Any("Error", err))
 		}
-		s.sleep(ctx, claimRetryDelay)
+		wait.For(ctx, s.clock, claimRetryDelay)
 	}
 }
 
@@ -214,15 +215,6 @@
 	}
 }
 
-func (s *Sidecar) sleep(ctx context.Context, d time.Duration) {
-	t := s.clock.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // controlEngine runs in the only goroutine that uses the keeper and sends orders to the engine.
 func (s *Sidecar) controlEngine(ctx context.Context) {
 	timer := s.clock.NewTimer(0)
--- a/protocol/control/evidence.go
+++ b/protocol/control/evidence.go
@@ -20,11 +20,11 @@
 	Born     int64 `json:",omitempty"`
 	// AgeMilli is the time since the first request was broken off.
 	AgeMilli int64 `json:",omitempty"`
-	Requests []BrokenRequest
+	Requests []InterruptedRequest
 }
 
-// BrokenRequest is a request that was in progress at the end.
-type BrokenRequest struct {
+// InterruptedRequest is a request that was in progress at the end.
+type InterruptedRequest struct {
 	Request fingerprint.Fingerprint
 	// Content is that of all requests with the same content; zero for requests that have nothing else.
 	Content fingerprint.Fingerprint `json:",omitzero"`
--- a/state/suspicion/end.go
+++ b/state/suspicion/end.go
@@ -8,10 +8,11 @@
 	"shallotring.dev/state/ident"
 )
 
+// SameEnd is the time within which reports about one incarnation concern one end. An incarnation may end twice if its successor has not been
+// noticed.
+const SameEnd = time.Second
+
 const (
-	// sameEnd is the time within which reports about one incarnation concern one end. An incarnation may end twice if its successor has not
-	// been noticed.
-	sameEnd = time.Second
 	// sameIncident is the time within which ends may have one cause outside the requests.
 	sameIncident = 100 * time.Millisecond
 	// maxEnds bounds the ends that are remembered, and endExpiry is the time for which they are.
@@ -25,11 +26,11 @@
 	StartMilli int64
 	At         time.Time
 	// Requests are those that the endpoint broke off; any of them may be the reason.
-	Requests []BrokenRequest
+	Requests []InterruptedRequest
 }
 
-// BrokenRequest is a request that an endpoint broke off when it ended.
-type BrokenRequest struct {
+// InterruptedRequest is a request that an endpoint broke off when it ended.
+type InterruptedRequest struct {
 	Request fingerprint.Fingerprint
 	// Content is that of requests with the same content that may differ in other respects, such as their adapter; zero if there are none.
 	Content fingerprint.Fingerprint
@@ -51,7 +52,7 @@
 // ending returns the end that a report is about, a new one if there is none.
 func (l *List) ending(now time.Time, e End) *ending {
 	for _, x := range l.ends {
-		if d := e.At.Sub(x.at); x.endpoint == e.Endpoint && x.startMilli == e.StartMilli && d < sameEnd && d > -sameEnd {
+		if d := e.At.Sub(x.at); x.endpoint == e.Endpoint && x.startMilli == e.StartMilli && d < SameEnd && d > -SameEnd {
 			return x
 		}
 	}
@@ -63,17 +64,17 @@
 	return x
 }
 
-// exposure is a request at an endpoint that ended.
-type exposure struct {
+// presence is a request at an endpoint that ended.
+type presence struct {
 	*ending
 	sentAt time.Time
 }
 
 // countIncidents returns the number of groups of ends that may have one cause each outside the request. A request that was sent to an endpoint
 // after another one had ended under it is evidence of its own, however soon the second end follows.
-func countIncidents(ends []exposure) (n int) {
+func countIncidents(ends []presence) (n int) {
 	sorted := slices.Clone(ends)
-	slices.SortFunc(sorted, func(a, b exposure) int { return a.at.Compare(b.at) })
+	slices.SortFunc(sorted, func(a, b presence) int { return a.at.Compare(b.at) })
 	var start time.Time
 	for i, x := range sorted {
 		if i == 0 || x.at.Sub(start) > sameIncident || x.sentAt.After(start) {
--- a/state/suspicion/list.go
+++ b/state/suspicion/list.go
@@ -62,7 +62,7 @@
 
 // suspect is a request that was in progress at endpoints that ended.
 type suspect struct {
-	ends []exposure
+	ends []presence
 	// survivals are the complete runs that have not outweighed an end yet, and reported those that each entry has reported.
 	survivals int
 	reported  map[ident.Host]int
@@ -120,15 +120,15 @@
 		}
 	}
 	for _, b := range e.Requests {
-		at := exposure{ending: x, sentAt: e.At.Add(-b.Ran)}
-		l.expose(now, b.Request, at)
+		at := presence{ending: x, sentAt: e.At.Add(-b.Ran)}
+		l.place(now, b.Request, at)
 		if b.Content == (fingerprint.Fingerprint{}) {
 			continue
 		}
 		switch other, ok := x.contents[b.Content]; {
 		case !ok:
 			x.contents[b.Content] = b.Request
-			l.expose(now, b.Content, at)
+			l.place(now, b.Content, at)
 		case other != b.Request:
 			// Different requests have this content, so it does not identify the one that may be the reason.
 			x.contents[b.Content] = fingerprint.Fingerprint{}
@@ -149,8 +149,8 @@
 	return changes
 }
 
-// expose records that a request was at an endpoint that ended, unless the end is explained.
-func (l *List) expose(now time.Time, p fingerprint.Fingerprint, at exposure) {
+// place records that a request was at an endpoint that ended, unless the end is explained.
+func (l *List) place(now time.Time, p fingerprint.Fingerprint, at presence) {
 	v, ok := l.verdicts[p]
 	if !ok && at.explained {
 		return
@@ -169,7 +169,7 @@
 	if s == nil {
 		return c, false
 	}
-	s.ends = slices.DeleteFunc(s.ends, func(e exposure) bool { return e.ending == x })
+	s.ends = slices.DeleteFunc(s.ends, func(e presence) bool { return e.ending == x })
 	v, ok := l.verdicts[p]
 	if !ok || len(s.ends) >= minEnds {
 		return c, false
@@ -191,7 +191,7 @@
 }
 
 // add records that the request was at an endpoint that ended, perhaps sent by several entries.
-func (s *suspect) add(x exposure) {
+func (s *suspect) add(x presence) {
 	for i, known := range s.ends {
 		if known.ending == x.ending {
 			if x.sentAt.After(known.sentAt) {
@@ -281,7 +281,7 @@
 		if _, ok := l.verdicts[p]; ok {
 			continue
 		}
-		s.ends = slices.DeleteFunc(s.ends, func(e exposure) bool { return e.ending == x })
+		s.ends = slices.DeleteFunc(s.ends, func(e presence) bool { return e.ending == x })
 		if len(s.ends) == 0 {
 			delete(l.suspects, p)
 		}
--- a/state/suspicion/list_test.go
+++ b/state/suspicion/list_test.go
@@ -33,7 +33,7 @@
 func end(endpoint int, at time.Duration, requests ...fingerprint.Fingerprint) (e End) {
 	e = End{Endpoint: ident.Endpoint(fmt.Sprint("i-", endpoint)), StartMilli: 1, At: start.Add(at)}
 	for _, p := range requests {
-		e.Requests = append(e.Requests, BrokenRequest{Request: p, Ran: runTime})
+		e.Requests = append(e.Requests, InterruptedRequest{Request: p, Ran: runTime})
 	}
 	return e
 }
@@ -167,7 +167,7 @@
 	l, now := New(), start
 	for i := range 3 * maxSuspects {
 		now = now.Add(time.Second / 100)
-		l.RecordEnd(now, End{Endpoint: ident.Endpoint(fmt.Sprint(i)), At: now, Requests: []BrokenRequest{{Request: request(fmt.Sprint(i))}, {Request: request(fmt.Sprint("x", i))}}})
+		l.RecordEnd(now, End{Endpoint: ident.Endpoint(fmt.Sprint(i)), At: now, Requests: []InterruptedRequest{{Request: request(fmt.Sprint(i))}, {Request: request(fmt.Sprint("x", i))}}})
 	}
 	if len(l.suspects) > maxSuspects || len(l.ends) > maxEnds {
 		t.Errorf("%d suspects and %d ends are kept", len(l.suspects), len(l.ends))
