--- a/protocol/upstream/cut_head_test.go
+++ b/protocol/upstream/cut_head_test.go
@@ -54,20 +54,10 @@
 	}
 }
 
-// serveOnce serves one connection: a good response first if the connection is kept, then the text, and closes it in an orderly way.
+// serveOnce serves each connection: a good response first if the connection is kept, then the text, and an orderly end.
 func serveOnce(t *testing.T, kept bool, text string) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		defer l.Close()
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
+	return serveConnections(t, func(c net.Conn) {
 		b := make([]byte, 4096)
 		if kept {
 			c.Read(b)
@@ -75,6 +65,5 @@
 		}
 		c.Read(b)
 		io.WriteString(c, text)
-	}()
-	return l.Addr().String()
+	})
 }
