--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -116,6 +117,14 @@
 	*standin.Engine
 	*server
 	name string
+	// left is set once the endpoint has left discovery for good.
+	left atomic.Bool
+}
+
+// leave removes the discovery entry of an endpoint that goes on serving.
+func (e *endpoint) leave() {
+	e.left.Store(true)
+	e.Remove()
 }
 
 // beat renews the discovery entry, which the store removes after three intervals without a renewal.
@@ -128,6 +137,9 @@
 			return
 		case <-t.C:
 		}
+		if e.left.Load() {
+			return
+		}
 		e.server.mu.Lock()
 		running := e.server.current != nil
 		e.server.mu.Unlock()
@@ -207,7 +219,9 @@
 	dir     string
 	octet   int
 	storeAt string
-	port    int
+	// entryStoreAt is the address at which entries reach the store; empty for that of the store itself.
+	entryStoreAt string
+	port         int
 	// wrap replaces the handler of an endpoint; nil keeps it.
 	wrap func(e *endpoint) http.Handler
 	done chan struct{}
@@ -271,6 +285,9 @@
 	front, ready := hostPort(ip, f.port+2), hostPort(ip, f.port+3)
 	e := &process{name: fmt.Sprint("edge-", host), program: "target/entry", dir: f.dir, metrics: hostPort(ip, f.port+4)}
 	e.settings = f.settings(e.name, "edge", zone, ip) + fmt.Sprintf("listen.front=%s\nlisten.ready=%s\nlimits.memoryMb=284\n", front, ready)
+	if f.entryStoreAt != "" {
+		e.settings = strings.Replace(e.settings, "platform.address="+f.storeAt, "platform.address="+f.entryStoreAt, 1)
+	}
 	f.entries, f.fronts, f.ready = append(f.entries, e), append(f.fronts, front), append(f.ready, ready)
 	return e.start()
 }
