--- a/review/harness/crowdedrequest.go
+++ b/review/harness/crowdedrequest.go
@@ -29,7 +29,7 @@
 		return false, err
 	}
 	defer f.close()
-	c, err := f.addCrashingEngines(enginesCount, standin.Poison{Target: crowdTarget, Body: crowdBody, Probability: 1, Stage: standin.InsideEvent}, trouble)
+	c, err := f.addCrashingEngines(quietEngines, standin.Poison{Target: crowdTarget, Body: crowdBody, Probability: 1, Stage: standin.InsideEvent}, trouble)
 	if err != nil {
 		return false, err
 	}
--- a/review/harness/quietpoison.go
+++ b/review/harness/quietpoison.go
@@ -16,7 +16,7 @@
 const (
 	quietPart    = 0xbad0
 	sharedPart   = 0x51
-	enginesCount = 3
+	quietEngines = 3
 	// The traffic of quiet hours: sound requests alone for soundAlone, then also those with the part.
 	length         = 85 * time.Second
 	soundAlone     = 25 * time.Second
@@ -31,7 +31,7 @@
 		return false, err
 	}
 	defer f.close()
-	c, err := f.addCrashingEngines(enginesCount, standin.Poison{Part: quietPart, Probability: 1, Stage: standin.InsideEvent}, trouble)
+	c, err := f.addCrashingEngines(quietEngines, standin.Poison{Part: quietPart, Probability: 1, Stage: standin.InsideEvent}, trouble)
 	if err != nil {
 		return false, err
 	}
