sendpool: a limit that has ended does not come back with an entry that asks

Cause: an entry that had not noticed the end of a limit named it again when it asked for sends, and the reports of the engine could not end it any more. The new test failed before.

--- a/state/sendpool/pool.go
+++ b/state/sendpool/pool.go
@@ -13,6 +13,8 @@
 	probePerSecond = 0.2
 	// expiry is the time after which the limit of an endpoint that nobody asks for is forgotten.
 	expiry = time.Minute
+	// staleTime is the time for which entries may still ask with a limit that has ended.
+	staleTime = 2 * time.Second
 )
 
 // Grant is the response to a request for one send.
@@ -31,10 +33,12 @@
 }
 
 type endpoint struct {
-	limit  sendlimit.Limit
-	budget *sendlimit.Budget
-	usedAt time.Time
-	// reported is set if the endpoint's reports have named the limit, so that they also tell its end.
+	// limit is unnamed since endedAt if it has ended.
+	limit   sendlimit.Limit
+	endedAt time.Time
+	budget  *sendlimit.Budget
+	usedAt  time.Time
+	// reported is set if the endpoint's reports have named a limit, so that they also tell its end.
 	reported bool
 }
 
@@ -59,16 +63,23 @@
 }
 
 // set is Observe with the lock held.
-func (p *Pool) set(now time.Time, name ident.Endpoint, l sendlimit.Limit, reported bool) *endpoint {
+func (p *Pool) set(now time.Time, name ident.Endpoint, l sendlimit.Limit, reported bool) {
 	e := p.endpoints[name]
-	if !l.Named {
-		delete(p.endpoints, name)
-		return nil
-	}
 	if e == nil {
+		if !l.Named {
+			return
+		}
+		p.expire(now)
 		e = &endpoint{}
 		p.endpoints[name] = e
 	}
+	if !l.Named {
+		if e.limit.Named {
+			e.endedAt = now
+		}
+		e.limit, e.budget = l, nil
+		return
+	}
 	e.limit, e.usedAt, e.reported = l, now, e.reported || reported
 	perSecond := l.PerSecond
 	if !e.reported {
@@ -78,20 +89,20 @@
 		e.budget = sendlimit.NewBudget(now, perSecond, 0)
 	}
 	e.budget.SetRate(now, perSecond)
-	return e
 }
 
 // Reserve hands out one send to an endpoint that is due within maxWait. known is the limit that the asking entry knows; it counts if the
-// pool knows none.
+// pool knows none and has not known one for staleTime.
 func (p *Pool) Reserve(now time.Time, name ident.Endpoint, known sendlimit.Limit, maxWait time.Duration) (g Grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.endpoints[name]
-	if e == nil {
-		if e = p.set(now, name, known, false); e == nil {
-			return Grant{Granted: true}
-		}
-		p.expire(now)
+	if e == nil || !e.limit.Named && now.Sub(e.endedAt) >= staleTime {
+		p.set(now, name, known, false)
+		e = p.endpoints[name]
+	}
+	if e == nil || !e.limit.Named {
+		return Grant{Granted: true}
 	}
 	e.usedAt = now
 	g.Limit = e.limit
--- a/state/sendpool/pool_test.go
+++ b/state/sendpool/pool_test.go
@@ -27,6 +27,33 @@
 		{"never named in reports", func(p *Pool) { p.Observe(now, "e", named(2)); p.ObserveReport(now, "e", sendlimit.Limit{}) }, named(2)},
 		{"asked for by an entry", func(p *Pool) { p.Reserve(now, "e", named(3), 0) }, named(3)},
 		{"restarted", func(p *Pool) { p.Observe(now, "e", named(2)); p.Forget("e") }, sendlimit.Limit{}},
+		{"ended in reports, and an entry that asks does not know yet", func(p *Pool) {
+			p.ObserveReport(now, "e", named(2))
+			p.ObserveReport(now, "e", sendlimit.Limit{})
+			p.Reserve(now.Add(100*time.Millisecond), "e", named(2), 0)
+		}, sendlimit.Limit{}},
+		{"ended for an entry, and another one that asks does not know yet", func(p *Pool) {
+			p.Observe(now, "e", named(2))
+			p.Observe(now, "e", sendlimit.Limit{})
+			p.Reserve(now.Add(100*time.Millisecond), "e", named(2), 0)
+		}, sendlimit.Limit{}},
+		{"ended in reports, asked for late, and the next report names none", func(p *Pool) {
+			p.ObserveReport(now, "e", named(2))
+			p.ObserveReport(now, "e", sendlimit.Limit{})
+			p.Reserve(now.Add(time.Minute), "e", named(2), 0)
+			p.ObserveReport(now.Add(time.Minute), "e", sendlimit.Limit{})
+		}, sendlimit.Limit{}},
+		{"ended, and observed again", func(p *Pool) {
+			p.ObserveReport(now, "e", named(2))
+			p.ObserveReport(now, "e", sendlimit.Limit{})
+			p.Observe(now, "e", named(3))
+			p.Reserve(now, "e", named(3), 0)
+		}, named(3)},
+		{"ended, and known to an entry long after", func(p *Pool) {
+			p.Observe(now, "e", named(2))
+			p.Observe(now, "e", sendlimit.Limit{})
+			p.Reserve(now.Add(time.Minute), "e", named(3), 0)
+		}, named(3)},
 		{"nobody asks", func(p *Pool) { p.Observe(now, "e", named(2)); p.Reserve(now.Add(2*expiry), "other", named(1), 0) }, sendlimit.Limit{}},
 	} {
 		p := New()
