--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -48,9 +48,14 @@
 	Key      string
 	Value    []byte
 	Revision ident.Revision
-	Deleted  bool
+	// Created is the revision at which the key was created, 0 if the store does not tell.
+	Created ident.Revision
+	Deleted bool
 	// Restored is set in the first full read of a new era: the record may be older than what the mirror has reported before.
 	Restored bool
+	// Missing is set, in a record without a value and only with WithMissingKeys, if a key is gone after an interruption in which most others stayed. It is reported once
+	// more, as deleted or with the value that its owner has written again.
+	Missing bool
 }
 
 // Store is the part of a key-value store that a mirror needs.
@@ -59,6 +64,8 @@
 	Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) (list []Record, at ident.Position, err error)
 	// Recovered returns a channel that is closed when a call of any mirror shows that the store responds again after an outage.
 	Recovered() <-chan struct{}
+	// UnansweredAt returns the time at which the last call of any mirror that got no useful response was sent, zero if there is none.
+	UnansweredAt() time.Time
 }
 
 // Mirror follows one prefix. It is not safe for concurrent use: the goroutine of Run also calls the handler.
@@ -72,6 +79,10 @@
 	watchPause       time.Duration
 	fullReadInterval time.Duration
 	recoveryGrace    time.Duration
+	// contactTimeout limits the grace period, counted from the latest time at which the store was certainly not reached; 0 means no limit.
+	contactTimeout time.Duration
+	// reportsMissing is set if the handler gets records with Missing.
+	reportsMissing bool
 
 	// positions has the position of the last write of each present key, position that of the store up to which all changes are
 	// applied.
@@ -79,9 +90,11 @@
 	position  ident.Position
 	// unavailable is set after a call to the store has failed (other than with ErrCompacted), until the next successful full read.
 	unavailable bool
-	// lastFullRead is the time of the last full read, recoveredAt that of the store's last recovery or restoration.
-	lastFullRead time.Time
-	recoveredAt  time.Time
+	// nextFullRead is the time at which a full read is due.
+	nextFullRead time.Time
+	// respondedAt is the time of the last response of the store.
+	respondedAt time.Time
+	recovery
 }
 
 // Option changes how a mirror is built.
@@ -99,6 +112,13 @@
 // WithWatchPause sets the pause between two watches.
 func WithWatchPause(d time.Duration) Option { return func(m *Mirror) { m.watchPause = d } }
 
+// WithContactTimeout sets the time after the end of an interruption at which missing keys must count as deleted, although the recovery may have
+// been noticed late.
+func WithContactTimeout(d time.Duration) Option { return func(m *Mirror) { m.contactTimeout = d } }
+
+// WithMissingKeys makes the mirror report keys that went missing while others stayed, before they count as deleted.
+func WithMissingKeys() Option { return func(m *Mirror) { m.reportsMissing = true } }
+
 // WithFullReadInterval sets the interval between two full reads.
 func WithFullReadInterval(d time.Duration) Option { return func(m *Mirror) { m.fullReadInterval = d } }
 
@@ -107,7 +127,7 @@
 	m := &Mirror{
 		store: store, prefix: prefix, handle: handle, clock: quartz.NewReal(), log: slog.New(slog.DiscardHandler),
 		watchTimeout: DefaultWatchTimeout, watchPause: DefaultWatchPause, fullReadInterval: DefaultFullReadInterval,
-		recoveryGrace: DefaultRecoveryGrace, positions: make(map[string]ident.Position),
+		recoveryGrace: DefaultRecoveryGrace, positions: make(map[string]ident.Position), recovery: recovery{missing: make(map[string]absence)},
 	}
 	for _, o := range options {
 		o(m)
@@ -124,9 +144,9 @@
 		switch {
 		case err == nil:
 			pause = minRetryPause
-			m.sleep(ctx, m.watchPause, nil)
+			m.sleep(ctx, min(m.watchPause, m.clock.Until(m.nextFullRead)), nil)
 		case errors.Is(err, ErrCompacted) || errors.Is(err, errRestored):
-			m.lastFullRead = time.Time{}
+			m.nextFullRead = time.Time{}
 		case errors.Is(err, ErrRecovered):
 			m.log.Info("call ended, because the store was away meanwhile", slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(m.position.Revision)),
 				slog.Int64("DurationMilli", m.clock.Since(sent).Milliseconds()))
@@ -149,14 +169,14 @@
 
 func (m *Mirror) step(ctx context.Context) (err error) {
 	now := m.clock.Now()
-	if m.lastFullRead.IsZero() || now.Sub(m.lastFullRead) >= m.fullReadInterval || m.unavailable {
+	if !now.Before(m.nextFullRead) || m.unavailable {
 		return m.readAll(ctx, now)
 	}
-	list, at, err := m.store.Watch(ctx, m.prefix, m.position.Revision,
-		min(m.watchTimeout, max(m.fullReadInterval-now.Sub(m.lastFullRead), time.Millisecond)))
+	list, at, err := m.store.Watch(ctx, m.prefix, m.position.Revision, min(m.watchTimeout, max(m.nextFullRead.Sub(now), time.Millisecond)))
 	if err != nil {
 		return err
 	}
+	m.respondedAt = m.clock.Now()
 	if at.Era != m.position.Era {
 		// The changes follow a revision of another era, so they do not connect to what the mirror has.
 		return errRestored
@@ -168,8 +188,8 @@
 	return nil
 }
 
-// readAll reads the whole prefix. It rejects a read that is older than the mirror. A missing key counts as deleted, except
-// during the grace period after an outage or a restoration, in which keys that expired or were lost may be written again.
+// readAll reads the whole prefix. It rejects a read that is older than the mirror. A missing key counts as deleted, except during the grace period
+// after an outage or a restoration, in which keys that expired or were lost may be written again.
 func (m *Mirror) readAll(ctx context.Context, now time.Time) (err error) {
 	list, at, err := m.store.List(ctx, m.prefix)
 	if err != nil {
@@ -178,55 +198,42 @@
 	if at.Compare(m.position) < 0 {
 		return eris.Errorf("full read is at revision %d of era %d, older than revision %d of era %d of the mirror", at.Revision, at.Era, m.position.Revision, m.position.Era)
 	}
-	if m.position.Revision > 0 && at.Era > m.position.Era {
-		m.recoveredAt = m.clock.Now()
+	restored := m.position.Revision > 0 && at.Era > m.position.Era
+	if restored {
 		m.log.Warn("store was restored from an older copy; newer values are kept until they are written again", slog.String("Prefix", m.prefix),
 			slog.Int64("Era", int64(at.Era)), slog.Int64("FormerEra", int64(m.position.Era)), slog.Int64("Revision", int64(at.Revision)), slog.Int64("FormerRevision", int64(m.position.Revision)))
 		for i := range list {
 			list[i].Restored = true
 		}
 	}
+	if restored || m.unavailable {
+		m.beginGrace(restored)
+	}
+	found := m.compare(list)
 	if m.unavailable {
 		m.unavailable = false
-		m.recoveredAt = m.clock.Now()
-		m.log.Info("store is reachable again", slog.String("Prefix", m.prefix), slog.Int64("Revision", int64(at.Revision)))
-	}
-	seen := make(map[string]bool, len(list))
-	for _, r := range list {
-		seen[r.Key] = true
-	}
-	missing := 0
-	for key := range m.positions {
-		if !seen[key] {
-			missing++
-		}
+		m.logRecovery(at, found)
 	}
-	graceOver := m.recoveredAt.IsZero() || m.clock.Now().Sub(m.recoveredAt) >= m.recoveryGrace
-	if graceOver {
-		for key := range m.positions {
-			if !seen[key] {
-				list = append(list, Record{Key: key, Revision: at.Revision, Deleted: true})
-			}
-		}
-	}
-	m.apply(list, at.Era)
+	m.respondedAt = m.clock.Now()
+	m.nextFullRead = now.Add(m.fullReadInterval)
+	m.apply(append(list, m.missingRecords(at, found)...), at.Era)
 	m.position = at
-	m.lastFullRead = now
-	if missing > 0 && !graceOver {
-		// The next full read is due at the end of the grace period, when the owners that still run have written their keys again.
-		m.lastFullRead = now.Add(m.recoveryGrace - m.fullReadInterval)
-	}
 	return nil
 }
 
 func (m *Mirror) apply(list []Record, era ident.Era) {
 	newer := list[:0]
 	for _, r := range list {
+		if r.Missing {
+			newer = append(newer, r)
+			continue
+		}
 		at := ident.Position{Era: era, Revision: r.Revision}
 		if at.Compare(m.positions[r.Key]) <= 0 {
 			continue
 		}
 		m.positions[r.Key] = at
+		delete(m.missing, r.Key)
 		if r.Deleted {
 			delete(m.positions, r.Key)
 		}
--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -32,6 +32,8 @@
 
 func (s *fakeStore) Recovered() <-chan struct{} { return nil }
 
+func (s *fakeStore) UnansweredAt() time.Time { return time.Time{} }
+
 type contents map[string]Record
 
 func (s contents) apply(list []Record) {
@@ -127,7 +129,7 @@
 	cancel()
 	<-done
 	s.err = nil
-	m.lastFullRead = time.Time{}
+	m.nextFullRead = time.Time{}
 	lists := s.lists
 	step(t, m)
 	if s.lists != lists+1 {
@@ -144,6 +146,8 @@
 
 func (s *recoveringStore) Recovered() <-chan struct{} { return nil }
 
+func (s *recoveringStore) UnansweredAt() time.Time { return time.Time{} }
+
 func (s *recoveringStore) List(context.Context, string) (list []Record, at ident.Position, err error) {
 	list, s.lists = s.lists[0], s.lists[1:]
 	return list, ident.Position{Revision: list[len(list)-1].Revision}, nil
@@ -182,6 +186,8 @@
 
 func (s *returningStore) Recovered() <-chan struct{} { return s.returned }
 
+func (s *returningStore) UnansweredAt() time.Time { return time.Time{} }
+
 func (s *returningStore) List(context.Context, string) (list []Record, at ident.Position, err error) {
 	if s.reads++; s.reads == 1 {
 		close(s.returned)
--- a/coordination/mirror/restore_test.go
+++ b/coordination/mirror/restore_test.go
@@ -26,7 +26,7 @@
 	if string(got["p/a"].Value) != "1" {
 		t.Fatalf("an event of another era was applied: %v", got)
 	}
-	s.events, m.lastFullRead = nil, time.Time{}
+	s.events, m.nextFullRead = nil, time.Time{}
 	step(t, m)
 	for key, value := range map[string]string{"p/a": "1", "p/b": "0", "p/d": "0"} {
 		if r := got[key]; string(r.Value) != value || !r.Restored {
@@ -82,7 +82,7 @@
 		if err := m.step(context.Background()); !errors.Is(err, errRestored) {
 			t.Fatalf("era %d: %v", era, err)
 		}
-		m.lastFullRead = time.Time{}
+		m.nextFullRead = time.Time{}
 		step(t, m)
 		if v := string(got["p/a"].Value); v != string(s.items[0].Value) {
 			t.Errorf("era %d: value %s", era, v)
--- a/daemon/direct/agent.go
+++ b/daemon/direct/agent.go
@@ -108,7 +108,12 @@
 			a.log.Warn("configuration has no base model for the engine; it is not applied", slog.Int64("Version", t.Version), slog.String("Service", string(a.settings.Service)))
 			continue
 		}
-		s.Configure(e.Models[0], e.Adapters)
-		a.log.Info("configuration in force", slog.Int64("Version", t.Version), slog.String("Model", string(e.Models[0])), slog.Int("Adapters", e.Adapters))
+		s.Configure(*e)
+		m, _ := e.Model()
+		a.log.Info("configuration in force", slog.Int64("Version", t.Version), slog.String("Model", string(m.Name)), slog.Int("Adapters", e.Adapters),
+			slog.Int("AdapterSlots", e.AdapterSlots()), slog.Float64("MemoryMegabytes", float64(e.Memory)), slog.Float64("ModelMegabytes", float64(m.Size)), slog.Float64("AdapterMegabytes", float64(m.AdapterSize)))
+		if e.AdapterSlots() == 0 {
+			a.log.Error("engine holds no adapter beside its base model", slog.Int64("Version", t.Version), slog.Bool("HoldsModel", e.HoldsModel()))
+		}
 	}
 }
--- a/daemon/direct/direct_test.go
+++ b/daemon/direct/direct_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,11 +27,15 @@
 	log  *recorder
 }
 
-// recorder is a log that counts its lines by message.
+// maxLines bounds the lines that a recorder keeps.
+const maxLines = 4096
+
+// recorder is a log that counts its lines by message and keeps the last ones.
 type recorder struct {
 	slog.Handler
 	mu     sync.Mutex
 	counts map[string]int
+	lines  []slog.Record
 }
 
 func (r *recorder) Enabled(context.Context, slog.Level) bool { return true }
@@ -39,9 +44,33 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts[x.Message]++
+	if len(r.lines) == maxLines {
+		r.lines = slices.Delete(r.lines, 0, maxLines/2)
+	}
+	r.lines = append(r.lines, x)
 	return nil
 }
 
+// about returns the lines that are kept about a request.
+func (r *recorder) about(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b strings.Builder
+	text := slog.NewTextHandler(&b, nil)
+	for _, x := range r.lines {
+		named := false
+		x.Attrs(func(a slog.Attr) bool {
+			named = named || a.Value.String() == id
+			return !named
+		})
+		if named {
+			// A strings.Builder takes all that is written.
+			_ = text.Handle(context.Background(), x)
+		}
+	}
+	return b.String()
+}
+
 func (r *recorder) count(message string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -82,7 +111,8 @@
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(10 * time.Second))
-	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: trial.example\r\nShallotring-Attempt-Id: %s\r\nShallotring-Deadline-Ms: 4000\r\nContent-Length: 2\r\n", path, id)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: trial.example\r\nShallotring-Attempt-Id: %s\r\nShallotring-Deadline-Ms: 4000\r\nContent-Length: 2\r\n%s: %s\r\n", path, id,
+		standin.DeploymentHeader, d.Name)
 	if model != "" {
 		fmt.Fprintf(c, "Shallotring-Model: %s\r\nShallotring-Token-Usage: 100,20\r\nShallotring-Prompt-Prefix: a1:50,b2:50\r\n", model)
 	}
@@ -97,21 +127,7 @@
 
 // exchange sends one request through a random entry on a connection of its own; the status is 0 if there is no response.
 func (d *deployment) exchange(r *rand.Rand, call standin.Call) (status int, header http.Header) {
-	c, err := net.Dial("tcp", d.Fronts[r.IntN(len(d.Fronts))])
-	if err != nil {
-		return 0, nil
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(10 * time.Second))
-	io.WriteString(c, call.Encode())
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return 0, nil
-	}
-	if _, err = io.Copy(io.Discard, response.Body); err != nil {
-		return 0, nil
-	}
-	return response.StatusCode, response.Header
+	return d.Exchange(d.Fronts[r.IntN(len(d.Fronts))], call)
 }
 
 // sendUntilServed sends a request with new ids until one is served; a request that is refused must not have run.
@@ -127,7 +143,7 @@
 		if status == http.StatusServiceUnavailable {
 			for _, e := range append(d.Engines, d.Service) {
 				if e.Runs(requestID) > 0 {
-					d.t.Errorf("%s was refused but has run", requestID)
+					d.t.Errorf("%s was refused (%q) but has run %d times at %s of deployment %s\n%s", requestID, body, e.Runs(requestID), e.ID(), d.Name, d.log.about(requestID))
 				}
 			}
 		}
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -42,15 +42,6 @@
 	acceptStreamsDuration = 2900 * time.Millisecond
 	// exitReserve is the part of the grace period that is reserved for the exit of the process.
 	exitReserve = 500 * time.Millisecond
-	// discoveryPauseShare is the pause between two watches of the endpoints, as a share of the time after which a leaving endpoint
-	// must get no requests. It collects the changes of many endpoints, since each response to a watch is a call to the store.
-	discoveryPauseShare = 0.5
-	// discoveryFullReadShare is the interval at which the whole list of endpoints is read even if the watch reports no change, as a
-	// multiple of the same time.
-	discoveryFullReadShare = 2.5
-	// probeShare is the longest silence of the store, as a share of the time within which a configuration must be in force. The other half is
-	// left for the end of a watch that an outage has swallowed, and a full read.
-	probeShare = 0.5
 	// quarantineWatchPause is short, since entries without agents share the evidence in the store.
 	quarantineWatchPause = 20 * time.Millisecond
 	// quarantineWatchTimeout and quarantineFullReadInterval are long: entries learn of crashes from the agents; the store has what was found
@@ -62,6 +53,7 @@
 // Entry is the program that runs on an entry host.
 type Entry struct {
 	settings boot.Settings
+	fresh    freshness
 	log      *slog.Logger
 	frontend *frontend.Frontend
 	metrics  *metrics.Set
@@ -75,10 +67,11 @@
 // NewEntry returns an entry for the settings.
 func NewEntry(s boot.Settings, log *slog.Logger) *Entry {
 	set := metrics.NewSet()
-	client := store.New(s.Store, store.WithProbeInterval(scale(s.ConfigurationTimeout, probeShare)))
+	fresh := newFreshness(s.DrainTimeout, s.ConfigurationTimeout, s.ContactTimeout)
+	client := store.New(s.Store, store.WithProbeInterval(fresh.probeInterval), store.WithWatchMargin(fresh.watchMargin))
 	keeper := quarantinerecord.New(client, s.Host, quarantinerecord.WithLog(log))
 	requests := requestrecord.New(client, s.Host, requestrecord.WithLog(log))
-	return &Entry{settings: s, log: log, metrics: set, store: client, quarantine: keeper, requests: requests, frontend: frontend.New(message.Headers{}, s.Host, s.Zone,
+	return &Entry{settings: s, fresh: fresh, log: log, metrics: set, store: client, quarantine: keeper, requests: requests, frontend: frontend.New(message.Headers{}, s.Host, s.Zone,
 		frontend.WithLog(log), frontend.WithMetrics(set), frontend.WithControlPort(s.ControlPort), frontend.WithQuarantineRecord(keeper.Record), frontend.WithRequestRecord(requests),
 		frontend.WithRetryLimit(frontend.RetryLimit{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}))}
 }
@@ -126,11 +119,12 @@
 		}
 		defer metricsServer.Close()
 	}
-	operators := mirror.New(e.store, catalog.OperatorPrefix, e.applyOperatorChanges, mirror.WithLog(e.log))
-	endpoints := mirror.New(e.store, catalog.EndpointPrefix, e.applyDiscovery, mirror.WithLog(e.log), mirror.WithWatchPause(scale(e.settings.DrainTimeout, discoveryPauseShare)),
-		mirror.WithFullReadInterval(scale(e.settings.DrainTimeout, discoveryFullReadShare)))
+	operators := mirror.New(e.store, catalog.OperatorPrefix, e.applyOperatorChanges, mirror.WithLog(e.log), mirror.WithWatchTimeout(e.fresh.operatorWait))
+	endpoints := mirror.New(e.store, catalog.EndpointPrefix, e.applyDiscovery, mirror.WithLog(e.log), mirror.WithWatchPause(e.fresh.endpointPause),
+		mirror.WithWatchTimeout(e.fresh.endpointWait), mirror.WithFullReadInterval(e.fresh.endpointInterval), mirror.WithContactTimeout(e.fresh.contact), mirror.WithMissingKeys())
 	quarantined := mirror.New(e.store, quarantinerecord.Prefix, e.applyQuarantine, mirror.WithLog(e.log), mirror.WithWatchPause(quarantineWatchPause),
 		mirror.WithWatchTimeout(quarantineWatchTimeout), mirror.WithFullReadInterval(quarantineFullReadInterval))
+	wg.Go(func() { e.store.Run(background) })
 	wg.Go(func() { quarantined.Run(background) })
 	wg.Go(func() { e.quarantine.Run(background) })
 	wg.Go(func() { e.requests.Run(background) })
@@ -225,6 +219,10 @@
 func (e *Entry) applyDiscovery(list []mirror.Record) {
 	for _, r := range list {
 		id := ident.Endpoint(r.Key[len(catalog.EndpointPrefix):])
+		if r.Missing {
+			e.frontend.DoubtEndpoint(id)
+			continue
+		}
 		if r.Deleted {
 			e.frontend.RemoveEndpoint(id)
 			continue
--- /dev/null
+++ b/daemon/direct/freshness_test.go
@@ -0,0 +1,30 @@
+package direct
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWaitsFitTheBounds guards against waits, each reasonable alone, whose sum is longer than the bounds of a site allow.
+func TestWaitsFitTheBounds(t *testing.T) {
+	for _, x := range []struct{ drain, configuration, contact time.Duration }{
+		{2 * time.Second, 2 * time.Second, 3 * time.Second},
+		{5 * time.Second, 2 * time.Second, 3 * time.Second},
+		{2 * time.Second, 10 * time.Second, 3 * time.Second},
+		{4 * time.Second, 6 * time.Second, 10 * time.Second},
+	} {
+		f := newFreshness(x.drain, x.configuration, x.contact)
+		for name, sum := range map[string]struct{ is, bound time.Duration }{
+			"undisturbed":         {f.undisturbed(), x.drain},
+			"one silent watch":    {f.silentConnection(), x.contact},
+			"silent watch of op":  {f.silentOperatorConnection(), x.contact},
+			"interruption":        {f.interruption(), x.contact},
+			"silent connections":  {f.silentConnections(), x.contact},
+			"time for the doubts": {f.interruption() + 2*time.Second, x.contact + readTime},
+		} {
+			if sum.is > sum.bound {
+				t.Errorf("%+v: %s: %v, %v allowed", x, name, sum.is, sum.bound)
+			}
+		}
+	}
+}
--- a/daemon/direct/limit_test.go
+++ b/daemon/direct/limit_test.go
@@ -158,8 +158,20 @@
 // TestLimitOfServiceBindsAllEntries guards against entries that exceed the limit of a service without agents, and against requests that
 // wait for it without a chance to be served.
 func TestLimitOfServiceBindsAllEntries(t *testing.T) {
+	limitService(t, trial.Size{Engines: 1, Entries: 4})
+}
+
+// TestLimitHoldsWithoutAgents guards against entries that each use the whole limit of an endpoint because there is no agent from which they
+// learn how many they are.
+func TestLimitHoldsWithoutAgents(t *testing.T) {
+	limitService(t, trial.Size{Entries: 4})
+}
+
+// limitService sends requests to a plain service that names a limit, through all entries.
+func limitService(t *testing.T, size trial.Size) {
+	t.Helper()
 	const perSecond = 2
-	d := deploySize(t, trial.Size{Engines: 1, Entries: 4})
+	d := deploySize(t, size)
 	d.sendUntilServed("/o/1", "ready", "")
 	d.Service.SetLimit([]string{fmt.Sprint(perSecond)})
 	start := time.Now().Add(contactTime)
--- a/daemon/frontend/endless_test.go
+++ b/daemon/frontend/endless_test.go
@@ -6,7 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -20,8 +24,8 @@
 			panic(err)
 		}
 		defer c.Close()
-		head = strings.ReplaceAll(head, "ID", r.Header.Get("Shallotring-Attempt-Id"))
-		for text := head; err == nil; text = unit {
+		first := strings.ReplaceAll(head, "ID", r.Header.Get("Shallotring-Attempt-Id"))
+		for text := first; err == nil; text = unit {
 			_, err = io.WriteString(c, text)
 			time.Sleep(pause)
 		}
@@ -100,3 +104,73 @@
 		t.Errorf("the incomplete request ran %d times", n)
 	}
 }
+
+// TestManyEndlessResponses guards against an entry that runs out of memory, or holds up requests to other endpoints, when hundreds of its requests
+// get bytes without end at the same time.
+func TestManyEndlessResponses(t *testing.T) {
+	const (
+		requests = 300
+		// hostMemory is the memory of an entry's host; the program sets memoryLimit for its share of it.
+		hostMemory  = 284 << 20
+		memoryLimit = hostMemory * 7 / 10
+	)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(memoryLimit))
+	large := strings.Repeat("x", 64<<10)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(large), large)
+	for name, respond := range map[string]func(b *backend, w http.ResponseWriter, r *http.Request){
+		"head": sendWithoutEnd("HTTP/1.1 200 OK\r\nA: ", large[:16<<10], 100*time.Millisecond),
+		"body": sendWithoutEnd(sealedHead+"\r\n", chunk, 50*time.Millisecond),
+	} {
+		t.Run(name, func(t *testing.T) {
+			// Each takes six requests at once.
+			var backends []*backend
+			var reached atomic.Int32
+			for range requests / 6 {
+				backends = append(backends, newBackend(t, func(b *backend, w http.ResponseWriter, r *http.Request) {
+					reached.Add(1)
+					respond(b, w, r)
+				}))
+			}
+			_, address := newFrontend(t, backends...)
+			runtime.GC()
+			var wg sync.WaitGroup
+			for i := range requests {
+				wg.Go(func() {
+					c, err := net.Dial("tcp", address)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer c.Close()
+					fmt.Fprintf(c, "GET /once/ HTTP/1.1\r\nHost: x\r\nShallotring-Attempt-Id: r%d\r\nShallotring-Deadline-Ms: 1500\r\n\r\n", i)
+					if err = c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+						t.Error(err)
+					}
+					// The caller reads the status line only, and later than the response comes.
+					time.Sleep(500 * time.Millisecond)
+					_, _ = bufio.NewReader(c).ReadString('\n')
+				})
+			}
+			done := make(chan struct{})
+			go func() { wg.Wait(); close(done) }()
+			highest := uint64(0)
+			for ended := false; !ended; {
+				select {
+				case <-done:
+					ended = true
+				case <-time.After(10 * time.Millisecond):
+				}
+				var now runtime.MemStats
+				runtime.ReadMemStats(&now)
+				highest = max(highest, now.HeapAlloc)
+			}
+			if n := reached.Load(); n < requests*9/10 {
+				t.Errorf("%d of %d requests reached an endpoint", n, requests)
+			}
+			t.Logf("the heap had up to %d MB", highest>>20)
+			if highest > memoryLimit {
+				t.Errorf("the heap had up to %d bytes, the program's limit is %d", highest, memoryLimit)
+			}
+		})
+	}
+}
--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -29,15 +29,19 @@
 	maxFailurePenalty = 800 * time.Millisecond
 	// failureExpirySeconds is the time without requests after which the failures of an endpoint are ignored.
 	failureExpirySeconds = 10.0
+	// entryCountMemory is the time after which a lower number of entries is believed: to an agent that has restarted, entries connect one by
+	// one.
+	entryCountMemory = 10 * time.Second
 )
 
 // endpoint is the state of one incarnation of an endpoint; the frontend's lock guards it.
 type endpoint struct {
 	inventory.Endpoint
-	// name is a copy of the id. It and pool never change, so they are read without the lock.
-	name ident.Endpoint
-	pool *upstream.Pool
-	link *agentLink
+	// name and service are copies of the id and the service. They and pool never change, so they are read without the lock.
+	name    ident.Endpoint
+	service ident.Service
+	pool    *upstream.Pool
+	link    *agentLink
 	// running counts this entry's requests in progress at the endpoint; uses and waits are by adapter.
 	running int
 	uses    map[ident.AdapterVersion]*holdings.Use
@@ -53,6 +57,8 @@
 	endState
 	// superseded is set once a later incarnation uses the address.
 	superseded bool
+	// doubted is set while the endpoint is missing from discovery, but does not count as removed yet.
+	doubted bool
 	// formerStarts are the start times of earlier incarnations with the same id, the latest last.
 	formerStarts []int64
 	// recentFailures and recentSends count requests with an exponential decay, which was applied last at decayedAt.
@@ -71,7 +77,7 @@
 func (f *Frontend) addEndpoint(d inventory.Endpoint) *endpoint {
 	d.Leaving = d.Leaving || f.departures.wasLeaving(d)
 	e := &endpoint{
-		Endpoint: d, name: d.ID, uses: make(map[ident.AdapterVersion]*holdings.Use), waits: make(map[ident.AdapterVersion]*loadWait),
+		Endpoint: d, name: d.ID, service: d.Service, uses: make(map[ident.AdapterVersion]*holdings.Use), waits: make(map[ident.AdapterVersion]*loadWait),
 		pool: upstream.New(d.Address, upstream.WithClock(f.clock), upstream.WithLimit(f.connectionLimit(d.Service))),
 	}
 	f.endpoints[d.ID] = e
@@ -194,7 +200,7 @@
 	now := f.clock.Now()
 	report := placement.Report{
 		Endpoint: e.ID, Service: e.Service, Zone: e.Zone, Kind: resource.Service, BatchSize: e.BatchSize, Running: e.running,
-		Leaving: e.Leaving || e.superseded || now.Before(e.suspendedUntil) || now.Before(e.pausedUntil) || e.replaced(now), Penalty: e.failurePenalty(now),
+		Leaving: e.Leaving || e.superseded || f.barred(e) || now.Before(e.suspendedUntil) || now.Before(e.pausedUntil) || e.replaced(now), Penalty: e.failurePenalty(now),
 	}
 	if f.isEngine(e.Endpoint) {
 		report.Kind = resource.Engine
@@ -203,10 +209,10 @@
 		}
 		base := e.baseModel(now)
 		report.BaseModel, report.BaseVersion = base.Model, base.Version
-		if t := f.routes.Load(); t != nil && t.Services[e.Service].Engine != nil {
-			report.Slots = t.Services[e.Service].Engine.Adapters
+		if c, ok := f.engineCapacity(e.Service); ok {
+			report.Slots = c.AdapterSlots()
 		}
-		report.Resident, report.Fixed = e.residentAdapters(now), e.agentState(now) == nil
+		report.Resident, report.Fixed = e.residentAdapters(now), e.agentState(now) == nil || !f.loadsAdapters(e.Service)
 		if s := e.agentState(now); s != nil {
 			report.Leaving = report.Leaving || s.Leaving || !s.Up
 			report.Running, report.Queued, report.Starting, report.Loading = s.Running, s.Queued, s.Starting, s.Holdings.Loading
@@ -272,6 +278,7 @@
 	f.advanceExposures(now)
 	f.suspects.Expire(now)
 	f.updateSuspects()
+	f.updateEntryCount(now)
 	for _, e := range f.endpoints {
 		f.reportInterruptions(e, now)
 		e.decayFailures(now)
@@ -306,13 +313,22 @@
 	}
 }
 
-// entryCount returns the number of entries, which is the highest count of connected entries that an agent reports.
-func (f *Frontend) entryCount(now time.Time) (n int) {
-	n = 1
+// entryCount returns the number of entries, which is the highest count of connected entries that agents have reported within
+// entryCountMemory, or the last one while no agent reports; the lock is held.
+func (f *Frontend) entryCount(now time.Time) int {
+	f.updateEntryCount(now)
+	return max(f.entries, 1)
+}
+
+// updateEntryCount records the number of entries that agents report; the lock is held.
+func (f *Frontend) updateEntryCount(now time.Time) {
+	reported := 0
 	for _, e := range f.endpoints {
 		if s := e.agentState(now); s != nil {
-			n = max(n, s.Entries)
+			reported = max(reported, s.Entries)
 		}
 	}
-	return n
+	if reported > 0 && (reported >= f.entries || now.Sub(f.entriesAt) > entryCountMemory) {
+		f.entries, f.entriesAt = reported, now
+	}
 }
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -79,6 +79,8 @@
 	routes             atomic.Pointer[routing.Table]
 	draining           atomic.Bool
 	closingConnections atomic.Bool
+	// buffers is the number of responses that are being read completely before they are forwarded.
+	buffers atomic.Int64
 	// endTime is the time at which the process exits. It is set once the remaining time is too short for a stream.
 	endTime atomic.Pointer[time.Time]
 
@@ -99,6 +101,9 @@
 	recordQuarantine func(quarantine.Change)
 	// links has the link to each agent by its address. A link outlives the endpoint, since a restarted engine has the same agent.
 	links map[string]*agentLink
+	// entries is the number of entries as of entriesAt, 0 before an agent has reported it.
+	entries   int
+	entriesAt time.Time
 	// sendSequence numbers the requests for sends to endpoints with a limit.
 	sendSequence int64
 	ctx          context.Context
@@ -224,9 +229,10 @@
 	}
 	// An endpoint that has announced that it is leaving does not return in the same incarnation.
 	d.Leaving = d.Leaving || e.Leaving
-	e.Endpoint = d
+	e.Endpoint, e.doubted = d, false
 	f.markSuperseded(e)
 	f.updatePlacement(e)
+	f.updateDoubted(e.Service)
 }
 
 // markSuperseded marks the previous incarnations at the endpoint's address, whose discovery entries expire later.
--- a/daemon/frontend/frontend_test.go
+++ b/daemon/frontend/frontend_test.go
@@ -97,7 +97,7 @@
 	{Name: "once", Host: "x", Prefix: "/once/", Kind: routing.Once, Timeout: 2 * time.Second, MaxEndpoints: 1, Targets: []routing.Target{{Service: "s", Weight: 1}}},
 	{Name: "again", Host: "x", Prefix: "/again/", Kind: routing.Repeatable, Timeout: 2 * time.Second, MaxEndpoints: 2, Targets: []routing.Target{{Service: "s", Weight: 1}}},
 	{Name: "stream", Host: "x", Prefix: "/stream/", Kind: routing.Stream, Timeout: 2 * time.Second, MaxEndpoints: 1, Targets: []routing.Target{{Service: "s", Weight: 1}}},
-}, []routing.Service{{Name: "s", Connections: 100}, {Name: "llm", Engine: &routing.Engine{Adapters: 2, Models: []ident.BaseModel{"m"}}}}, routing.Limits{BodyBytes: 1 << 20})
+}, []routing.Service{{Name: "s", Connections: 100}, {Name: "llm", Engine: &routing.Engine{Adapters: 2, Models: []routing.Model{{Name: "m"}}}}}, routing.Limits{BodyBytes: 1 << 20})
 
 func newFrontend(t *testing.T, backends ...*backend) (f *Frontend, address string) {
 	t.Helper()
--- a/daemon/frontend/instrument.go
+++ b/daemon/frontend/instrument.go
@@ -18,6 +18,8 @@
 	// that ask for time without requests.
 	leavingEndpoints *metrics.Counter
 	pauses           *metrics.Counter
+	// doubtedEndpoints counts the endpoints that went missing from discovery while others stayed.
+	doubtedEndpoints *metrics.Counter
 	// limitChanges counts the limits that endpoints began, changed or ceased to name, invalidLimits the responses whose limit cannot be read,
 	// and limitedSends the requests to endpoints that had named a limit.
 	limitChanges  *metrics.Counter
@@ -54,6 +56,7 @@
 		unverifiedResponses:  set.GetOrCreateCounter("shallotring_frontend_foreign_answers_total"),
 		leavingEndpoints:     set.GetOrCreateCounter("shallotring_frontend_endpoints_leaving_total"),
 		pauses:               set.GetOrCreateCounter("shallotring_frontend_endpoint_pauses_total"),
+		doubtedEndpoints:     set.GetOrCreateCounter("shallotring_frontend_endpoints_doubted_total"),
 		limitChanges:         set.GetOrCreateCounter("shallotring_frontend_limit_changes_total"),
 		invalidLimits:        set.GetOrCreateCounter("shallotring_frontend_invalid_limits_total"),
 		limitedSends:         set.GetOrCreateCounter("shallotring_frontend_limited_sends_total"),
--- a/daemon/frontend/invariant.go
+++ b/daemon/frontend/invariant.go
@@ -14,8 +14,14 @@
 	f.log.LogAttrs(context.Background(), slog.LevelError, "invariant violated", append(attrs, slog.String("Guarantee", guarantee), slog.String("Detail", text))...)
 }
 
-// maySend reports whether the request may be sent to an endpoint (guarantee G5: a non-repeatable request runs at most once).
-func (f *Frontend) maySend(x *request) bool {
+// maySend reports whether the request may be sent to an endpoint (guarantee G1: it runs at the service that its route names; guarantee G5: a
+// non-repeatable request runs at most once).
+func (f *Frontend) maySend(x *request, e *endpoint) bool {
+	if e.service != x.service || !allows(x.route, x.service) {
+		f.recordViolation("G1", "a request was about to be sent to a service that its route does not name", x.id(), slog.String("Route", x.route.Name),
+			slog.String("Service", string(x.service)), slog.String("Endpoint", string(e.name)), slog.String("EndpointService", string(e.service)))
+		return false
+	}
 	if x.runs > 0 && !x.repeatable() {
 		f.recordViolation("G5", "a request that may run only once was about to be sent again", x.id(), slog.Int("Sends", x.sends), slog.Int("Runs", x.runs))
 		return false
--- a/daemon/frontend/invariant_test.go
+++ b/daemon/frontend/invariant_test.go
@@ -21,8 +21,23 @@
 		provoke         func(t *testing.T, f *Frontend)
 	}{
 		{"second send", "G5", func(t *testing.T, f *Frontend) {
-			x := &request{runs: 1, route: routing.Route{Kind: routing.Once}, deadline: time.Now().Add(time.Second)}
-			if done, retry := f.send(t.Context(), httptest.NewRecorder(), x, &endpoint{}); done || retry || x.sends > 0 {
+			route := routing.Route{Kind: routing.Once, Targets: []routing.Target{{Service: "s", Weight: 1}}}
+			x := &request{runs: 1, route: route, service: "s", deadline: time.Now().Add(time.Second)}
+			if done, retry := f.send(t.Context(), httptest.NewRecorder(), x, &endpoint{service: "s"}); done || retry || x.sends > 0 {
+				t.Errorf("done %t, retry %t, %d sends", done, retry, x.sends)
+			}
+		}},
+		{"send to another service", "G1", func(t *testing.T, f *Frontend) {
+			route := routing.Route{Kind: routing.Once, Targets: []routing.Target{{Service: "s", Weight: 1}}}
+			x := &request{route: route, service: "s", deadline: time.Now().Add(time.Second)}
+			if done, retry := f.send(t.Context(), httptest.NewRecorder(), x, &endpoint{service: "other"}); done || retry || x.sends > 0 {
+				t.Errorf("done %t, retry %t, %d sends", done, retry, x.sends)
+			}
+		}},
+		{"send to a service that the route does not name", "G1", func(t *testing.T, f *Frontend) {
+			route := routing.Route{Kind: routing.Once, Targets: []routing.Target{{Service: "s", Weight: 1}, {Service: "unused"}}}
+			x := &request{route: route, service: "unused", deadline: time.Now().Add(time.Second)}
+			if done, retry := f.send(t.Context(), httptest.NewRecorder(), x, &endpoint{service: "unused"}); done || retry || x.sends > 0 {
 				t.Errorf("done %t, retry %t, %d sends", done, retry, x.sends)
 			}
 		}},
--- a/daemon/frontend/limit.go
+++ b/daemon/frontend/limit.go
@@ -246,10 +246,14 @@
 // limitedEndpoints calls visit with the endpoints that could serve a request but for their limit; the lock is held.
 func (f *Frontend) limitedEndpoints(now time.Time, x *request, visit func(e *endpoint)) {
 	for _, e := range f.endpoints {
-		if !e.limited || e.Service != x.service || e.closed(now) || now.Before(e.suspendedUntil) || e.replaced(now) || slices.Contains(x.excluded, e.ID) {
+		if !e.limited || e.Service != x.service || e.closed(now) || f.barred(e) || now.Before(e.suspendedUntil) || e.replaced(now) || slices.Contains(x.excluded, e.ID) {
 			continue
 		}
-		if s := e.agentState(now); s != nil && (s.Leaving || !s.Up) || s == nil && !x.adapter.IsZero() && !e.holds(now, x.adapter) {
+		s := e.agentState(now)
+		if s != nil && (s.Leaving || !s.Up) {
+			continue
+		}
+		if (s == nil || !f.loadsAdapters(e.Service)) && !x.adapter.IsZero() && !e.holds(now, x.adapter) {
 			continue
 		}
 		visit(e)
--- a/daemon/frontend/limit_test.go
+++ b/daemon/frontend/limit_test.go
@@ -83,3 +83,43 @@
 		}
 	}
 }
+
+// TestEntryCountOutlivesAgents guards against entries that each use the whole of a limit, or of the retry budget, because the agents that
+// tell them how many they are do not respond, or have restarted and been reached by a part of the entries.
+func TestEntryCountOutlivesAgents(t *testing.T) {
+	type step struct {
+		wait time.Duration
+		// entries is the number that the agent reports after the wait, 0 if it reports nothing.
+		entries int
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+		want  int
+	}{
+		{"never reported", nil, 1},
+		{"reported", []step{{entries: 4}}, 4},
+		{"agent lost", []step{{entries: 4}, {wait: 2 * stateExpiry}}, 4},
+		{"agent lost for long", []step{{entries: 4}, {wait: time.Hour}}, 4},
+		{"more entries", []step{{entries: 4}, {wait: time.Second, entries: 6}}, 6},
+		{"agent restarted", []step{{entries: 4}, {wait: time.Second, entries: 1}, {wait: time.Second, entries: 2}}, 4},
+		{"fewer entries", []step{{entries: 4}, {wait: 2 * entryCountMemory, entries: 2}}, 2},
+	} {
+		clock := quartz.NewMock(t)
+		f := New(message.Headers{}, "edge-1", "a", WithClock(clock))
+		f.Configure(testRoutes)
+		f.UpdateEndpoint(inventory.Endpoint{ID: "i-0", Service: "llm", Address: "127.0.0.1:1", Zone: "a", BatchSize: 6, StartMilli: 1})
+		e := f.endpoints["i-0"]
+		e.link = newLink(f, "agent")
+		for _, s := range c.steps {
+			clock.Advance(s.wait)
+			if s.entries > 0 {
+				e.link.state, e.link.stateAt = &control.State{Endpoint: "i-0", Born: 1, Up: true, Entries: s.entries, Holdings: &control.Holdings{}}, clock.Now()
+			}
+			f.refreshEndpoints()
+		}
+		if got := f.entryCount(clock.Now()); got != c.want {
+			t.Errorf("%s: %d entries, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/daemon/frontend/load_test.go
+++ b/daemon/frontend/load_test.go
@@ -31,7 +31,7 @@
 			}
 			return r
 		}
-		q := placement.Query{BaseModel: "m", Adapter: popular, PromptTokens: 3500, Zone: "a"}
+		q := placement.Query{BaseModel: "m", Service: "llm", Adapter: popular, PromptTokens: 3500, Zone: "a"}
 		for i := range 8 {
 			f.placement.Observe(now, report(fmt.Sprint("engine-", i)))
 		}
--- a/daemon/frontend/place.go
+++ b/daemon/frontend/place.go
@@ -25,9 +25,8 @@
 const headerBytes = 1024
 
 func (f *Frontend) placementQuery(x *request) placement.Query {
-	q := placement.Query{Adapter: x.adapter, PromptTokens: x.call.PromptTokens, Zone: f.zone, Bytes: len(x.body) + headerBytes, Exclude: x.excluded}
+	q := placement.Query{Service: x.service, Adapter: x.adapter, PromptTokens: x.call.PromptTokens, Zone: f.zone, Bytes: len(x.body) + headerBytes, Exclude: x.excluded}
 	if x.call.Model == "" {
-		q.Service = x.service
 		return q
 	}
 	q.BaseModel = x.call.Model
@@ -65,16 +64,19 @@
 			return nil, refusal
 		}
 		f.mu.Lock()
+		if refusal := f.followRoute(x); refusal != nil {
+			f.mu.Unlock()
+			return nil, refusal
+		}
 		if refusal := f.quarantineRefusal(now, x); refusal != nil {
 			f.mu.Unlock()
 			return nil, refusal
 		}
 		f.setAdapterVersion(x)
 		q := f.placementQuery(x)
-		name, cost, ok := f.placement.Cheapest(now, q)
-		e = f.endpoints[name]
 		maxWait := time.Duration(0)
-		if !ok || e == nil {
+		e, cost := f.choose(now, x, q)
+		if e == nil {
 			e, maxWait = f.soonestLimited(now, x)
 		}
 		if e == nil {
@@ -93,10 +95,10 @@
 				f.prefetch(now, x, q)
 			}
 			f.mu.Unlock()
-			if f.acquireSend(ctx, x, e, maxWait) && (maxWait == 0 || f.mayStillBeSent(x)) {
+			if f.acquireSend(ctx, x, e, maxWait) && f.mayStillBeSent(x, e) {
 				return e, nil
 			}
-			f.removeRequest(x, e, q, false)
+			f.removeRequest(x, e, false)
 			if denials++; denials == maxSendDenials || ctx.Err() != nil {
 				break
 			}
@@ -106,13 +108,13 @@
 		if e.agentState(now) == nil {
 			// Without its agent, the engine loads no adapter.
 			f.mu.Unlock()
-			f.removeRequest(x, e, q, false)
+			f.removeRequest(x, e, false)
 			x.excluded = append(x.excluded, e.name)
 			continue
 		}
 		f.mu.Unlock()
 		if refusal := f.loadRefusal(ctx, x); refusal != nil {
-			f.removeRequest(x, e, q, false)
+			f.removeRequest(x, e, false)
 			return nil, refusal
 		}
 		f.mu.Lock()
@@ -125,10 +127,10 @@
 		}
 		loaded := f.waitForLoad(ctx, x, e, w, limit)
 		f.recordLoad(x, e, loaded, now)
-		if loaded && f.acquireSend(ctx, x, e, maxWait) && f.mayStillBeSent(x) {
+		if loaded && f.acquireSend(ctx, x, e, maxWait) && f.mayStillBeSent(x, e) {
 			return e, nil
 		}
-		f.removeRequest(x, e, q, false)
+		f.removeRequest(x, e, false)
 		if loaded {
 			continue
 		}
@@ -151,11 +153,6 @@
 	return nil, &outcome.Refusal{Reason: outcome.LoadFailed, RetryAfter: unavailableRetryAfter, Detail: "no engine loaded the adapter in time"}
 }
 
-// mayStillBeSent reports whether a request that has waited may be sent: meanwhile it may have been put in quarantine, or the entry has begun to stop.
-func (f *Frontend) mayStillBeSent(x *request) bool {
-	return !f.isQuarantined(x) && !f.endsTooLate(x)
-}
-
 // endsTooLate reports whether the entry is stopping and may end before the request.
 func (f *Frontend) endsTooLate(x *request) bool {
 	end := f.endTime.Load()
@@ -164,6 +161,9 @@
 
 // noEndpointRefusal returns the refusal of a request that no endpoint can take now, with the time until one is expected to; the lock is held.
 func (f *Frontend) noEndpointRefusal(now time.Time, x *request) *outcome.Refusal {
+	if refusal := f.capacityRefusal(x); refusal != nil {
+		return refusal
+	}
 	r := &outcome.Refusal{Reason: outcome.NoEndpoint, RetryAfter: restartRetryAfter, Detail: fmt.Sprintf("for service %s", x.service)}
 	if d := f.resumeDelay(now, x.service); d > 0 {
 		r.RetryAfter = max(d, unavailableRetryAfter)
@@ -237,7 +237,7 @@
 		delete(e.waits, x.adapter)
 		e.enqueueReport(control.UsageReport{Wants: []holdings.Demand{{Adapter: x.adapter}}}, now)
 	}
-	loaded = ctx.Err() == nil && x.adapter.Version == f.currentVersion(x.adapter.Adapter) && e.holds(now, x.adapter) && f.endpoints[e.ID] == e && !e.closed(now)
+	loaded = ctx.Err() == nil && x.adapter.Version == f.currentVersion(x.adapter.Adapter) && e.holds(now, x.adapter) && f.endpoints[e.ID] == e && !e.closed(now) && !f.barred(e)
 	f.metrics.loadWaits.Update(now.Sub(limit.Start).Seconds())
 	f.log.Info("wait for the adapter ended", x.id(), slog.String("Adapter", x.adapter.String()), slog.String("Endpoint", string(e.ID)),
 		slog.Bool("Loaded", loaded), slog.Int64("DurationMilli", now.Sub(limit.Start).Milliseconds()))
@@ -270,7 +270,7 @@
 	}
 	x.try = f.placement.Sent(now, e.ID, q)
 	e.running++
-	if q.Service != "" {
+	if x.call.Model == "" {
 		return
 	}
 	// Requests for the base model alone are counted under the empty adapter.
@@ -286,10 +286,10 @@
 
 // removeRequest stops counting the prompt of a request as waiting at the endpoint and, unless started, the request as running. started
 // means that its response is a stream that has just started; such a request counts as running until the stream ends.
-func (f *Frontend) removeRequest(x *request, e *endpoint, q placement.Query, started bool) {
+func (f *Frontend) removeRequest(x *request, e *endpoint, started bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if q.Service == "" {
+	if x.call.Model != "" {
 		f.placement.RecordPromptRead(x.try)
 	}
 	if started {
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -127,8 +127,7 @@
 	if routes == nil {
 		return x, http.StatusServiceUnavailable, eris.New("no configuration has been received yet")
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	host, _, _ := strings.Cut(strings.ToLower(r.Host), ":")
+	host, path := x.routeKey()
 	route, ok := routes.Match(host, path)
 	if !ok {
 		return x, http.StatusNotFound, eris.Errorf("no route for %s%s in configuration version %d", host, path, routes.Version)
@@ -315,16 +314,15 @@
 
 // send sends the request to one endpoint; done means that the caller has its response, retry that another endpoint may be tried.
 func (f *Frontend) send(ctx context.Context, w http.ResponseWriter, x *request, e *endpoint) (done, retry bool) {
-	if !f.maySend(x) {
+	if !f.maySend(x, e) {
 		return false, false
 	}
-	q := f.placementQuery(x)
 	start := f.clock.Now()
 	removed := false
 	remove := func(started bool) {
 		if !removed {
 			removed = true
-			f.removeRequest(x, e, q, started)
+			f.removeRequest(x, e, started)
 		}
 	}
 	defer func() { remove(false) }()
--- a/daemon/frontend/source.go
+++ b/daemon/frontend/source.go
@@ -16,7 +16,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// Only a recent state of its agent tells which weights an engine has loaded.
-	valid := f.endpoints[source.name] == source && source.agentState(now) != nil && e.agentState(now) != nil && !source.limited &&
+	valid := f.endpoints[source.name] == source && source.agentState(now) != nil && e.agentState(now) != nil && !source.limited && !source.doubted &&
 		f.placement.CanSupply(source.name, e.name, x.adapter)
 	f.log.Info("source of the cached prompt", x.id(), slog.String("Endpoint", string(e.name)), slog.String("BaseVersion", string(e.baseModel(now).Version)),
 		slog.String("Source", string(source.name)), slog.String("SourceBaseVersion", string(source.baseModel(now).Version)), slog.Int64("SourceBorn", source.StartMilli),
--- a/daemon/sidecar/incarnation_test.go
+++ b/daemon/sidecar/incarnation_test.go
@@ -11,6 +11,7 @@
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/holdings"
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/routing"
 )
 
 // TestUsesOfPreviousIncarnation guards against adapter slots that stay occupied after an engine has restarted, because an entry's last report
@@ -98,7 +99,7 @@
 			clock := quartz.NewMock(t)
 			e := &scriptedEngine{id: "i-1", report: holdings.Report{StartMilli: 1, Models: models, Resident: []ident.AdapterVersion{adapter}}}
 			s := New(e, nil, WithClock(clock))
-			s.Configure("m", 2)
+			s.Configure(routing.Engine{Adapters: 2, Models: []routing.Model{{Name: "m"}}})
 			s.pollAndOrder(t.Context())
 			c.change(e)
 			for range c.passed / pollInterval {
@@ -143,7 +144,7 @@
 			clock := quartz.NewMock(t)
 			e := &scriptedEngine{id: "i-1", report: holdings.Report{StartMilli: 1, Models: []ident.ModelVersion{{Model: "m", Version: "1"}}, Resident: []ident.AdapterVersion{adapter}}}
 			s := New(e, nil, WithClock(clock))
-			s.Configure("m", 2)
+			s.Configure(routing.Engine{Adapters: 2, Models: []routing.Model{{Name: "m"}}})
 			s.pollAndOrder(t.Context())
 			links := [2]*entryLink{}
 			for i := range links {
@@ -175,7 +176,7 @@
 			t.Parallel()
 			e := &scriptedEngine{id: "i-1", report: holdings.Report{StartMilli: 1}}
 			s := New(e, nil, WithClock(quartz.NewMock(t)))
-			s.Configure("m", 2)
+			s.Configure(routing.Engine{Adapters: 2, Models: []routing.Model{{Name: "m"}}})
 			s.handleEvent(event{fencingNumber: 7})
 			s.pollAndOrder(t.Context())
 			e.report = c.restart
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"shallotring.dev/protocol/upstream"
 	"shallotring.dev/state/holdings"
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/routing"
 	"shallotring.dev/state/sendlimit"
 	"shallotring.dev/state/sendpool"
 )
@@ -65,8 +66,8 @@
 
 	events chan event
 	// reclaim asks for another fencing number.
-	reclaim       chan struct{}
-	configuration atomic.Pointer[engineConfiguration]
+	reclaim  chan struct{}
+	capacity atomic.Pointer[routing.Engine]
 
 	// Only controlEngine and the methods that it calls use the fields below.
 	keeper      *holdings.Keeper
@@ -106,12 +107,6 @@
 	loadSeconds  *metrics.Histogram
 }
 
-// engineConfiguration is the part of the configuration that concerns the engine.
-type engineConfiguration struct {
-	model        ident.BaseModel
-	adapterSlots int
-}
-
 // event is a usage report of an entry, the start or the end of an entry's connection, or a new fencing number.
 type event struct {
 	link          *entryLink
@@ -155,10 +150,8 @@
 	return s
 }
 
-// Configure sets the base model that the engine serves and the number of its adapter slots.
-func (s *Sidecar) Configure(model ident.BaseModel, adapters int) {
-	s.configuration.Store(&engineConfiguration{model: model, adapterSlots: adapters})
-}
+// Configure sets what the engine is to hold and can hold.
+func (s *Sidecar) Configure(capacity routing.Engine) { s.capacity.Store(&capacity) }
 
 // Run serves entries on the listener and controls the engine until the context ends.
 func (s *Sidecar) Run(ctx context.Context, l net.Listener) (err error) {
@@ -290,8 +283,8 @@
 
 // pollAndOrder polls the engine and sends the orders that are due, with another poll after each; then it publishes the state.
 func (s *Sidecar) pollAndOrder(ctx context.Context) {
-	if configuration := s.configuration.Load(); configuration != nil {
-		s.keeper.Configure(configuration.model, configuration.adapterSlots)
+	if capacity := s.capacity.Load(); capacity != nil {
+		s.keeper.Configure(*capacity)
 	}
 	s.updateLimit()
 	if s.limit.Named {
--- a/daemon/sidecar/sidecar_test.go
+++ b/daemon/sidecar/sidecar_test.go
@@ -11,6 +11,7 @@
 
 	"shallotring.dev/state/holdings"
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/routing"
 )
 
 // fakeEngine is an engine that has nothing loaded; it records its orders.
@@ -60,7 +61,7 @@
 		t.Fatal(err)
 	}
 	s := New(e, claim)
-	s.Configure("m", 2)
+	s.Configure(routing.Engine{Adapters: 2, Models: []routing.Model{{Name: "m"}}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx, l) }()
--- a/daemon/trial/deployment.go
+++ b/daemon/trial/deployment.go
@@ -1,9 +1,11 @@
 package trial
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -30,6 +32,8 @@
 	loadTime = 20 * time.Millisecond
 	// minPort and maxPort bound the ports of the programs, and maxPortTries the ports that are tried for one of them.
 	minPort, maxPort, maxPortTries = 10000, 30000, 20
+	// exchangeTimeout limits one exchange.
+	exchangeTimeout = 10 * time.Second
 	// Host is the host name of all routes.
 	Host = "trial.example"
 	// modelService is the service of the engines.
@@ -47,6 +51,8 @@
 	Entries int
 	// Instances is the number of instances of the plain service; 0 means one, to which no options apply.
 	Instances int
+	// Memory is that of each model engine; the zero value states none.
+	Memory standin.Memory
 }
 
 // Small is the size of most trials.
@@ -54,6 +60,8 @@
 
 // Deployment is some entries, engines with their agents and a plain service.
 type Deployment struct {
+	// Name tells the requests of this deployment from those of others in the same process, whose hosts and engines have the same names.
+	Name    string
 	Store   *standin.Store
 	Engines []*standin.Engine
 	// Service is the first of the Instances of the plain service.
@@ -68,6 +76,7 @@
 
 	ctx      context.Context
 	log      *slog.Logger
+	memory   standin.Memory
 	settings standin.Settings
 	servers  []*http.Server
 	programs sync.WaitGroup
@@ -88,7 +97,7 @@
 // exited.
 func Start(ctx context.Context, log *slog.Logger, size Size, options ...standin.EngineOption) (d *Deployment, err error) {
 	defer func() { err = eris.Wrap(err, "start trial") }()
-	d = &Deployment{Store: standin.NewStore(), ctx: ctx, log: log}
+	d = &Deployment{Name: fmt.Sprintf("%08x", rand.Uint32()), Store: standin.NewStore(), ctx: ctx, log: log, memory: size.Memory}
 	_, store, err := d.serve("127.0.0.1:0", d.Store)
 	if err != nil {
 		return nil, err
@@ -100,7 +109,7 @@
 	d.settings = standin.Settings{Zone: "a", ControlPort: controlPort, Store: store, GracePeriod: 2 * time.Second}
 	for i := range size.Engines {
 		ip := fmt.Sprintf("127.0.0.%d", i+2)
-		e, address, err := d.startEngine(ip, fmt.Sprint("i-", i), modelService, append(options, standin.WithModel(Model, AdapterSlots, loadTime))...)
+		e, address, err := d.startEngine(ip, fmt.Sprint("i-", i), modelService, append(options, standin.WithModel(Model, AdapterSlots, loadTime), standin.WithMemory(size.Memory))...)
 		if err != nil {
 			return nil, err
 		}
@@ -137,11 +146,18 @@
 }
 
 // AddEntry starts an entry on the first loopback address; its front address is the last one of Fronts.
-func (d *Deployment) AddEntry(host string) (err error) {
+func (d *Deployment) AddEntry(host string) (err error) { return d.AddEntryAt(host, d.settings.Store) }
+
+// StoreAddress returns the address of the store.
+func (d *Deployment) StoreAddress() string { return d.settings.Store }
+
+// AddEntryAt is AddEntry for an entry that reaches the store at an address of its own.
+func (d *Deployment) AddEntryAt(host, store string) (err error) {
 	s, err := d.entrySettings(host)
 	if err != nil {
 		return err
 	}
+	s.Store = store
 	if d.Fronts = append(d.Fronts, s.Front); len(d.Fronts) == 1 {
 		d.Front, d.Ready = s.Front, s.Ready
 	}
@@ -175,7 +191,7 @@
 		{Host: Host, Prefix: "/g/", Kind: "streaming", Timeout: 5 * time.Second, LatencyGoal: time.Second, Engines: 1, Service: modelService},
 		{Host: Host, Prefix: "/o/", Kind: "non_idempotent", Timeout: 2 * time.Second, LatencyGoal: 150 * time.Millisecond, Engines: 1, Service: plainService},
 		{Host: Host, Prefix: "/l/", Kind: "idempotent", Timeout: 2 * time.Second, LatencyGoal: 150 * time.Millisecond, Engines: 3, Service: plainService},
-	}, []standin.Service{{Name: modelService, Model: Model, AdapterSlots: AdapterSlots}, {Name: plainService}})
+	}, []standin.Service{{Name: modelService, Model: Model, AdapterSlots: AdapterSlots, Memory: d.memory}, {Name: plainService}})
 }
 
 // ModelRequest is an example of a request to a model.
@@ -191,6 +207,30 @@
 	return standin.Call{ID: id, Method: http.MethodPost, Target: "/o/1", Host: Host, Body: "order"}
 }
 
+// Exchange sends one request through the entry at a front address on a connection of its own; the status is 0 if there is no complete response.
+func (d *Deployment) Exchange(front string, call standin.Call) (status int, header http.Header) {
+	c, err := net.Dial("tcp", front)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = c.Close() }()
+	if err = c.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
+		return 0, nil
+	}
+	call.Deployment = d.Name
+	if _, err = io.WriteString(c, call.Encode()); err != nil {
+		return 0, nil
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, nil
+	}
+	if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, response.Header
+}
+
 // OperatorSettings are those with which operators reach the store.
 func (d *Deployment) OperatorSettings() (s boot.Settings, err error) {
 	return d.entrySettings("operator")
@@ -225,7 +265,7 @@
 
 // Violations lists events at the engines that must never happen.
 func (d *Deployment) Violations() (list []string) {
-	for _, e := range d.Engines {
+	for _, e := range slices.Concat(d.Engines, d.Instances) {
 		list = append(list, e.Violations()...)
 	}
 	return list
@@ -287,7 +327,7 @@
 	if server, address, err = d.serve(net.JoinHostPort(ip, "0"), h); err != nil {
 		return nil, "", err
 	}
-	e = standin.NewEngine(d.Store, id, service, address, "a", append(options, standin.WithCrash(crash))...)
+	e = standin.NewEngine(d.Store, id, service, address, "a", append(options, standin.WithCrash(crash), standin.WithDeployment(d.Name))...)
 	handler = e
 	e.Start()
 	return e, address, nil
--- a/protocol/outage/detector.go
+++ b/protocol/outage/detector.go
@@ -59,6 +59,13 @@
 	d.missed = true
 }
 
+// Interrupted reports whether a call got no response since the last quick one.
+func (d *Detector) Interrupted() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.missed
+}
+
 // Responded records the response to a call and the duration of the call.
 func (d *Detector) Responded(duration time.Duration) {
 	d.mu.Lock()
--- a/protocol/upstream/pool.go
+++ b/protocol/upstream/pool.go
@@ -88,11 +88,11 @@
 	return p.openCount, p.openedTotal
 }
 
-// Close closes idle connections; those in use are closed when their response is closed.
-func (p *Pool) Close() {
+// CloseIdle closes the idle connections, so that the next request opens one.
+func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	idle := p.idleConnections
-	p.idleConnections, p.closed = nil, true
+	p.idleConnections = nil
 	p.openCount -= len(idle)
 	p.mu.Unlock()
 	for _, c := range idle {
@@ -100,6 +100,14 @@
 	}
 }
 
+// Close closes idle connections; those in use are closed when their response is closed.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.CloseIdle()
+}
+
 // acquire returns an idle connection that can be reused, or opens one.
 func (p *Pool) acquire(ctx context.Context) (c *connection, err error) {
 	for {
--- a/soak/live/fault.go
+++ b/soak/live/fault.go
@@ -269,6 +269,11 @@
 // replaceEndpoint replaces an endpoint by a new one, as a release of its software does. An announced endpoint reports that it is
 // leaving; otherwise its registration is removed at once.
 func (d *deployment) replaceEndpoint(e *endpoint, r *rand.Rand, announced bool) {
+	d.releaseEndpoint(e, r, announced, drainTimeout+randomDuration(r, 500, 4000))
+}
+
+// releaseEndpoint is replaceEndpoint for an endpoint that serves on for a time.
+func (d *deployment) releaseEndpoint(e *endpoint, r *rand.Rand, announced bool, serveOn time.Duration) {
 	e.mu.Lock()
 	alive, incarnation := e.server != nil && !e.heartbeatPaused, e.incarnations
 	e.heartbeatPaused = e.heartbeatPaused || alive
@@ -282,7 +287,7 @@
 		e.Remove()
 	}
 	d.judge.endpointLeaving(e.ID())
-	time.Sleep(drainTimeout + randomDuration(r, 500, 4000))
+	time.Sleep(serveOn)
 	if e.incarnation() != incarnation {
 		return // it has crashed meanwhile, and its successor is not leaving
 	}
@@ -362,11 +367,13 @@
 	limited := rand.New(rand.NewPCG(d.options.Seed, 1<<33))
 	repeated := rand.New(rand.NewPCG(d.options.Seed, 1<<34))
 	poisoned := rand.New(rand.NewPCG(d.options.Seed, 1<<32))
+	departing := rand.New(rand.NewPCG(d.options.Seed, 1<<35))
 	for end := time.Now().Add(duration); time.Now().Before(end) && ctx.Err() == nil; {
 		count += d.runPhase(ctx, random, faultSlots, time.Now().Add(randomDuration(random, 3000, 9000)), false)
 		count += d.runPoisonPhase(ctx, poisoned, faultSlots)
 		count += d.runRepeatPhase(ctx, repeated, faultSlots)
 		count += d.runLimitPhase(ctx, limited, faultSlots)
+		count += d.runDeparturePhase(ctx, departing, faultSlots)
 		count += d.runPhase(ctx, random, faultSlots, time.Now().Add(quietPeriod+randomDuration(random, 3000, 8000)), true)
 	}
 	return count
--- a/soak/live/judge.go
+++ b/soak/live/judge.go
@@ -330,7 +330,7 @@
 	if c.refused && c.kind != repeatableCall {
 		j.addViolationLocked("refusals", "request ran after its refusal: %s", c)
 	}
-	if at, ok := j.leavingSince[a.Engine]; ok && now.Sub(at) > drainTimeout && j.quietBefore(at) {
+	if at, ok := j.leavingSince[a.Engine]; ok && now.Sub(at) > drainTimeout && j.quietBefore(c.sentAt) {
 		j.addViolationLocked("drain", "request ran %s after %s started leaving: %s", now.Sub(at), a.Engine, c)
 	}
 	if _, adapter, ok := strings.Cut(a.Model, "/"); ok && j.quietBefore(now.Add(-versionTimeout)) {
--- a/soak/live/judge_test.go
+++ b/soak/live/judge_test.go
@@ -111,6 +111,14 @@
 			j.leavingSince[run.Engine] = time.Now().Add(-3 * time.Second)
 			j.onArrival(nil, run)
 		}, "drain"},
+		{"runs at an endpoint that left in a disturbance", func(j *judge, _ *call) {
+			j.leavingSince[run.Engine], j.lastDisturbance = time.Now().Add(-8*time.Second), time.Now().Add(-quietPeriod-time.Second)
+			j.onArrival(nil, run)
+		}, "drain"},
+		{"runs at an endpoint that has left right after a disturbance", func(j *judge, _ *call) {
+			j.leavingSince[run.Engine], j.lastDisturbance = time.Now().Add(-8*time.Second), time.Now().Add(-time.Second)
+			j.onArrival(nil, run)
+		}, ""},
 		{"runs at an endpoint that is leaving", func(j *judge, _ *call) { j.endpointLeaving(run.Engine); j.onArrival(nil, run) }, ""},
 		{"runs on a removed route", func(j *judge, c *call) {
 			c.version = 2
--- a/state/holdings/keeper.go
+++ b/state/holdings/keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/routing"
 	"shallotring.dev/state/slots"
 )
 
@@ -62,8 +63,7 @@
 
 // Keeper plans the orders for one engine from its reports and the demands of the entries. It is not safe for concurrent use.
 type Keeper struct {
-	capacity      int
-	model         ident.BaseModel
+	capacity      routing.Engine
 	fencingNumber ident.Incarnation
 	endpoint      ident.Endpoint
 	report        Report
@@ -79,18 +79,17 @@
 	promptTokensAt time.Time
 }
 
-// New returns a keeper that issues no orders until it has a fencing number, a capacity and a report.
+// New returns a keeper that issues no orders until it has a fencing number, a base model and a report.
 func New() *Keeper {
 	return &Keeper{demands: make(map[ident.AdapterVersion]*demand), uses: make(map[ident.AdapterVersion]*usage), history: slots.New(0)}
 }
 
-// Configure sets the base model that the engine serves and its number of adapter slots.
-func (k *Keeper) Configure(model ident.BaseModel, capacity int) {
-	k.model = model
-	if capacity != k.capacity {
-		k.capacity = capacity
-		k.history = slots.New(capacity)
+// Configure sets what the engine is to hold and can hold.
+func (k *Keeper) Configure(capacity routing.Engine) {
+	if n := capacity.AdapterSlots(); n != k.capacity.AdapterSlots() {
+		k.history = slots.New(n)
 	}
+	k.capacity = capacity
 }
 
 // SetFencingNumber sets the fencing number that the orders carry.
@@ -212,14 +211,18 @@
 // Next returns the order to send now; ok is false if there is none. After Sent, Next returns no order until the next report has been
 // observed.
 func (k *Keeper) Next(now time.Time) (o Order, ok bool) {
-	if !k.reportCurrent || k.fencingNumber == 0 || k.capacity <= 0 || k.endpoint == "" || k.report.Leaving || now.Before(k.nextOrderAt) {
+	model, ok := k.capacity.Model()
+	if !ok || !k.reportCurrent || k.fencingNumber == 0 || k.endpoint == "" || k.report.Leaving || now.Before(k.nextOrderAt) {
 		return o, false
 	}
 	o = Order{Endpoint: k.endpoint, ExpectedSequence: k.report.Sequence, FencingNumber: k.fencingNumber}
 	if len(k.report.Models) == 0 {
 		// An engine starts empty; it serves nothing before its base model is loaded.
-		o.Model = k.model
-		return o, k.model != "" && !k.report.Busy
+		o.Model = model.Name
+		return o, model.Name != "" && k.capacity.HoldsModel() && !k.report.Busy
+	}
+	if k.capacity.Adapters <= 0 {
+		return o, false
 	}
 	for _, av := range k.rankedDemands(now) {
 		if len(k.report.Loading) >= maxLoadsInFlight {
@@ -236,7 +239,10 @@
 		if slices.ContainsFunc(k.report.Loading, func(x ident.AdapterVersion) bool { return x.Adapter == av.Adapter }) {
 			continue
 		}
-		if len(k.report.Resident)+len(k.report.Loading) < k.capacity {
+		if !k.capacity.HasMemory(k.report.Models, av) {
+			continue
+		}
+		if k.hasRoom(av) {
 			o.Adapter = av
 			return o, true
 		}
@@ -249,6 +255,12 @@
 	return o, false
 }
 
+// hasRoom reports whether the engine has a slot and the memory for one more adapter.
+func (k *Keeper) hasRoom(av ident.AdapterVersion) bool {
+	held := slices.Concat(k.report.Resident, k.report.Loading)
+	return len(held) < k.capacity.Adapters && k.capacity.HasMemory(k.report.Models, append(held, av)...)
+}
+
 // Sent records an order that was sent and its result.
 func (k *Keeper) Sent(now time.Time, o Order, result Result) {
 	k.reportCurrent = false
--- a/state/holdings/keeper_test.go
+++ b/state/holdings/keeper_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/routing"
 )
 
 func adapter(i int) ident.AdapterVersion {
@@ -21,7 +23,7 @@
 // newKeeper returns a keeper for an engine with the given number of slots and resident adapters.
 func newKeeper(capacity int, resident ...ident.AdapterVersion) *Keeper {
 	k := New()
-	k.Configure("m", capacity)
+	k.Configure(routing.Engine{Adapters: capacity, Models: []routing.Model{{Name: "m"}}})
 	k.SetFencingNumber(7)
 	k.Observe(epoch, "i-1", Report{StartMilli: 1, Models: []ident.ModelVersion{{Model: "m", Version: "1"}}, Resident: resident})
 	return k
@@ -106,12 +108,25 @@
 // loading counts the steps until a load has finished.
 type engine struct {
 	t        *testing.T
-	capacity int
+	capacity routing.Engine
 	report   Report
 	delayed  []Order
 	loading  map[ident.AdapterVersion]int
 }
 
+// modelSize is the size of the base model in MB.
+const modelSize = 60
+
+// size returns the size of an adapter as the engine counts it.
+func (e *engine) size(av ident.AdapterVersion) ident.Megabytes {
+	for _, m := range e.capacity.Models {
+		if strings.HasPrefix(string(av.Adapter), string(m.Name)+"/") {
+			return m.AdapterSize
+		}
+	}
+	return 0
+}
+
 func (e *engine) apply(o Order) bool {
 	if o.ExpectedSequence != e.report.Sequence {
 		return false
@@ -127,76 +142,95 @@
 	default:
 		e.report.Loading = append(slices.Clone(e.report.Loading), o.Adapter)
 		e.loading[o.Adapter] = 3
-		if n := len(e.report.Resident) + len(e.report.Loading); n > e.capacity {
-			e.t.Fatalf("%d adapters in %d slots after %+v", n, e.capacity, o)
+		if n := len(e.report.Resident) + len(e.report.Loading); n > e.capacity.Adapters {
+			e.t.Fatalf("%d adapters in %d slots after %+v", n, e.capacity.Adapters, o)
+		}
+		size := ident.Megabytes(0)
+		for _, av := range slices.Concat(e.report.Resident, e.report.Loading) {
+			size += e.size(av)
+		}
+		if e.capacity.Memory > 0 && modelSize+size > e.capacity.Memory {
+			e.t.Fatalf("adapters of %.0f MB beside a model of %d MB in a memory of %.0f MB after %+v", size, modelSize, e.capacity.Memory, o)
 		}
 	}
 	return true
 }
 
-// TestRandomOrdersNeverOverfill guards against orders after which an engine would hold more adapters than it has slots, which makes it
-// exit, under random demands, uses, lost and delayed orders and restarts.
+// TestRandomOrdersNeverOverfill guards against orders after which an engine would hold more adapters than it has slots or memory for, which
+// makes it exit, under random demands, uses, lost and delayed orders and restarts.
 func TestRandomOrdersNeverOverfill(t *testing.T) {
+	model := routing.Model{Name: "m", Size: modelSize, AdapterSize: 12}
 	for seed := range uint64(200) {
-		r := rand.New(rand.NewPCG(seed, 1))
-		e := &engine{t: t, capacity: 3, report: Report{StartMilli: 1}, loading: make(map[ident.AdapterVersion]int)}
-		k := New()
-		k.Configure("m", e.capacity)
-		k.SetFencingNumber(1)
-		loads := 0
-		for step := range 400 {
-			now := at(time.Duration(step) * 50 * time.Millisecond)
-			switch r.IntN(12) {
-			case 0:
-				k.RecordUse(now, "e1", Use{Adapter: adapter(r.IntN(8)), Started: 1, Running: r.IntN(2)})
-			case 1, 2, 3:
-				k.SetDemand(now, "e2", Demand{Adapter: adapter(r.IntN(8)), Waiting: r.IntN(3)})
-			case 4:
-				if len(e.delayed) > 0 {
-					e.apply(e.delayed[0])
-					e.delayed = e.delayed[1:]
-				}
-			case 5:
-				if r.IntN(20) == 0 {
-					e.report = Report{StartMilli: e.report.StartMilli + 1}
-					clear(e.loading)
-					e.delayed = nil
-				}
+		randomOrders(t, seed, routing.Engine{Adapters: 3, Models: []routing.Model{{Name: "m"}}}, adapter)
+		randomOrders(t, seed, routing.Engine{Adapters: 3, Memory: 90, Models: []routing.Model{model}}, adapter)
+		// An engine of another service that changed over may hold adapters of another model, with another size.
+		randomOrders(t, seed, routing.Engine{Adapters: 5, Memory: 100, Models: []routing.Model{model, {Name: "n", AdapterSize: 20}}}, func(i int) ident.AdapterVersion {
+			return ident.AdapterVersion{Adapter: ident.Adapter(fmt.Sprint([]string{"m/a", "n/a"}[i%2], i)), Version: "1"}
+		})
+	}
+}
+
+// randomOrders applies the keeper's orders to an engine that fails the test if it is ordered to hold too much.
+func randomOrders(t *testing.T, seed uint64, capacity routing.Engine, adapter func(i int) ident.AdapterVersion) {
+	t.Helper()
+	r := rand.New(rand.NewPCG(seed, 1))
+	e := &engine{t: t, capacity: capacity, report: Report{StartMilli: 1}, loading: make(map[ident.AdapterVersion]int)}
+	k := New()
+	k.Configure(e.capacity)
+	k.SetFencingNumber(1)
+	loads := 0
+	for step := range 400 {
+		now := at(time.Duration(step) * 50 * time.Millisecond)
+		switch r.IntN(12) {
+		case 0:
+			k.RecordUse(now, "e1", Use{Adapter: adapter(r.IntN(8)), Started: 1, Running: r.IntN(2)})
+		case 1, 2, 3:
+			k.SetDemand(now, "e2", Demand{Adapter: adapter(r.IntN(8)), Waiting: r.IntN(3)})
+		case 4:
+			if len(e.delayed) > 0 {
+				e.apply(e.delayed[0])
+				e.delayed = e.delayed[1:]
 			}
-			var stillLoading []ident.AdapterVersion
-			for _, av := range e.report.Loading {
-				if e.loading[av]--; e.loading[av] <= 0 {
-					e.report.Resident = append(slices.Clone(e.report.Resident), av)
-					loads++
-					continue
-				}
-				stillLoading = append(stillLoading, av)
+		case 5:
+			if r.IntN(20) == 0 {
+				e.report = Report{StartMilli: e.report.StartMilli + 1}
+				clear(e.loading)
+				e.delayed = nil
 			}
-			e.report.Loading = stillLoading
-			k.Observe(now, "i-1", e.report)
-			o, ok := k.Next(now)
-			if !ok {
+		}
+		var stillLoading []ident.AdapterVersion
+		for _, av := range e.report.Loading {
+			if e.loading[av]--; e.loading[av] <= 0 {
+				e.report.Resident = append(slices.Clone(e.report.Resident), av)
+				loads++
 				continue
 			}
-			switch r.IntN(4) {
-			case 0: // the order arrives later, and its response is lost
-				e.delayed = append(e.delayed, o)
-				k.Sent(now, o, Unknown)
-			case 1: // only the response is lost
-				e.apply(o)
-				k.Sent(now, o, Unknown)
-			default:
-				result := Conflict
-				if e.apply(o) {
-					result = Accepted
-				}
-				k.Sent(now, o, result)
-			}
+			stillLoading = append(stillLoading, av)
 		}
-		if loads == 0 {
-			t.Errorf("seed %d: no adapter was loaded", seed)
+		e.report.Loading = stillLoading
+		k.Observe(now, "i-1", e.report)
+		o, ok := k.Next(now)
+		if !ok {
+			continue
+		}
+		switch r.IntN(4) {
+		case 0: // the order arrives later, and its response is lost
+			e.delayed = append(e.delayed, o)
+			k.Sent(now, o, Unknown)
+		case 1: // only the response is lost
+			e.apply(o)
+			k.Sent(now, o, Unknown)
+		default:
+			result := Conflict
+			if e.apply(o) {
+				result = Accepted
+			}
+			k.Sent(now, o, result)
 		}
 	}
+	if loads == 0 {
+		t.Errorf("seed %d: no adapter was loaded", seed)
+	}
 }
 
 // TestPromptRateOfPreviousIncarnation guards against entries that avoid a restarted engine for seconds because of the prompts that its
@@ -213,3 +247,50 @@
 		t.Errorf("prompt rate %v after the restart, want 0", rate)
 	}
 }
+
+// TestNextStaysWithinMemory guards against an order to load more than the memory of the engine holds, against unloads for an adapter that
+// does not fit anyway, and against one adapter that does not fit keeping all others from being loaded.
+func TestNextStaysWithinMemory(t *testing.T) {
+	large := ident.AdapterVersion{Adapter: "n/large", Version: "1"}
+	models := []routing.Model{{Name: "m", Size: 60, AdapterSize: 12}, {Name: "n", Size: 60, AdapterSize: 90}}
+	load := func(av ident.AdapterVersion) *Order { return &Order{Adapter: av} }
+	unload := func(av ident.AdapterVersion) *Order { return &Order{Adapter: av, Unload: true} }
+	for _, c := range []struct {
+		name    string
+		memory  ident.Megabytes
+		report  Report
+		demands []ident.AdapterVersion
+		want    *Order
+	}{
+		{"fits", 90, Report{Resident: []ident.AdapterVersion{adapter(1)}}, []ident.AdapterVersion{adapter(2)}, load(adapter(2))},
+		{"full", 80, Report{Resident: []ident.AdapterVersion{adapter(1)}}, []ident.AdapterVersion{adapter(2)}, unload(adapter(1))},
+		{"full of loads", 80, Report{Loading: []ident.AdapterVersion{adapter(1)}}, []ident.AdapterVersion{adapter(2)}, nil},
+		{"load in progress counts", 90, Report{Resident: []ident.AdapterVersion{adapter(1)}, Loading: []ident.AdapterVersion{adapter(2)}}, []ident.AdapterVersion{adapter(3)}, unload(adapter(1))},
+		{"memory has shrunk", 75, Report{Resident: []ident.AdapterVersion{adapter(1), adapter(2)}}, []ident.AdapterVersion{adapter(3)}, unload(adapter(1))},
+		{"does not fit at all", 90, Report{Resident: []ident.AdapterVersion{adapter(1)}}, []ident.AdapterVersion{large}, nil},
+		{"another one does not fit at all", 90, Report{}, []ident.AdapterVersion{large, large, adapter(2)}, load(adapter(2))},
+		{"nothing fits", 60, Report{}, []ident.AdapterVersion{adapter(1)}, nil},
+		{"not stated", 0, Report{Resident: []ident.AdapterVersion{adapter(1), adapter(2)}}, []ident.AdapterVersion{adapter(3)}, load(adapter(3))},
+	} {
+		k := New()
+		k.Configure(routing.Engine{Adapters: 4, Memory: c.memory, Models: models})
+		k.SetFencingNumber(7)
+		c.report.StartMilli, c.report.Models = 1, []ident.ModelVersion{{Model: "m", Version: "1"}}
+		k.Observe(epoch, "i-1", c.report)
+		now := at(time.Second)
+		for i, av := range c.demands {
+			k.SetDemand(now, ident.Host(fmt.Sprint("e", i)), Demand{Adapter: av, Waiting: 1})
+		}
+		o, ok := k.Next(now)
+		if ok != (c.want != nil) || ok && (o.Adapter != c.want.Adapter || o.Unload != c.want.Unload || o.Model != "") {
+			t.Errorf("%s: next = %+v, %v, want %+v", c.name, o, ok, c.want)
+		}
+	}
+	k := New()
+	k.Configure(routing.Engine{Adapters: 4, Memory: 50, Models: models})
+	k.SetFencingNumber(7)
+	k.Observe(epoch, "i-1", Report{StartMilli: 1})
+	if o, ok := k.Next(epoch); ok {
+		t.Errorf("next = %+v for a base model that does not fit", o)
+	}
+}
--- a/state/ident/ident.go
+++ b/state/ident/ident.go
@@ -55,6 +55,9 @@
 // Tokens is a number of tokens.
 type Tokens uint64
 
+// Megabytes is an amount of an engine's memory, in MB.
+type Megabytes float64
+
 // AdapterVersion identifies one version of an adapter, or an adapter without a version.
 type AdapterVersion struct {
 	Adapter Adapter
--- a/state/placement/adapter.go
+++ b/state/placement/adapter.go
@@ -29,9 +29,15 @@
 	adaptersPerSweep = 2
 )
 
+// adapterKey identifies an adapter of a service; the service is empty where services do not divide the engines.
+type adapterKey struct {
+	service ident.Service
+	name    ident.AdapterVersion
+}
+
 // adapter is the table's state of one adapter version. All times are in seconds on the table's scale.
 type adapter struct {
-	name ident.AdapterVersion
+	key  adapterKey
 	hash uint64
 	// holders are the endpoints that have it resident or loading, in rendezvous order.
 	holders []*endpoint
@@ -89,11 +95,11 @@
 }
 
 // ensureAdapter returns the state of an adapter and adds it to the table if it is new.
-func (t *Table) ensureAdapter(seconds float64, av ident.AdapterVersion) *adapter {
-	a, ok := t.adapters[av]
+func (t *Table) ensureAdapter(seconds float64, key adapterKey) *adapter {
+	a, ok := t.adapters[key]
 	if !ok {
-		a = &adapter{name: av, hash: adapterHash(av), updated: seconds, replicas: 1}
-		t.adapters[av] = a
+		a = &adapter{key: key, hash: adapterHash(key.name), updated: seconds, replicas: 1}
+		t.adapters[key] = a
 		t.adapterList = append(t.adapterList, a)
 	}
 	return a
@@ -163,7 +169,7 @@
 	for range min(adaptersPerSweep, len(t.adapterList)) {
 		t.sweepIndex = (t.sweepIndex + 1) % len(t.adapterList)
 		if a := t.adapterList[t.sweepIndex]; len(a.holders) == 0 && a.decayedDemand(seconds) < minRetainedDemand && !a.wasHeldRecently(seconds) {
-			delete(t.adapters, a.name)
+			delete(t.adapters, a.key)
 			last := len(t.adapterList) - 1
 			t.adapterList[t.sweepIndex] = t.adapterList[last]
 			t.adapterList = t.adapterList[:last]
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -50,10 +50,10 @@
 // Cheapest is like Choose and also returns the cost of the endpoint in milliseconds.
 func (t *Table) Cheapest(now time.Time, q Query) (name ident.Endpoint, cost float64, ok bool) {
 	c := choice{table: t, query: &q, seconds: t.seconds(now)}
-	if q.Service != "" {
-		c.compareInstances(t.pools[poolKey{kind: resource.Service, service: q.Service}])
+	if p := t.pools[q.poolKey()]; q.isPlain() {
+		c.compareInstances(p)
 	} else {
-		c.compareEngines(t.pools[poolKey{kind: resource.Engine, base: q.BaseModel}])
+		c.compareEngines(p)
 	}
 	if c.best == nil {
 		return "", 0, false
@@ -97,7 +97,7 @@
 		c.compareForBaseModel(p)
 		return
 	}
-	a := c.table.adapters[c.query.Adapter]
+	a := c.table.adapters[c.query.adapterKey()]
 	hash := uint64(0)
 	if a != nil {
 		hash = a.hash
@@ -218,7 +218,7 @@
 // consider makes the endpoint the best one if it costs less than the best so far; extra is the part of the cost that depends on
 // the adapter.
 func (c *choice) consider(e *endpoint, seconds, extra float64) {
-	if !e.accepts(*c.query) || (e.Fixed && c.query.Service == "" && !c.query.Adapter.IsZero() && !isHolder(e, c.table.adapters[c.query.Adapter])) {
+	if !e.accepts(*c.query) || (e.Fixed && !c.query.Adapter.IsZero() && !isHolder(e, c.table.adapters[c.query.adapterKey()])) {
 		return
 	}
 	cost := extra + c.table.queueCost(e) + milli(e.Penalty)
--- a/state/placement/endpoint.go
+++ b/state/placement/endpoint.go
@@ -29,7 +29,7 @@
 	if r.Kind == resource.Service {
 		return poolKey{kind: r.Kind, service: r.Service}
 	}
-	return poolKey{kind: r.Kind, base: r.BaseModel}
+	return poolKey{kind: r.Kind, base: r.BaseModel, service: r.Service}
 }
 
 // pool is a set of interchangeable endpoints; its generation rises with each endpoint that joins or leaves.
@@ -148,7 +148,7 @@
 	if e.Leaving || contains(q.Exclude, e.Endpoint) {
 		return false
 	}
-	return q.Service != "" || (e.BaseModel == q.BaseModel && !contains(e.Failing, q.Adapter))
+	return e.Service == q.Service && (q.isPlain() || (e.BaseModel == q.BaseModel && !contains(e.Failing, q.Adapter)))
 }
 
 func contains[T comparable](list []T, x T) bool {
--- a/state/placement/prefetch.go
+++ b/state/placement/prefetch.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"shallotring.dev/state/ident"
-	"shallotring.dev/state/resource"
 )
 
 const (
@@ -18,8 +17,8 @@
 // Prefetch returns an endpoint in the zone of the entry that should load the adapter of a request, because requests for it go to other
 // zones so often that the load costs less; ok is false if there is none. The request itself does not wait for the load.
 func (t *Table) Prefetch(now time.Time, q Query) (name ident.Endpoint, ok bool) {
-	a := t.adapters[q.Adapter]
-	p := t.pools[poolKey{kind: resource.Engine, base: q.BaseModel}]
+	a := t.adapters[q.adapterKey()]
+	p := t.pools[q.poolKey()]
 	if !t.hasTerm(ZoneTerm) || a == nil || p == nil || len(p.zones[q.Zone]) == 0 || t.slotUse() > maxPrefetchSlotUse {
 		return "", false
 	}
--- a/state/placement/source.go
+++ b/state/placement/source.go
@@ -13,7 +13,7 @@
 // Source returns another endpoint that has cached the prompt prefix under the same weights, from which the named endpoint can fetch it in
 // a fraction of the time; ok is false if the named endpoint has cached it itself or no endpoint has.
 func (t *Table) Source(now time.Time, name ident.Endpoint, q Query) (source ident.Endpoint, ok bool) {
-	e, a := t.endpoints[name], t.adapters[q.Adapter]
+	e, a := t.endpoints[name], t.adapters[q.adapterKey()]
 	if e == nil || a == nil || q.PrefixTokens < minFetchTokens {
 		return "", false
 	}
@@ -42,8 +42,12 @@
 // CanSupply reports whether the source holds the adapter and the same weights as the named endpoint, so that the prompts that it has cached
 // for the adapter are valid there.
 func (t *Table) CanSupply(source, name ident.Endpoint, av ident.AdapterVersion) bool {
-	x, e, a := t.endpoints[source], t.endpoints[name], t.adapters[av]
-	return x != nil && e != nil && a != nil && x.canSupply(e, a)
+	x, e := t.endpoints[source], t.endpoints[name]
+	if x == nil || e == nil {
+		return false
+	}
+	a := t.adapters[adapterKey{e.Service, av}]
+	return a != nil && x.canSupply(e, a)
 }
 
 // canSupply reports whether prompts that x has cached for an adapter are valid at e: a cached prompt depends on the weights of the base
--- a/state/placement/table.go
+++ b/state/placement/table.go
@@ -54,10 +54,11 @@
 
 // Query describes one request to place.
 type Query struct {
-	// BaseModel and Adapter are set for model requests, Service for plain services.
+	// BaseModel and Adapter are set for model requests.
 	BaseModel ident.BaseModel
 	Adapter   ident.AdapterVersion
-	Service   ident.Service
+	// Service is the service whose endpoints may run the request. It is empty for model requests where services do not divide the engines.
+	Service ident.Service
 	// Prefix is a hash of the prompt prefix; zero if the prompt is short.
 	Prefix uint64
 	// PrefixTokens is an estimate of the length of the prefix; zero means the whole prompt.
@@ -73,6 +74,19 @@
 	Exclude []ident.Endpoint
 }
 
+// isPlain reports whether the request is for a plain service.
+func (q *Query) isPlain() bool { return q.Service != "" && q.BaseModel == "" && q.Adapter.IsZero() }
+
+func (q *Query) adapterKey() adapterKey { return adapterKey{q.Service, q.Adapter} }
+
+// poolKey returns the key of the endpoints that may run the request.
+func (q *Query) poolKey() poolKey {
+	if q.isPlain() {
+		return poolKey{kind: resource.Service, service: q.Service}
+	}
+	return poolKey{kind: resource.Engine, base: q.BaseModel, service: q.Service}
+}
+
 // Table is an entry's state of all endpoints and of the demand for adapters. It is not safe for concurrent use.
 type Table struct {
 	weights          Weights
@@ -91,10 +105,11 @@
 	meanPrompt  float64
 	promptCount int
 	// epoch is the time of the first event, at which the table's time scale starts.
-	epoch       time.Time
-	endpoints   map[ident.Endpoint]*endpoint
-	pools       map[poolKey]*pool
-	adapters    map[ident.AdapterVersion]*adapter
+	epoch     time.Time
+	endpoints map[ident.Endpoint]*endpoint
+	pools     map[poolKey]*pool
+	// adapters has the adapters of each service: a service does not use the engines of another one, so its demand and holders are its own.
+	adapters    map[adapterKey]*adapter
 	adapterList []*adapter
 	// sweepIndex is the index in adapterList of the adapter that was last checked for removal.
 	sweepIndex int
@@ -113,7 +128,7 @@
 		prefillMilli: milli(defaultPrefill), affinityMilli: defaultAffinityMilli, displacedLoads: defaultDisplacedLoads, samples: defaultSamples,
 		meter:     serviceMeter{assumedTime: defaultServiceTime.Seconds(), trafficRatio: 1},
 		endpoints: make(map[ident.Endpoint]*endpoint), pools: make(map[poolKey]*pool),
-		adapters: make(map[ident.AdapterVersion]*adapter),
+		adapters: make(map[adapterKey]*adapter),
 	}
 	t.Configure(options...)
 	if t.random == nil {
@@ -184,17 +199,17 @@
 	old := e.holdings
 	e.holdings = e.spareHoldings[:0]
 	for _, h := range old {
-		if h.unreported && h.loading && seconds-h.requestedAt < unreportedLoadExpirySeconds && !slices.Contains(e.Resident, h.adapter.name) {
+		if h.unreported && h.loading && seconds-h.requestedAt < unreportedLoadExpirySeconds && !slices.Contains(e.Resident, h.adapter.key.name) {
 			e.holdings = append(e.holdings, h)
 			continue
 		}
 		t.removeHolder(h.adapter, e)
 	}
 	for _, av := range e.Resident {
-		t.addHolding(e, holding{adapter: t.ensureAdapter(seconds, av)})
+		t.addHolding(e, holding{adapter: t.ensureAdapter(seconds, adapterKey{e.Service, av})})
 	}
 	for _, av := range e.Loading {
-		t.addHolding(e, holding{adapter: t.ensureAdapter(seconds, av), loading: true, requestedAt: seconds, readyAt: seconds + remainingLoadTime(old, av, seconds, t.loadMilli)})
+		t.addHolding(e, holding{adapter: t.ensureAdapter(seconds, adapterKey{e.Service, av}), loading: true, requestedAt: seconds, readyAt: seconds + remainingLoadTime(old, av, seconds, t.loadMilli)})
 	}
 	for _, h := range old {
 		if !h.loading && e.holdingOf(h.adapter) == nil {
@@ -209,7 +224,7 @@
 // still in flight at the estimated time is assumed to need another quarter of the load time.
 func remainingLoadTime(old []holding, av ident.AdapterVersion, seconds, loadMilli float64) float64 {
 	for _, h := range old {
-		if h.loading && h.adapter.name == av {
+		if h.loading && h.adapter.key.name == av {
 			return max(h.readyAt-seconds, loadMilli/4000)
 		}
 	}
@@ -275,13 +290,13 @@
 	try.endpoint = e
 	e.recordChange(seconds, 1)
 	if q.Adapter.IsZero() {
-		if q.Service == "" {
+		if !q.isPlain() {
 			try.PromptTokens = t.recordPrompt(seconds, e, baseModelHash, q)
 			e.addPrefix(seconds, prefixKey(baseModelHash, q.Prefix))
 		}
 		return try
 	}
-	a := t.ensureAdapter(seconds, q.Adapter)
+	a := t.ensureAdapter(seconds, q.adapterKey())
 	t.recordDemand(seconds, a, e)
 	try.PromptTokens = t.recordPrompt(seconds, e, a.hash, q)
 	e.addPrefix(seconds, prefixKey(a.hash, q.Prefix))
--- a/state/placement/table_test.go
+++ b/state/placement/table_test.go
@@ -179,7 +179,7 @@
 		for s := from; s < to; s += 1 / perSecond {
 			table.Sent(at(s), "a", query("x"))
 		}
-		return table.adapters[version("x")].replicas
+		return table.adapters[adapterKey{name: version("x")}].replicas
 	}
 	if n := send(0, 200, 10); n < 3 || n > 4 {
 		t.Errorf("%d replicas for 20 running requests in batches of 8 that are filled to nine tenths, want 3 or 4", n)
@@ -201,13 +201,13 @@
 	for i := range 2 {
 		table.Sent(at(100+float64(i)/100), "a", query("y"))
 	}
-	if n := table.adapters[version("y")].replicas; n != 1 {
+	if n := table.adapters[adapterKey{name: version("y")}].replicas; n != 1 {
 		t.Errorf("%d replicas after two requests, want 1", n)
 	}
 	for i := range 60 {
 		table.Sent(at(100+float64(i)/20), "a", query("x"))
 	}
-	if n := table.adapters[version("x")].replicas; n < 5 {
+	if n := table.adapters[adapterKey{name: version("x")}].replicas; n < 5 {
 		t.Errorf("%d replicas after three seconds at 20 requests per second, want at least 5", n)
 	}
 }
--- a/state/placement/zone_test.go
+++ b/state/placement/zone_test.go
@@ -140,7 +140,7 @@
 		name, _ := table.Choose(at(200), q)
 		table.Sent(at(200), name, q)
 	}
-	if _, ok := table.adapters[version("rare")]; ok || len(table.adapters) > before+3 {
+	if _, ok := table.adapters[adapterKey{name: version("rare")}]; ok || len(table.adapters) > before+3 {
 		t.Errorf("%d adapters are remembered, among them one that no engine caches any more", len(table.adapters))
 	}
 }
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -54,17 +54,6 @@
 	Engine *Engine
 }
 
-// Engine is the capacity of each engine of a service.
-type Engine struct {
-	// Adapters is the number of adapter slots.
-	Adapters int
-	// BatchSize is the number of requests in one batch.
-	BatchSize int
-	// CacheTokens is the memory for running requests and cached prompt prefixes, in tokens.
-	CacheTokens ident.Tokens
-	Models      []ident.BaseModel
-}
-
 // Limits bound what a caller may send.
 type Limits struct {
 	HeaderBytes int
