trial: each deployment has loopback addresses of its own

The control port was examined on one of the engines' addresses only. A deployment reserves a /24 of loopback by a listener that it keeps until it ends, and gives each entry, engine and instance a host in it, with the same ports everywhere. The fault is inferred from the code: not seen again in runs here.

--- a/daemon/trial/deployment.go
+++ b/daemon/trial/deployment.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,8 +29,6 @@
 	restartDelay = 2 * time.Second
 	// loadTime is the duration of one load of an adapter.
 	loadTime = 20 * time.Millisecond
-	// minPort and maxPort bound the ports of the programs, and maxPortTries the ports that are tried for one of them.
-	minPort, maxPort, maxPortTries = 10000, 30000, 20
 	// exchangeTimeout limits one exchange.
 	exchangeTimeout = 10 * time.Second
 	// Host is the host name of all routes.
@@ -78,6 +75,7 @@
 	log      *slog.Logger
 	memory   standin.Memory
 	settings standin.Settings
+	network  *network
 	servers  []*http.Server
 	programs sync.WaitGroup
 	// stopEntries has the function that ends each entry.
@@ -98,24 +96,23 @@
 func Start(ctx context.Context, log *slog.Logger, size Size, options ...standin.EngineOption) (d *Deployment, err error) {
 	defer func() { err = eris.Wrap(err, "start trial") }()
 	d = &Deployment{Name: fmt.Sprintf("%08x", rand.Uint32()), Store: standin.NewStore(), ctx: ctx, log: log, memory: size.Memory}
-	_, store, err := d.serve("127.0.0.1:0", d.Store)
-	if err != nil {
+	if d.network, err = openNetwork(); err != nil {
 		return nil, err
 	}
-	controlPort, err := freePort("127.0.0.2")
+	_, store, err := d.serve(hostPort(d.network.host(1), 0), d.Store)
 	if err != nil {
 		return nil, err
 	}
 	d.settings = standin.Settings{Zone: "a", ControlPort: controlPort, Store: store, GracePeriod: 2 * time.Second}
 	for i := range size.Engines {
-		ip := fmt.Sprintf("127.0.0.%d", i+2)
-		e, address, err := d.startEngine(ip, fmt.Sprint("i-", i), modelService, append(options, standin.WithModel(Model, AdapterSlots, loadTime), standin.WithMemory(size.Memory))...)
+		ip := d.network.host(firstEngine + i)
+		e, engineAddress, err := d.startEngine(ip, fmt.Sprint("i-", i), modelService, append(options, standin.WithModel(Model, AdapterSlots, loadTime), standin.WithMemory(size.Memory))...)
 		if err != nil {
 			return nil, err
 		}
 		d.Engines = append(d.Engines, e)
 		agentSettings := d.settings
-		agentSettings.Host, agentSettings.IP, agentSettings.Engine, agentSettings.Service = fmt.Sprint("side-", i), ip, address, modelService
+		agentSettings.Host, agentSettings.IP, agentSettings.Engine, agentSettings.Service = fmt.Sprint("side-", i), ip, engineAddress, modelService
 		s, err := boot.Parse(agentSettings.Encode())
 		if err != nil {
 			return nil, err
@@ -129,7 +126,7 @@
 	}
 	for i := range size.Instances {
 		// Each has its own address, so that no connection gets its port while it is down.
-		e, _, err := d.startEngine(fmt.Sprintf("127.0.1.%d", i+1), fmt.Sprint("i-s", i), plainService, options...)
+		e, _, err := d.startEngine(d.network.host(firstInstance+i), fmt.Sprint("i-s", i), plainService, options...)
 		if err != nil {
 			return nil, err
 		}
@@ -145,7 +142,7 @@
 	return d, nil
 }
 
-// AddEntry starts an entry on the first loopback address; its front address is the last one of Fronts.
+// AddEntry starts an entry on a host of its own; its front address is the last one of Fronts.
 func (d *Deployment) AddEntry(host string) (err error) { return d.AddEntryAt(host, d.settings.Store) }
 
 // StoreAddress returns the address of the store.
@@ -170,18 +167,11 @@
 // StopEntry makes an entry drain and exit.
 func (d *Deployment) StopEntry(entry int) { d.stopEntries[entry]() }
 
-// entrySettings returns the settings of an entry with free ports.
+// entrySettings returns the settings of an entry on a host of its own.
 func (d *Deployment) entrySettings(host string) (s boot.Settings, err error) {
-	var addresses [2]string
-	for i := range addresses {
-		port, err := freePort("127.0.0.1")
-		if err != nil {
-			return s, err
-		}
-		addresses[i] = fmt.Sprint("127.0.0.1:", port)
-	}
+	ip := d.network.newEntry()
 	settings := d.settings
-	settings.Host, settings.IP, settings.Front, settings.Ready = host, "127.0.0.1", addresses[0], addresses[1]
+	settings.Host, settings.IP, settings.Front, settings.Ready = host, ip, hostPort(ip, frontPort), hostPort(ip, readyPort)
 	return boot.Parse(settings.Encode())
 }
 
@@ -244,7 +234,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.err
+	return errors.Join(d.err, d.network.close())
 }
 
 // StopAgent ends the agent of a model engine for good; the engine continues to run.
@@ -349,15 +339,3 @@
 	}()
 	return s, l.Addr().String(), nil
 }
-
-// freePort returns a port on which a program can listen later. It is none of those that the system gives to connections.
-func freePort(ip string) (port int, err error) {
-	for range maxPortTries {
-		port = minPort + rand.IntN(maxPort-minPort)
-		var l net.Listener
-		if l, err = net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port))); err == nil {
-			return port, l.Close()
-		}
-	}
-	return 0, err
-}
