direct tests: no two requests have the same id

Seen again in TestAdapterThatCrashesEngines, this time with its log: ready-1 was first a lookup that the plain service answered with 200, and then another request, to a model, which was refused with 0 sends. Both came from sendUntilServed("ready"), which numbered from 0 in each call, so the check found the run of the first under the id of the second. No entry said "not run" of a request that had run. The ids are numbered by deployment now, so the check tells them apart; it is as strict.

--- a/daemon/direct/direct_test.go
+++ b/daemon/direct/direct_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	t    *testing.T
 	stop context.CancelFunc
 	log  *recorder
+	// calls numbers the requests of sendUntilServed, so that no two have the same id.
+	calls atomic.Int64
 }
 
 // maxLines bounds the lines that a recorder keeps.
@@ -134,8 +137,8 @@
 func (d *deployment) sendUntilServed(path, id, model string) (body string) {
 	d.t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
-	for i := 0; ; i++ {
-		requestID := fmt.Sprint(id, "-", i)
+	for {
+		requestID := fmt.Sprint(id, "-", d.calls.Add(1))
 		status, body, err := d.send(path, requestID, model)
 		if err == nil && status == http.StatusOK {
 			return body
