--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -14,7 +14,6 @@
 	"github.com/coder/quartz"
 
 	"shallotring.dev/state/call"
-	"shallotring.dev/state/exposure"
 	"shallotring.dev/state/fingerprint"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/inventory"
@@ -91,8 +90,7 @@
 	versions     map[ident.Adapter]ident.Version
 	retryBudgets map[ident.Service]*retry.Window
 	random       *rand.Rand
-	// trackers measure how often prompt parts are at the engines of each service; quarantine has those on which engines crash.
-	trackers   map[ident.Service]*exposure.Tracker
+	// quarantine has the prompt parts on which engines crash.
 	quarantine *quarantine.List
 	suspects   suspects
 	// suspecting is set while any request is under suspicion or in quarantine.
@@ -142,7 +140,7 @@
 		metrics: newInstruments(metrics.NewSet()), retryLimit: RetryLimit{Ratio: 0.1, Extra: 10, Window: 10 * time.Second},
 		endpoints: make(map[ident.Endpoint]*endpoint), departures: newDepartures(), versions: make(map[ident.Adapter]ident.Version),
 		retryBudgets: make(map[ident.Service]*retry.Window), links: make(map[string]*agentLink),
-		trackers: make(map[ident.Service]*exposure.Tracker), quarantine: quarantine.New(), recordQuarantine: func(quarantine.Change) {},
+		quarantine: quarantine.New(), recordQuarantine: func(quarantine.Change) {},
 		suspects: suspects{List: suspicion.New(), requestRecord: noRecord{}, unused: make(map[fingerprint.Fingerprint]bool)},
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/daemon/frontend/link.go
+++ b/daemon/frontend/link.go
@@ -170,6 +170,7 @@
 		// The previous state expires, and discovery counts then.
 		return
 	}
+	f.observeEngineEnd(l, s)
 	startChanged := l.state == nil || l.state.Endpoint != s.Endpoint || l.state.Born != s.Born
 	l.state, l.stateAt = &s, f.clock.Now()
 	e := f.endpoints[s.Endpoint]
--- a/daemon/frontend/quarantine.go
+++ b/daemon/frontend/quarantine.go
@@ -9,7 +9,6 @@
 
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/call"
-	"shallotring.dev/state/exposure"
 	"shallotring.dev/state/fingerprint"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/outcome"
@@ -33,22 +32,13 @@
 	// ran is the time since its send.
 	ran time.Duration
 	identity
-	// parts are those of its prompt that other requests may share.
-	parts []call.Part
+	// parts are those of its prompt that other requests may share, suspects what was known of them when it ended.
+	parts    []call.Part
+	suspects []quarantine.Suspect
 	// orderly is set if the response looks complete, which it may although the endpoint has ended.
 	orderly bool
 }
 
-// exposures returns the tracker of a service; the lock is held.
-func (f *Frontend) exposures(s ident.Service) *exposure.Tracker {
-	t := f.trackers[s]
-	if t == nil {
-		t = exposure.New()
-		f.trackers[s] = t
-	}
-	return t
-}
-
 // advanceExposures counts the engines that are up; the lock is held.
 func (f *Frontend) advanceExposures(now time.Time) {
 	engines, hosts := make(map[ident.Service]int), make(map[string]bool)
@@ -61,15 +51,9 @@
 			engines[e.Service]++
 		}
 	}
-	for service, n := range engines {
-		f.exposures(service).Advance(now, n)
-	}
-	for service, t := range f.trackers {
-		if engines[service] == 0 {
-			t.Advance(now, 0)
-		}
-	}
 	f.quarantine.SetHosts(len(hosts))
+	f.quarantine.SetEntries(f.entryCount(now))
+	f.quarantine.Advance(now, engines)
 }
 
 func hostOf(address string) string {
@@ -80,14 +64,36 @@
 	return host
 }
 
-// recordExposure records that a model request was in progress at an engine since a time.
-func (f *Frontend) recordExposure(x *request, since time.Time) {
+// beginExposure records that a model request is sent to an engine, and returns the function that records that it is not in progress any more.
+func (f *Frontend) beginExposure(x *request, e *endpoint) (end func()) {
 	if x.call.Model == "" {
-		return
+		return func() {}
 	}
+	parts := x.call.SharedParts()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.exposures(x.service).Record(x.call.SharedParts(), f.clock.Since(since))
+	f.quarantine.Begin(x.service, parts, e.name)
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.quarantine.Stop(f.clock.Now(), x.service, parts, e.name)
+	}
+}
+
+// recordSurvivedPrompt records that an engine has survived a model request; the lock is held.
+func (f *Frontend) recordSurvivedPrompt(now time.Time, s ident.Service, parts []call.Part, ran time.Duration) {
+	f.applyQuarantine(now, f.quarantine.Complete(now, s, parts, ran))
+}
+
+// applyQuarantine logs and records changes of the quarantine; the lock is held.
+func (f *Frontend) applyQuarantine(now time.Time, changes []quarantine.Change) {
+	for _, change := range changes {
+		f.logQuarantine(change)
+		f.recordQuarantine(change)
+	}
+	if len(changes) > 0 {
+		f.metrics.quarantinedParts.Set(float64(len(f.quarantine.Entries(now))))
+	}
 }
 
 // recordInterruption records that the end of its connection to the endpoint ended a request, and waits for a moment until it is known whether
@@ -100,14 +106,18 @@
 	f.mu.Lock()
 	now := f.clock.Now()
 	i.at, i.ran = now, now.Sub(x.sentAt)
-	if x.call.Model != "" && e.link != nil {
-		e.dropInterruptions(now)
+	switch {
+	case x.call.Model != "" && e.link != nil:
+		i.suspects = f.quarantine.Suspects(now, e.service, i.parts)
+		f.dropInterruptions(e, now)
 		if len(e.interruptions) < maxInterruptions {
 			e.interruptions = append(e.interruptions, i)
 		}
 		if f.endpoints[e.ID] != e {
 			f.reportInterruptions(e, now)
 		}
+	case x.call.Model != "" && orderly:
+		f.recordSurvivedPrompt(now, e.service, i.parts, i.ran)
 	}
 	checked := f.suspectEnd(e, i)
 	f.mu.Unlock()
@@ -116,10 +126,14 @@
 	}
 }
 
-// dropInterruptions forgets the interruptions that are too old.
-func (e *endpoint) dropInterruptions(now time.Time) {
+// dropInterruptions forgets the interruptions that are too old. The engine has survived the requests whose responses look complete; the lock is
+// held.
+func (f *Frontend) dropInterruptions(e *endpoint, now time.Time) {
 	n := 0
 	for n < len(e.interruptions) && now.Sub(e.interruptions[n].at) > interruptionMemory {
+		if i := e.interruptions[n]; i.orderly {
+			f.recordSurvivedPrompt(now, e.service, i.parts, i.ran)
+		}
 		n++
 	}
 	e.interruptions = e.interruptions[n:]
@@ -128,7 +142,7 @@
 // reportInterruptions reports the interrupted requests of an engine to its agent, which knows whether the engine has crashed. Responses that
 // look complete are reported only if the engine is down; the lock is held.
 func (f *Frontend) reportInterruptions(e *endpoint, now time.Time) {
-	e.dropInterruptions(now)
+	f.dropInterruptions(e, now)
 	if len(e.interruptions) == 0 || e.link == nil {
 		return
 	}
@@ -140,14 +154,9 @@
 	if !due {
 		return
 	}
-	entries, tracker := f.entryCount(now), f.exposures(e.Service)
 	r := &control.Interruption{AgeMilli: now.Sub(e.interruptions[0].at).Milliseconds(), Requests: len(e.interruptions)}
 	for _, i := range e.interruptions {
-		var suspects []quarantine.Suspect
-		for _, p := range i.parts {
-			suspects = append(suspects, quarantine.Suspect{Part: p.ID, Share: tracker.Share(p.ID, entries)})
-		}
-		r.Suspects = quarantine.MergeSuspects(r.Suspects, suspects)
+		r.Suspects = quarantine.MergeSuspects(r.Suspects, i.suspects)
 	}
 	if e.enqueueReport(control.UsageReport{Interrupted: r}, now) {
 		e.interruptions = nil
@@ -165,16 +174,39 @@
 		if e := f.endpoints[x.Endpoint]; e != nil && e.StartMilli == x.Born {
 			f.recordEnd(e, now, crashReported)
 		}
-		changes := f.quarantine.Observe(now, quarantine.Crash{Endpoint: x.Endpoint, StartMilli: x.Born, Host: hostOf(l.address),
+		changes := f.quarantine.Observe(now, quarantine.Crash{Endpoint: x.Endpoint, StartMilli: x.Born, Service: f.serviceOf(l, x.Endpoint),
 			At: now.Add(-time.Duration(x.AgeMilli) * time.Millisecond), Requests: x.Requests, Suspects: x.Suspects})
 		f.log.Info("engine crash reported", slog.String("Endpoint", string(x.Endpoint)), slog.Int64("Born", x.Born), slog.Int64("AgeMilli", x.AgeMilli),
 			slog.Int("Requests", x.Requests), slog.Int("Parts", len(x.Suspects)), slog.Int("Crashes", f.quarantine.Crashes()))
-		for _, change := range changes {
-			f.logQuarantine(change)
-			f.recordQuarantine(change)
+		f.applyQuarantine(now, changes)
+	}
+}
+
+// observeEngineEnd records that an engine is down, or another incarnation, in the next state of its agent. It may have been idle: such ends tell how often
+// engines end whatever runs. The lock is held.
+func (f *Frontend) observeEngineEnd(l *agentLink, next control.State) {
+	last := l.state
+	if last == nil || !last.Up || last.Leaving || last.Endpoint == "" || next.Up && next.Endpoint == last.Endpoint && next.Born == last.Born {
+		return
+	}
+	if e := f.endpoints[last.Endpoint]; e != nil && e.Leaving {
+		return
+	}
+	now := f.clock.Now()
+	f.applyQuarantine(now, f.quarantine.Observe(now, quarantine.Crash{Endpoint: last.Endpoint, StartMilli: last.Born, Service: f.serviceOf(l, last.Endpoint), At: now}))
+}
+
+// serviceOf returns the service of an engine that has crashed, which is that of the engines of its agent; the lock is held.
+func (f *Frontend) serviceOf(l *agentLink, engine ident.Endpoint) (s ident.Service) {
+	if e := f.endpoints[engine]; e != nil {
+		return e.service
+	}
+	for _, e := range f.endpoints {
+		if e.link == l {
+			return e.service
 		}
 	}
-	f.metrics.quarantinedParts.Set(float64(len(f.quarantine.Entries(now))))
+	return s
 }
 
 // RestoreQuarantine adds a prompt part that another entry has put in quarantine.
@@ -207,7 +239,7 @@
 func (f *Frontend) logQuarantine(c quarantine.Change) {
 	message := "prompt part is in quarantine"
 	if c.Released {
-		message = "prompt part is released from quarantine: other parts explain the crashes"
+		message = "prompt part is released from quarantine: other parts explain the crashes, or engines survive it"
 	}
 	f.log.Warn(message, slog.String("Part", c.Part.String()), slog.Int("Incidents", c.Incidents), slog.Int("Of", c.Of), slog.Float64("Share", c.Share),
 		slog.Float64("Evidence", c.Evidence), slog.Time("Until", c.Until))
@@ -248,5 +280,5 @@
 	if x.probation != (fingerprint.Fingerprint{}) || x.identity != nil && f.suspects.Ends(x.identity.request) > maxRepeatedEnds {
 		return false
 	}
-	return x.interruptions == 0 || x.interruptions < maxInterruptedRuns && !f.quarantine.Suspected(x.call.SharedParts())
+	return x.interruptions == 0 || x.interruptions < maxInterruptedRuns && !f.quarantine.Suspected(x.service, x.call.SharedParts())
 }
--- a/daemon/frontend/serve.go
+++ b/daemon/frontend/serve.go
@@ -329,7 +329,7 @@
 	x.sentAt = start
 	x.sends++
 	f.countLimitedSend(x, e)
-	defer f.recordExposure(x, start)
+	defer f.beginExposure(x, e)()
 	dispatch := call.Dispatch{Endpoint: e.name, Version: x.adapter.Version, Remaining: x.deadline.Sub(start) - responseMargin, Priority: x.route.Priority}
 	if x.call.Model == "" {
 		dispatch.Priority = -1 // a negative priority is not sent
--- a/daemon/frontend/suspicion.go
+++ b/daemon/frontend/suspicion.go
@@ -275,7 +275,16 @@
 // recordCompleteRun records a response that its endpoint has completed. An endpoint that has ended may seem to complete one that ends with its
 // connection, and an endpoint that fails may not have begun to run the request.
 func (f *Frontend) recordCompleteRun(x *request, response *upstream.Response) {
-	if !f.suspecting.Load() || response.Framing == upstream.CloseFraming || response.Status >= http.StatusInternalServerError {
+	if response.Framing == upstream.CloseFraming || response.Status >= http.StatusInternalServerError {
+		return
+	}
+	if x.call.Model != "" {
+		f.mu.Lock()
+		now := f.clock.Now()
+		f.recordSurvivedPrompt(now, x.service, x.call.SharedParts(), now.Sub(x.sentAt))
+		f.mu.Unlock()
+	}
+	if !f.suspecting.Load() {
 		return
 	}
 	for _, p := range x.identify().fingerprints() {
--- a/state/blame/account.go
+++ b/state/blame/account.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"shallotring.dev/state/ident"
 )
 
 const (
@@ -14,19 +16,28 @@
 	// by chance. Verdicts are kept until hysteresis less is left of it.
 	margin     = 6.0
 	hysteresis = 2.0
+	// knownMargin is the evidence that a candidate needs that was blamed before, for which one end is enough.
+	knownMargin = 3.0
+	// suspicionShare is the share of the evidence for a verdict from which a candidate is under suspicion.
+	suspicionShare = 1.0 / 3
 	// simultaneous is the time after an end in which further ends may have the same cause outside the requests.
 	simultaneous = 100 * time.Millisecond
 	// generationTime is the time for which exposures are counted together, and maxCandidates bounds the candidates of a generation, which is
 	// replaced early when it is full.
 	generationTime = 5 * time.Minute
-	maxCandidates  = 1 << 16
-	// maxEnds bounds the ends that are remembered.
-	maxEnds = 512
+	maxCandidates  = 1 << 14
+	// maxEnds bounds the ends that are remembered, and maxKnown the candidates that were blamed before.
+	maxEnds  = 256
+	maxKnown = 1024
+	// minCandidates is the least number of candidates that is assumed.
+	minCandidates = 10
 	// defaultRunTime is the duration of a run before any has completed, and minRunTime the shortest.
 	defaultRunTime = time.Second
 	minRunTime     = 10 * time.Millisecond
 	// priorEnds is added to the observed number of ends, so that the rate of ends is never zero.
 	priorEnds = 0.5
+	// priorRuns is added to the counted complete runs of a candidate, since those of some observers are not known.
+	priorRuns = 0.5
 	// maxHarm is the highest probability with which a run is taken to end its endpoint.
 	maxHarm = 0.999
 	// fitSteps is the number of steps in which the most likely rates are found.
@@ -35,10 +46,29 @@
 
 // End is the end of an endpoint.
 type End[K comparable] struct {
-	At time.Time
-	// Present are the candidates of the requests that were in progress, each with the share of the endpoints that had one with it in progress
-	// at that moment, this one included.
-	Present map[K]float64
+	// Endpoint and StartMilli identify the incarnation. An end with an empty Endpoint is a new one always.
+	Endpoint   ident.Endpoint
+	StartMilli int64
+	At         time.Time
+	// Present are the candidates of the requests that were in progress.
+	Present map[K]Presence
+}
+
+// Presence is what an observer knows of a candidate at an end.
+type Presence struct {
+	// Share is the share of the endpoints that had it in progress at that moment, this one included.
+	Share float64
+	// Completed of Of complete runs that the observer has counted had it.
+	Completed, Of int
+}
+
+// Merge adds what another observer knows; the one that has counted more runs knows their share.
+func (p Presence) Merge(x Presence) Presence {
+	if x.Of > p.Of {
+		p.Completed, p.Of = x.Completed, x.Of
+	}
+	p.Share = max(p.Share, x.Share)
+	return p
 }
 
 // Verdict is the blame on a candidate.
@@ -46,19 +76,25 @@
 	Candidate K
 	// Evidence is the logarithm of the ratio of the likelihoods of all that was observed, with and without harm by the candidate.
 	Evidence float64
-	// Ends and Completed are the numbers of ends with the candidate and of its complete runs.
-	Ends, Completed int
-	// Released is set if the evidence no longer suffices.
+	// Ends are those with the candidate that others do not explain, Of all that others do not explain but for those that follow another one, and
+	// Completed its complete runs.
+	Ends, Of, Completed int
+	// Share is the share of the time for which an endpoint has it in progress.
+	Share float64
+	// Released is set if the evidence no longer suffices, or others explain the ends.
 	Released bool
 }
 
-// end is an end with the candidate that explains it.
+// end is a remembered end.
 type end[K comparable] struct {
-	End[K]
-	// follows is set if an end shortly before may have the same cause.
-	follows   bool
-	explained bool
-	by        K
+	endpoint   ident.Endpoint
+	startMilli int64
+	at         time.Time
+	present    map[K]Presence
+	// follows is set if an end shortly before may have the same cause; the ends of one outage have the same number. explained is set if a candidate is
+	// blamed for it.
+	follows, explained bool
+	outage             int
 }
 
 // exposure is how often a candidate was run.
@@ -75,96 +111,136 @@
 	endpointUp time.Duration
 }
 
-// Account weighs the candidates of one service. It is not safe for concurrent use.
+// Account weighs the candidates of one service. Several observers may each have one and exchange the ends. It is not safe for concurrent use.
 type Account[K comparable] struct {
 	current, previous generation[K]
-	advancedAt        time.Time
-	ends              []*end[K]
-	verdicts          map[K]Verdict[K]
+	progress          progress[K]
+	// since is the time from which ends are known, observedAt that from which endpoints were counted, and advancedAt the last count.
+	since, observedAt, advancedAt time.Time
+	endpointCount, observers      int
+	ends                          []*end[K]
+	verdicts                      map[K]Verdict[K]
+	suspects                      map[K]bool
+	known                         map[K]bool
 }
 
 // New returns an empty account.
 func New[K comparable]() *Account[K] {
-	return &Account[K]{current: generation[K]{exposures: make(map[K]exposure)}, verdicts: make(map[K]Verdict[K])}
+	return &Account[K]{current: generation[K]{exposures: make(map[K]exposure)}, progress: newProgress[K](), endpointCount: 1, observers: 1,
+		verdicts: make(map[K]Verdict[K]), suspects: make(map[K]bool), known: make(map[K]bool)}
+}
+
+// SetObservers sets the number of observers that each see an equal part of the runs.
+func (a *Account[K]) SetObservers(n int) { a.observers = max(n, 1) }
+
+// SetEndpoints sets the number of endpoints before they are counted.
+func (a *Account[K]) SetEndpoints(n int) {
+	if a.observedAt.IsZero() {
+		a.endpointCount = max(n, 1)
+	}
 }
 
 // Advance records that a number of endpoints have been up since the last call.
 func (a *Account[K]) Advance(now time.Time, endpoints int) {
 	if a.advancedAt.IsZero() {
-		a.current.start = now
+		a.current.start, a.observedAt = now, now
+		a.watchSince(now)
 	} else {
 		a.current.endpointUp += time.Duration(endpoints) * now.Sub(a.advancedAt)
 	}
-	a.advancedAt = now
+	a.advancedAt, a.endpointCount = now, max(endpoints, 1)
 	if now.Sub(a.current.start) < generationTime && len(a.current.exposures) < maxCandidates {
 		return
 	}
 	a.previous = a.current
 	a.current = generation[K]{start: now, exposures: make(map[K]exposure)}
-	a.ends = slices.DeleteFunc(a.ends, func(e *end[K]) bool { return e.At.Before(a.previous.start) })
+	a.forgetEnds(a.previous.start)
+	if a.observedAt.Before(a.previous.start) {
+		a.since, a.observedAt = a.previous.start, a.previous.start
+	}
+}
+
+// watchSince records that ends are known from a time on.
+func (a *Account[K]) watchSince(t time.Time) {
+	if a.since.IsZero() || t.Before(a.since) {
+		a.since = t
+	}
 }
 
 // Begin records that a request with candidates is sent to an endpoint.
-func (a *Account[K]) Begin(candidates []K) {
+func (a *Account[K]) Begin(candidates []K, at ident.Endpoint) {
 	for _, c := range candidates {
 		x := a.current.exposures[c]
 		x.runs++
 		a.current.exposures[c] = x
+		a.progress.begin(c, at)
+	}
+}
+
+// Stop records that a request with candidates is not in progress at an endpoint any more.
+func (a *Account[K]) Stop(now time.Time, candidates []K, at ident.Endpoint) {
+	for _, c := range candidates {
+		a.progress.end(now, c, at)
 	}
 }
 
+// Present returns what this account knows of a candidate of a request that is in progress.
+func (a *Account[K]) Present(now time.Time, c K) Presence {
+	return Presence{Share: min(float64(a.progress.count(now, c))/float64(a.endpointCount), 1), Completed: a.own(c), Of: a.completed()}
+}
+
 // Complete records that an endpoint has completed a request with candidates, and returns the verdicts that it reverses.
 func (a *Account[K]) Complete(candidates []K, runTime time.Duration) (released []Verdict[K]) {
 	a.current.completed++
 	a.current.runTime += runTime
+	blamed := false
 	for _, c := range candidates {
 		x := a.current.exposures[c]
 		x.completed++
 		a.current.exposures[c] = x
-		if _, ok := a.verdicts[c]; !ok {
-			continue
-		}
-		if v := a.weigh(c, a.open(c)); v.Evidence < a.threshold()-hysteresis {
-			delete(a.verdicts, c)
-			for _, e := range a.ends {
-				e.explained = e.explained && e.by != c
-			}
-			v.Released = true
-			released = append(released, v)
-		}
+		_, ok := a.verdicts[c]
+		blamed = blamed || ok
+	}
+	if blamed {
+		released = a.judge()
 	}
 	return released
 }
 
-// RecordEnd records an end, whose map it keeps, and returns the verdicts that follow from it.
-func (a *Account[K]) RecordEnd(x End[K]) (found []Verdict[K]) {
-	e := &end[K]{End: x}
-	for _, known := range slices.Backward(a.ends) {
-		if d := x.At.Sub(known.At); d >= 0 && d <= simultaneous {
-			e.follows = true
-			break
-		}
+// RecordEnd records an end, or what another observer knows of it, and returns the verdicts that follow, or do not any more.
+func (a *Account[K]) RecordEnd(x End[K]) (changes []Verdict[K]) {
+	var e *end[K]
+	if i := slices.IndexFunc(a.ends, func(e *end[K]) bool {
+		return x.Endpoint != "" && e.endpoint == x.Endpoint && e.startMilli == x.StartMilli
+	}); i >= 0 {
+		e = a.ends[i]
+	} else {
+		e = &end[K]{endpoint: x.Endpoint, startMilli: x.StartMilli, at: x.At, present: make(map[K]Presence, len(x.Present))}
+		i, _ = slices.BinarySearchFunc(a.ends, x.At, func(e *end[K], at time.Time) int {
+			if e.at.After(at) {
+				return 1
+			}
+			return -1
+		})
+		a.ends = slices.Insert(a.ends, i, e)
+		a.watchSince(x.At)
+		a.forgetEnds(a.ends[len(a.ends)-1].at.Add(-2 * generationTime))
 	}
-	for c := range x.Present {
-		if _, ok := a.verdicts[c]; ok {
-			e.explained, e.by = true, c
-		}
+	for c, p := range x.Present {
+		e.present[c] = e.present[c].Merge(p)
 	}
-	if a.ends = append(a.ends, e); len(a.ends) > maxEnds {
-		a.ends = slices.Delete(a.ends, 0, 1)
+	return a.judge()
+}
+
+// forgetEnds drops the ends before a time, and the oldest of too many.
+func (a *Account[K]) forgetEnds(before time.Time) {
+	n := max(len(a.ends)-maxEnds, 0)
+	for n < len(a.ends) && a.ends[n].at.Before(before) {
+		n++
 	}
-	for {
-		v, ok := a.strongest()
-		if !ok {
-			return found
-		}
-		a.verdicts[v.Candidate] = v
-		for _, e := range a.open(v.Candidate) {
-			if _, present := e.Present[v.Candidate]; present {
-				e.explained, e.by = true, v.Candidate
-			}
-		}
-		found = append(found, v)
+	a.ends = slices.Delete(a.ends, 0, n)
+	if a.since.Before(before) {
+		a.since = before
 	}
 }
 
@@ -174,120 +250,254 @@
 	return v, ok
 }
 
+// Suspected reports whether there is some evidence against a candidate.
+func (a *Account[K]) Suspected(c K) bool { return a.suspects[c] }
+
+// Blame records that a candidate was blamed by others, or before, so that less evidence is needed for a verdict.
+func (a *Account[K]) Blame(c K) {
+	if len(a.known) >= maxKnown {
+		clear(a.known)
+	}
+	a.known[c] = true
+}
+
+// Expire ends the verdict on a candidate, so that a new one may follow.
+func (a *Account[K]) Expire(c K) { delete(a.verdicts, c) }
+
 // Lift ends the verdict on a candidate and forgets its ends.
-func (a *Account[K]) Lift(c K) (known bool) {
-	_, known = a.verdicts[c]
+func (a *Account[K]) Lift(c K) (blamed bool) {
+	_, blamed = a.verdicts[c]
 	delete(a.verdicts, c)
+	delete(a.suspects, c)
+	delete(a.known, c)
 	for _, e := range a.ends {
-		delete(e.Present, c)
+		delete(e.present, c)
 	}
-	return known
+	return blamed
 }
 
-// strongest returns the candidate with the strongest evidence that suffices for a verdict; of equal ones, that with the fewest runs.
-func (a *Account[K]) strongest() (best Verdict[K], ok bool) {
-	threshold := a.threshold()
-	counts := make(map[K]int)
-	for _, e := range a.ends {
-		for c := range e.Present {
-			counts[c]++
+// sighting is a candidate at one of the ends.
+type sighting[K comparable] struct {
+	*end[K]
+	Presence
+}
+
+// judge finds the candidates that explain the ends, the strongest first, each by the ends that those before it do not explain, and returns what
+// has changed.
+func (a *Account[K]) judge() (changes []Verdict[K]) {
+	seen := make(map[K][]sighting[K])
+	outages := 0
+	for i, e := range a.ends {
+		e.follows, e.explained = i > 0 && e.at.Sub(a.ends[i-1].at) <= simultaneous, false
+		if !e.follows {
+			outages++
+		}
+		e.outage = outages
+		for c, s := range e.present {
+			seen[c] = append(seen[c], sighting[K]{e, s})
 		}
 	}
-	for c, n := range counts {
-		if _, known := a.verdicts[c]; known || n < minEnds {
-			continue
+	clear(a.suspects)
+	chosen := make(map[K]Verdict[K])
+	for {
+		v, ok := a.strongest(seen, chosen)
+		if !ok {
+			break
+		}
+		chosen[v.Candidate] = v
+		for _, s := range seen[v.Candidate] {
+			s.explained = true
+		}
+	}
+	for c, v := range chosen {
+		if _, known := a.verdicts[c]; !known {
+			changes = append(changes, v)
 		}
-		v := a.weigh(c, a.open(c))
-		if v.Ends < minEnds || v.Evidence < threshold || a.explained(c) {
+		a.verdicts[c] = v
+	}
+	for c, v := range a.verdicts {
+		if _, ok := chosen[c]; ok {
 			continue
 		}
-		if !ok || cmp.Or(cmp.Compare(v.Evidence, best.Evidence), cmp.Compare(a.exposure(best.Candidate).runs, a.exposure(c).runs)) > 0 {
-			best, ok = v, true
+		// Nothing speaks for a candidate whose ends are forgotten, so it is not released.
+		if delete(a.verdicts, c); len(seen[c]) > 0 {
+			v.Released = true
+			changes = append(changes, v)
 		}
 	}
-	return best, ok
+	slices.SortStableFunc(changes, func(x, y Verdict[K]) int { return cmp.Compare(y.Evidence, x.Evidence) })
+	return changes
 }
 
-// open returns the ends that count for a candidate: those that no other one explains. One that was present at all ends that another one
-// explains takes these over, since it may be the reason for both these and others.
-func (a *Account[K]) open(c K) (list []*end[K]) {
-	others := make(map[K]bool)
-	for _, e := range a.ends {
-		if _, present := e.Present[c]; e.explained && e.by != c && !present {
-			others[e.by] = true
+// strongest returns the candidate with the strongest evidence that suffices for a verdict. Of equal ones, that with the fewest runs goes first,
+// then the one that is at fewer endpoints.
+func (a *Account[K]) strongest(seen map[K][]sighting[K], chosen map[K]Verdict[K]) (best Verdict[K], ok bool) {
+	open := a.countOpen()
+	bestRuns, bestShare := 0, 0.0
+	for c, list := range seen {
+		_, done := chosen[c]
+		_, blamed := a.verdicts[c]
+		if done || len(list) < minEnds && !a.known[c] {
+			continue
 		}
-	}
-	for _, e := range a.ends {
-		if !e.explained || !others[e.by] {
-			list = append(list, e)
+		v, share := a.weigh(c, list, &open)
+		threshold := a.threshold()
+		if v.Ends >= minEnds && v.Evidence >= threshold*suspicionShare {
+			a.suspects[c] = true
+		}
+		switch {
+		case a.known[c]:
+			threshold = knownMargin
+		case blamed:
+			threshold -= hysteresis
+		}
+		if v.Ends == 0 || v.Ends < minEnds && !a.known[c] || v.Evidence < threshold {
+			continue
+		}
+		runs := a.current.exposures[c].runs + a.previous.exposures[c].runs
+		if !ok || cmp.Or(cmp.Compare(v.Evidence, best.Evidence), cmp.Compare(bestRuns, runs), cmp.Compare(bestShare, share)) > 0 {
+			best, bestRuns, bestShare, ok = v, runs, share, true
 		}
 	}
-	return list
+	return best, ok
+}
+
+// openEnds counts the ends that nobody explains yet.
+type openEnds struct {
+	// alone are those that follow no other one, followers the others by outage.
+	alone     int
+	followers map[int]int
 }
 
-// explained reports whether others explain all ends with a candidate already.
-func (a *Account[K]) explained(c K) bool {
-	return !slices.ContainsFunc(a.ends, func(e *end[K]) bool {
-		_, present := e.Present[c]
-		return present && !e.explained
-	})
+func (a *Account[K]) countOpen() (n openEnds) {
+	n.followers = make(map[int]int)
+	for _, e := range a.ends {
+		switch {
+		case e.explained:
+		case e.follows:
+			n.followers[e.outage]++
+		default:
+			n.alone++
+		}
+	}
+	return n
 }
 
 // threshold returns the evidence that a verdict needs.
 func (a *Account[K]) threshold() float64 {
-	return math.Log(float64(max(len(a.current.exposures)+len(a.previous.exposures), 10))) + margin
+	return math.Log(float64(max(len(a.current.exposures)+len(a.previous.exposures), minCandidates))) + margin
 }
 
-// exposure returns how often a candidate was run.
-func (a *Account[K]) exposure(c K) exposure {
-	x, y := a.current.exposures[c], a.previous.exposures[c]
-	return exposure{runs: x.runs + y.runs, completed: x.completed + y.completed}
+// own returns the number of complete runs of a candidate that this account has counted.
+func (a *Account[K]) own(c K) int {
+	return a.current.exposures[c].completed + a.previous.exposures[c].completed
 }
 
+// completed returns the number of complete runs that this account has counted.
+func (a *Account[K]) completed() int { return a.current.completed + a.previous.completed }
+
 // runTime returns the mean duration of complete runs.
 func (a *Account[K]) runTime() time.Duration {
-	n := a.current.completed + a.previous.completed
+	n := a.completed()
 	if n == 0 {
 		return defaultRunTime
 	}
 	return max((a.current.runTime+a.previous.runTime)/time.Duration(n), minRunTime)
 }
 
-// weigh compares two explanations of ends: they come at one rate, or runs with the candidate end their endpoints with some probability beside
-// ends at another rate. Both take the values that make the observations most likely.
-func (a *Account[K]) weigh(c K, ends []*end[K]) (v Verdict[K]) {
-	v.Candidate, v.Completed = c, a.exposure(c).completed
-	up := max((a.current.endpointUp + a.previous.endpointUp).Seconds(), 1)
-	runTime := a.runTime().Seconds()
-	for _, e := range ends {
-		if _, ok := e.Present[c]; ok {
-			v.Ends++
+// up returns the time for which endpoints were up while ends were known, in seconds.
+func (a *Account[K]) up() float64 {
+	counted := a.observedAt
+	if counted.IsZero() && len(a.ends) > 0 {
+		counted = a.ends[len(a.ends)-1].at
+	}
+	uncounted := time.Duration(a.endpointCount) * max(counted.Sub(a.since), 0)
+	return max(a.counted()+uncounted.Seconds(), 1)
+}
+
+// counted returns the time for which endpoints were counted as up, in seconds.
+func (a *Account[K]) counted() float64 {
+	return (a.current.endpointUp + a.previous.endpointUp).Seconds()
+}
+
+// weigh compares two explanations of the ends that nobody explains yet: they come at one rate, or runs with the candidate end their endpoints with
+// some probability beside ends at another rate. Both take the values that make the observations most likely. It also returns the mean share
+// of the endpoints that had the candidate.
+func (a *Account[K]) weigh(c K, list []sighting[K], open *openEnds) (v Verdict[K], share float64) {
+	v = Verdict[K]{Candidate: c, Of: open.alone}
+	alone, completed, of, most := 0, a.own(c), a.completed(), 0
+	for _, s := range list {
+		completed, of, most = completed+s.Completed, of+s.Of, max(most, s.Of)
+		if s.explained {
+			continue
+		}
+		v.Ends++
+		share += s.Share
+		if !s.follows {
+			alone++
 		}
 	}
 	if v.Ends == 0 {
-		return v
+		return v, 0
+	}
+	share /= float64(v.Ends)
+	total := 0.0
+	if of > 0 {
+		total = a.total(most) * (float64(completed) + priorRuns) / float64(of)
+	}
+	v.Completed = int(total)
+	up, runTime := a.up(), a.runTime().Seconds()
+	v.Share = -math.Expm1(-(total + float64(v.Ends)) * runTime / up)
+	v.Evidence = a.evidence(list, open, v, alone, total, up, runTime)
+	return v, share
+}
+
+// total estimates the number of complete runs at all observers while ends were known; most is the highest count of another one.
+func (a *Account[K]) total(most int) float64 {
+	n := float64(a.completed())
+	if counted := a.counted(); counted > 0 {
+		n *= max(a.up()/counted, 1)
 	}
-	n, completed := float64(len(ends)), float64(v.Completed)
+	return float64(a.observers) * max(n, float64(most))
+}
+
+// evidence returns the logarithm of the ratio of likelihoods.
+func (a *Account[K]) evidence(list []sighting[K], open *openEnds, v Verdict[K], alone int, completed, up, runTime float64) (sum float64) {
+	n := float64(v.Of)
 	rate := (n + priorEnds) / up
 	harm, rest := 0.5, rate/2
 	for range fitSteps {
-		caused := float64(v.Ends) * harm / (harm + rest*runTime)
-		rest = max(n-caused+priorEnds, priorEnds) / up
-		harm = min(caused/(caused+completed), maxHarm)
-	}
-	// The evidence of one end by itself.
-	alone := math.Log((rest + harm/runTime) / rate)
-	for _, e := range ends {
-		share, present := e.Present[c]
-		switch {
-		case !present:
-			v.Evidence += math.Log(rest / rate)
-		case e.follows:
-			v.Evidence += min(alone, -math.Log(min(share, 1)))
-		default:
-			v.Evidence += alone
+		by := harm / (harm + rest*runTime)
+		rest = (n - float64(alone)*by + priorEnds) / up
+		harm = min(float64(v.Ends)*by/(float64(v.Ends)*by+completed), maxHarm)
+	}
+	single := math.Log((rest + harm/runTime) / rate)
+	sum = float64(alone)*single + float64(v.Of-alone)*math.Log(rest/rate) + (rate-rest)*up + completed*math.Log1p(-harm)
+	for i := 0; i < len(list); {
+		outage, present, share := list[i].outage, 0, 0.0
+		for ; i < len(list) && list[i].outage == outage; i++ {
+			if s := list[i]; s.follows && !s.explained {
+				present++
+				share += min(max(s.Share, v.Share), 1)
+			}
+		}
+		if present > 0 {
+			sum += min(float64(present)*single, excess(present, open.followers[outage], share/float64(present)))
 		}
 	}
-	v.Evidence += (rate-rest)*up + completed*math.Log1p(-harm)
-	return v
+	return sum
+}
+
+// excess returns the logarithm of the ratio of likelihoods for a candidate that is present at some of all ends of an outage, if it causes them and
+// if it is there as often as anywhere.
+func excess(present, all int, share float64) float64 {
+	k, n := float64(present), float64(all)
+	if k <= n*share {
+		return 0
+	}
+	sum := k * math.Log(k/(n*share))
+	if present < all {
+		sum += (n - k) * math.Log((n-k)/(n*(1-share)))
+	}
+	return sum
 }
--- a/state/blame/account_test.go
+++ b/state/blame/account_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"shallotring.dev/state/ident"
 )
 
 var draws = flag.Int("draws", 4, "number of draws of each scene")
@@ -76,8 +78,6 @@
 	now     float64
 	down    []float64
 	running []*run
-	// ended are the runs that the last crashes have ended.
-	ended   []*run
 	crashed []float64
 	known   map[string]float64
 	sent    int
@@ -88,6 +88,8 @@
 	return time.Unix(1_800_000_000, 0).Add(time.Duration(seconds * float64(time.Second)))
 }
 
+func endpointID(i int) ident.Endpoint { return ident.Endpoint(fmt.Sprint("i-", i)) }
+
 func (s *simulation) up() (list []int) {
 	for i, until := range s.down {
 		if until <= s.now {
@@ -101,36 +103,24 @@
 	if s.down[endpoint] > s.now {
 		return
 	}
-	// Endpoints that have ended a moment ago count as well.
-	s.ended = slices.DeleteFunc(s.ended, func(q *run) bool { return q.end < s.now-simultaneous.Seconds() })
-	up, before := len(s.up()), make(map[int]bool)
-	has := make(map[string]map[int]bool)
-	for i, q := range slices.Concat(s.running, s.ended) {
-		if i >= len(s.running) {
-			before[q.endpoint] = true
-		}
-		for _, c := range q.candidates {
-			if has[c] == nil {
-				has[c] = make(map[int]bool)
-			}
-			has[c][q.endpoint] = true
-		}
-	}
-	present := make(map[string]float64)
+	present := make(map[string]Presence)
 	s.running = slices.DeleteFunc(s.running, func(q *run) bool {
 		if q.endpoint != endpoint {
 			return false
 		}
 		for _, c := range q.candidates {
-			present[c] = float64(len(has[c])) / float64(up+len(before))
+			present[c] = s.Present(s.at(s.now), c)
 		}
-		q.end = s.now
-		s.ended = append(s.ended, q)
+		s.Stop(s.at(s.now), q.candidates, endpointID(q.endpoint))
 		return true
 	})
 	s.down[endpoint] = s.now + restartTime.Seconds()
 	s.crashed = append(s.crashed, s.now)
 	for _, v := range s.RecordEnd(End[string]{At: s.at(s.now), Present: present}) {
+		if v.Released {
+			delete(s.known, v.Candidate)
+			continue
+		}
 		s.known[v.Candidate] = s.now + learnTime.Seconds()
 		if v.Candidate == fatal {
 			s.result.verdictAt = len(s.crashed)
@@ -164,7 +154,7 @@
 		if n := s.tolerated; isFatal && len(s.crashed) >= n && s.now > s.crashed[n-1]+lateAfter.Seconds() {
 			s.result.late++
 		}
-		s.Begin(candidates)
+		s.Begin(candidates, endpointID(e))
 		q := &run{endpoint: e, candidates: candidates, start: s.now, fatal: isFatal && s.r.Float64() < s.probability}
 		if q.end = s.now + max(s.duration/20, s.r.NormFloat64()*0.3*s.duration+s.duration); q.fatal {
 			q.end = s.now + (0.02+0.28*s.r.Float64())*min(s.duration, 1)
@@ -227,6 +217,7 @@
 				s.crash(q.endpoint)
 			default:
 				s.running = slices.Delete(s.running, i, i+1)
+				s.Stop(s.at(s.now), q.candidates, endpointID(q.endpoint))
 				for _, v := range s.Complete(q.candidates, time.Duration((s.now-q.start)*float64(time.Second))) {
 					delete(s.known, v.Candidate)
 				}
--- a/state/quarantine/quarantine.go
+++ b/state/quarantine/quarantine.go
@@ -2,29 +2,15 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
+	"shallotring.dev/state/blame"
 	"shallotring.dev/state/call"
+	"shallotring.dev/state/ident"
 )
 
 const (
-	// minEvidence is the logarithm of the ratio of likelihoods from which a part is quarantined: that its presence at the crashed engines
-	// is due to chance is improbable even for one of many thousand parts.
-	minEvidence = 10.0
-	// suspicion is the evidence from which requests with the part are not repeated.
-	suspicion = minEvidence / 3
-	// minIncidents and minHosts are the least numbers of incidents, and of hosts in them, that quarantine a part.
-	minIncidents = 3
-	minHosts     = 3
-	// probationEvidence is the evidence that quarantines a part again whose quarantine has expired; one incident can give it.
-	probationEvidence = minEvidence / 4
-	// simultaneous is the time in which crashes count as one incident.
-	simultaneous = 100 * time.Millisecond
-	// minCrashesPerHost is the number of crashes of one host that count; with few hosts it is more, for countedCrashes in total.
-	minCrashesPerHost = 3
-	countedCrashes    = 18
 	// crashExpiry and maxCrashes bound the crashes that are remembered, maxParts the parts in quarantine.
 	crashExpiry = 10 * time.Minute
 	maxCrashes  = 128
@@ -39,54 +25,160 @@
 	Part call.PartID
 	// Since and Until bound the quarantine.
 	Since, Until time.Time
-	// Incidents is the number of incidents with the part among Of; Share is the mean probability that it is there by chance.
+	// Incidents is the number of crashes with the part, Of that of those that no other part explains; Share is the share of the time for which
+	// an engine has the part.
 	Incidents, Of int
 	Share         float64
-	// Evidence is the logarithm of the ratio of the likelihoods of the incidents, if the part causes crashes and if it does not.
+	// Evidence is the logarithm of the ratio of the likelihoods of what was observed, if the part causes crashes and if it does not.
 	Evidence float64
 }
 
-// Change is a part that was quarantined, or released because others explain the crashes.
+// Change is a part that was quarantined, or released because others explain the crashes or engines survive it.
 type Change struct {
 	Entry
 	Released bool
 }
 
+// incarnation is one that crashed, with what is known of it.
+type incarnation struct {
+	endpoint           ident.Endpoint
+	startMilli         int64
+	at                 time.Time
+	requests, suspects int
+}
+
 // List has the crashes that are known to one entry and the parts in quarantine. It is not safe for concurrent use.
 type List struct {
-	crashes []Crash
-	parts   map[call.PartID]Entry
-	// suspects has the evidence against parts that are not in quarantine.
-	suspects map[call.PartID]float64
+	crashes  []incarnation
+	accounts map[ident.Service]*blame.Account[call.PartID]
+	parts    map[call.PartID]Entry
 	// lifted has the time at which the quarantine of a part was lifted; earlier crashes do not count against it.
-	lifted map[call.PartID]time.Time
-	hosts  int
+	lifted         map[call.PartID]time.Time
+	hosts, entries int
 }
 
 // New returns an empty list.
 func New() *List {
-	return &List{parts: make(map[call.PartID]Entry), suspects: make(map[call.PartID]float64), lifted: make(map[call.PartID]time.Time)}
+	return &List{accounts: make(map[ident.Service]*blame.Account[call.PartID]), parts: make(map[call.PartID]Entry), lifted: make(map[call.PartID]time.Time), entries: 1}
+}
+
+// account returns the account of a service.
+func (l *List) account(s ident.Service) *blame.Account[call.PartID] {
+	a := l.accounts[s]
+	if a == nil {
+		a = blame.New[call.PartID]()
+		a.SetEndpoints(l.hosts)
+		a.SetObservers(l.entries)
+		l.accounts[s] = a
+	}
+	return a
 }
 
 // SetHosts sets the number of hosts that have engines.
-func (l *List) SetHosts(n int) { l.hosts = n }
+func (l *List) SetHosts(n int) {
+	l.hosts = n
+	for _, a := range l.accounts {
+		a.SetEndpoints(n)
+	}
+}
+
+// SetEntries sets the number of entries, each of which sends an equal part of the requests.
+func (l *List) SetEntries(n int) {
+	l.entries = n
+	for _, a := range l.accounts {
+		a.SetObservers(n)
+	}
+}
+
+// Advance records the number of engines of each service that have been up since the last call.
+func (l *List) Advance(now time.Time, engines map[ident.Service]int) {
+	for s := range engines {
+		l.account(s)
+	}
+	for s, a := range l.accounts {
+		a.Advance(now, engines[s])
+	}
+}
+
+// Begin records that a request is sent to an engine.
+func (l *List) Begin(s ident.Service, parts []call.Part, at ident.Endpoint) {
+	l.account(s).Begin(ids(parts), at)
+}
+
+// Stop records that a request is not in progress at an engine any more.
+func (l *List) Stop(now time.Time, s ident.Service, parts []call.Part, at ident.Endpoint) {
+	l.account(s).Stop(now, ids(parts), at)
+}
+
+// Complete records that an engine has survived a request, and returns the parts that are released for that.
+func (l *List) Complete(now time.Time, s ident.Service, parts []call.Part, duration time.Duration) []Change {
+	return l.apply(now, l.account(s).Complete(ids(parts), duration))
+}
+
+// Suspects returns what this entry knows of the parts of a request that an engine has broken off.
+func (l *List) Suspects(now time.Time, s ident.Service, parts []call.Part) (list []Suspect) {
+	a := l.account(s)
+	for _, p := range parts {
+		list = append(list, newSuspect(p.ID, a.Present(now, p.ID)))
+	}
+	return list
+}
+
+// ids returns the ids of parts, each once.
+func ids(parts []call.Part) []call.PartID {
+	list := make([]call.PartID, 0, len(parts))
+	for _, p := range parts {
+		if !slices.Contains(list, p.ID) {
+			list = append(list, p.ID)
+		}
+	}
+	return list
+}
 
 // Observe adds a crash, or what has become known of it since, and returns the changes of the quarantine.
 func (l *List) Observe(now time.Time, c Crash) []Change {
-	i := slices.IndexFunc(l.crashes, func(x Crash) bool { return x.Endpoint == c.Endpoint && x.StartMilli == c.StartMilli })
+	i := slices.IndexFunc(l.crashes, func(x incarnation) bool { return x.endpoint == c.Endpoint && x.startMilli == c.StartMilli })
 	if i >= 0 {
-		if c.Requests <= l.crashes[i].Requests && len(c.Suspects) <= len(l.crashes[i].Suspects) {
+		known := &l.crashes[i]
+		if c.Requests <= known.requests && len(c.Suspects) <= known.suspects {
 			return nil
 		}
-		c.At = l.crashes[i].At
-		l.crashes[i] = c
+		c.At, known.requests, known.suspects = known.at, c.Requests, len(c.Suspects)
 	} else {
-		l.crashes = append(l.crashes, c)
+		l.crashes = append(l.crashes, incarnation{endpoint: c.Endpoint, startMilli: c.StartMilli, at: c.At, requests: c.Requests, suspects: len(c.Suspects)})
+	}
+	l.crashes = slices.DeleteFunc(l.crashes, func(x incarnation) bool { return now.Sub(x.at) > crashExpiry })
+	l.crashes = slices.Delete(l.crashes, 0, max(len(l.crashes)-maxCrashes, 0))
+	a := l.account(c.Service)
+	end := blame.End[call.PartID]{Endpoint: c.Endpoint, StartMilli: c.StartMilli, At: c.At, Present: make(map[call.PartID]blame.Presence, len(c.Suspects))}
+	for _, s := range c.Suspects {
+		if !c.At.After(l.lifted[s.Part]) {
+			continue
+		}
+		if known, ok := l.parts[s.Part]; ok {
+			if a.Blame(s.Part); !now.Before(known.Until) {
+				a.Expire(s.Part)
+			}
+		}
+		end.Present[s.Part] = s.presence()
 	}
-	slices.SortStableFunc(l.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	expired := slices.IndexFunc(l.crashes, func(x Crash) bool { return now.Sub(x.At) < crashExpiry })
-	l.crashes = slices.Delete(l.crashes, 0, max(expired, len(l.crashes)-maxCrashes, 0))
-	return l.evaluate(now)
+	return l.apply(now, a.RecordEnd(end))
+}
+
+// apply applies verdicts to the quarantine.
+func (l *List) apply(now time.Time, verdicts []blame.Verdict[call.PartID]) (changes []Change) {
+	for _, v := range verdicts {
+		e := Entry{Part: v.Candidate, Incidents: v.Ends, Of: max(v.Of, v.Ends), Share: v.Share, Evidence: v.Evidence}
+		known, ok := l.parts[v.Candidate]
+		switch {
+		case v.Released && ok:
+			delete(l.parts, v.Candidate)
+			changes = append(changes, Change{Entry: known, Released: true})
+		case !v.Released && (!ok || !now.Before(known.Until)):
+			changes = append(changes, l.quarantine(now, e)...)
+		}
+	}
+	return changes
 }
 
 // Restore adds a part that another process has put in quarantine, whose clock may differ.
@@ -105,6 +197,9 @@
 func (l *List) Lift(now time.Time, part call.PartID) (known bool) {
 	_, known = l.parts[part]
 	delete(l.parts, part)
+	for _, a := range l.accounts {
+		a.Lift(part)
+	}
 	if len(l.lifted) >= maxParts {
 		clear(l.lifted)
 	}
@@ -129,13 +224,12 @@
 }
 
 // Suspected reports whether there is evidence against a part of a prompt, in quarantine or not.
-func (l *List) Suspected(parts []call.Part) bool {
-	for _, p := range parts {
-		if _, ok := l.parts[p.ID]; ok || l.suspects[p.ID] >= suspicion {
-			return true
-		}
-	}
-	return false
+func (l *List) Suspected(s ident.Service, parts []call.Part) bool {
+	a := l.account(s)
+	return slices.ContainsFunc(parts, func(p call.Part) bool {
+		_, known := l.parts[p.ID]
+		return known || a.Suspected(p.ID)
+	})
 }
 
 // Entries lists the parts in quarantine.
@@ -149,140 +243,6 @@
 	return list
 }
 
-// evaluate finds the parts that explain most of the crashes, each among those that the parts before it do not explain: parts that only
-// accompany another one need no quarantine.
-func (l *List) evaluate(now time.Time) (changes []Change) {
-	list := incidents(l.crashes, l.hosts)
-	candidates := countIncidents(list)
-	chosen := make(map[call.PartID]bool)
-	for {
-		e, ok := l.strongest(now, list, candidates, chosen)
-		if !ok {
-			break
-		}
-		chosen[e.Part] = true
-		for _, x := range list {
-			if _, present := x.shares[e.Part]; present {
-				x.explained = true
-			}
-		}
-		if known, ok := l.parts[e.Part]; !ok || !now.Before(known.Until) {
-			changes = append(changes, l.quarantine(now, e)...)
-		}
-	}
-	for p, n := range candidates {
-		if e, ok := l.parts[p]; ok && now.Before(e.Until) && n >= minIncidents && !chosen[p] && explained(list, p) {
-			delete(l.parts, p)
-			changes = append(changes, Change{Entry: e, Released: true})
-		}
-	}
-	return changes
-}
-
-// explained reports whether other parts explain all incidents with a part.
-func explained(list []*incident, part call.PartID) bool {
-	return !slices.ContainsFunc(list, func(x *incident) bool {
-		_, present := x.shares[part]
-		return present && !x.explained
-	})
-}
-
-// countIncidents counts the incidents of each part.
-func countIncidents(list []*incident) map[call.PartID]int {
-	counts := make(map[call.PartID]int)
-	for _, x := range list {
-		for p := range x.shares {
-			counts[p]++
-		}
-	}
-	return counts
-}
-
-// strongest returns the part with the strongest evidence among those that are to be in quarantine, and records the evidence against the others
-// as suspicions.
-func (l *List) strongest(now time.Time, list []*incident, candidates map[call.PartID]int, chosen map[call.PartID]bool) (best Entry, ok bool) {
-	clear(l.suspects)
-	for p, n := range candidates {
-		_, known := l.parts[p]
-		if chosen[p] || n < 2 && !known {
-			continue
-		}
-		e := l.weigh(list, p)
-		if e.Evidence >= suspicion {
-			l.suspects[p] = e.Evidence
-		}
-		if e.Evidence <= best.Evidence && (e.Evidence < best.Evidence || p <= best.Part) {
-			continue
-		}
-		if l.convicts(now, list, e) {
-			best, ok = e, true
-		}
-	}
-	return best, ok
-}
-
-// weigh compares how often a part was at crashed engines with how often it is at any engine, by the logarithm of the ratio of likelihoods of two
-// binomial distributions. Explained incidents do not count, nor those after the part was quarantined, in which it cannot be.
-func (l *List) weigh(list []*incident, part call.PartID) (e Entry) {
-	e.Part = part
-	known, quarantined := l.parts[part]
-	shares := 0.0
-	for _, x := range list {
-		if x.explained || !x.start.After(l.lifted[part]) || quarantined && x.start.After(known.Since.Add(simultaneous)) && x.start.Before(known.Until) {
-			continue
-		}
-		share, present := x.shares[part]
-		if !present {
-			e.Of++
-			continue
-		}
-		// With several crashes at once, one of the engines has the part more often.
-		if share = 1 - math.Pow(1-share, float64(x.crashes)); share >= uninformative {
-			continue
-		}
-		e.Of++
-		e.Incidents++
-		shares += share
-	}
-	if e.Incidents == 0 {
-		return e
-	}
-	e.Share = shares / float64(e.Incidents)
-	n, k := float64(e.Of), float64(e.Incidents)
-	if k/n <= e.Share {
-		return e
-	}
-	e.Evidence = k * math.Log(k/(n*e.Share))
-	if k < n {
-		e.Evidence += (n - k) * math.Log((n-k)/(n*(1-e.Share)))
-	}
-	return e
-}
-
-// convicts reports whether the evidence is enough for a quarantine.
-func (l *List) convicts(now time.Time, list []*incident, e Entry) bool {
-	if known, ok := l.parts[e.Part]; ok {
-		return now.Before(known.Until) && e.Evidence >= suspicion || e.Evidence >= probationEvidence && l.presentAfter(list, e.Part, known.Until)
-	}
-	hosts := make(map[string]bool)
-	for _, x := range list {
-		if _, ok := x.shares[e.Part]; ok && !x.explained {
-			for _, h := range x.hosts {
-				hosts[h] = true
-			}
-		}
-	}
-	return e.Evidence >= minEvidence && e.Incidents >= minIncidents && len(hosts) >= min(minHosts, max(l.hosts, 1))
-}
-
-// presentAfter reports whether an incident after a time has a part.
-func (l *List) presentAfter(list []*incident, part call.PartID, at time.Time) bool {
-	return slices.ContainsFunc(list, func(x *incident) bool {
-		_, ok := x.shares[part]
-		return ok && x.start.After(at)
-	})
-}
-
 // quarantine adds a part to the list.
 func (l *List) quarantine(now time.Time, e Entry) []Change {
 	duration := firstDuration
--- a/state/quarantine/quarantine_test.go
+++ b/state/quarantine/quarantine_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"shallotring.dev/state/call"
-	"shallotring.dev/state/exposure"
 	"shallotring.dev/state/ident"
 )
 
@@ -65,15 +64,24 @@
 	crashes int
 }
 
+func (v *verdict) apply(c Change) {
+	if _, ok := v.quarantined[c.Part]; c.Released {
+		delete(v.quarantined, c.Part)
+	} else if !ok {
+		v.quarantined[c.Part] = v.crashes
+	}
+}
+
 func (s simulation) run(seed uint64) verdict {
 	r := rand.New(rand.NewPCG(seed, 1))
 	start := time.Unix(1_800_000_000, 0)
 	now := start
 	const step = 10 * time.Millisecond
-	trackers, lists := make([]*exposure.Tracker, s.entries), make([]*List, s.entries)
+	lists := make([]*List, s.entries)
 	for i := range s.entries {
-		trackers[i], lists[i] = exposure.New(), New()
+		lists[i] = New()
 		lists[i].SetHosts(s.engines)
+		lists[i].SetEntries(s.entries)
 	}
 	down := make([]time.Time, s.engines)
 	incarnation := make([]int64, s.engines)
@@ -84,18 +92,16 @@
 		if now.Before(down[engine]) {
 			return
 		}
-		c := Crash{Endpoint: ident.Endpoint(fmt.Sprint(engine)), StartMilli: incarnation[engine], Host: fmt.Sprint(engine), At: now}
+		c := Crash{Endpoint: ident.Endpoint(fmt.Sprint(engine)), StartMilli: incarnation[engine], At: now}
 		var left []*simulatedRequest
 		for _, q := range running {
 			if q.engine != engine {
 				left = append(left, q)
 				continue
 			}
-			trackers[q.entry].Record(q.parts, now.Sub(q.start))
 			c.Requests++
-			for _, p := range q.parts {
-				c.Suspects = MergeSuspects(c.Suspects, []Suspect{{p.ID, trackers[q.entry].Share(p.ID, s.entries)}})
-			}
+			c.Suspects = MergeSuspects(c.Suspects, lists[q.entry].Suspects(now, "", q.parts))
+			lists[q.entry].Stop(now, "", q.parts, c.Endpoint)
 		}
 		running = left
 		incarnation[engine]++
@@ -104,16 +110,9 @@
 		if v.crashes == 5 {
 			fifth = now
 		}
-		if c.Requests == 0 {
-			return
-		}
 		for _, l := range lists {
 			for _, change := range l.Observe(now, c) {
-				if _, ok := v.quarantined[change.Part]; change.Released {
-					delete(v.quarantined, change.Part)
-				} else if !ok {
-					v.quarantined[change.Part] = v.crashes
-				}
+				v.apply(change)
 			}
 		}
 	}
@@ -125,8 +124,8 @@
 			}
 		}
 		if now.Sub(start)%(100*time.Millisecond) == 0 {
-			for _, t := range trackers {
-				t.Advance(now, len(up))
+			for _, l := range lists {
+				l.Advance(now, map[ident.Service]int{"": len(up)})
 			}
 		}
 		crashed := []int{}
@@ -139,7 +138,10 @@
 				crashed = append(crashed, q.engine)
 				left = append(left, q)
 			default:
-				trackers[q.entry].Record(q.parts, now.Sub(q.start))
+				lists[q.entry].Stop(now, "", q.parts, ident.Endpoint(fmt.Sprint(q.engine)))
+				for _, change := range lists[q.entry].Complete(now, "", q.parts, now.Sub(q.start)) {
+					v.apply(change)
+				}
 			}
 		}
 		running = left
@@ -186,6 +188,7 @@
 			if q.parts[2].ID < subjects && !fifth.IsZero() && now.Sub(fifth) > 3*time.Second {
 				v.late++
 			}
+			lists[q.entry].Begin("", q.parts, ident.Endpoint(fmt.Sprint(q.engine)))
 			running = append(running, q)
 		}
 	}
@@ -283,7 +286,7 @@
 // crashes returns crashes of different hosts, one a second from a time on, with the given suspects in each.
 func crashes(from time.Time, n int, suspects ...Suspect) (list []Crash) {
 	for i := range n {
-		list = append(list, Crash{Endpoint: ident.Endpoint(fmt.Sprint(from.Unix(), "-", i)), Host: fmt.Sprint(i), At: from.Add(time.Duration(i) * time.Second), Requests: 1, Suspects: suspects})
+		list = append(list, Crash{Endpoint: ident.Endpoint(fmt.Sprint(from.Unix(), "-", i)), At: from.Add(time.Duration(i) * time.Second), Requests: 1, Suspects: suspects})
 	}
 	return list
 }
