--- a/daemon/frontend/quarantine_test.go
+++ b/daemon/frontend/quarantine_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"testing"
 
 	"shallotring.dev/platform/message"
 	"shallotring.dev/protocol/control"
+	"shallotring.dev/protocol/upstream"
+	"shallotring.dev/state/call"
+	"shallotring.dev/state/inventory"
 	"shallotring.dev/state/quarantine"
 )
 
@@ -40,3 +44,21 @@
 		})
 	}
 }
+
+// BenchmarkExposure records the parts of a request's prompt from its send to its complete run.
+func BenchmarkExposure(b *testing.B) {
+	f := New(message.Headers{}, "edge-1", "a", WithLog(slog.New(slog.DiscardHandler)))
+	f.UpdateEndpoint(inventory.Endpoint{ID: "i-0", Service: "llm", Address: "127.0.0.1:1", BatchSize: 6})
+	x := newSuspectRequest()
+	x.service, x.call.Model = "llm", "m"
+	for i := range 6 {
+		x.call.Parts = append(x.call.Parts, call.Part{ID: call.PartID(i)})
+	}
+	e, response := f.endpoints["i-0"], &upstream.Response{Status: http.StatusOK, Framing: upstream.LengthFraming}
+	b.ReportAllocs()
+	for b.Loop() {
+		end := f.beginExposure(x, e)
+		f.recordCompleteRun(x, response)
+		end()
+	}
+}
--- a/state/blame/doc.go
+++ b/state/blame/doc.go
@@ -1,2 +1,2 @@
-// Package blame finds what requests have in common that end the endpoints which run them, as docs/blame.md describes. No program uses it yet.
+// Package blame finds what requests have in common that end the endpoints which run them, as docs/blame.md describes.
 package blame
--- a/state/holdings/keeper_test.go
+++ b/state/holdings/keeper_test.go
@@ -156,6 +156,22 @@
 	return true
 }
 
+// TestEngineWithoutAdapterSlotsLoadsItsModel guards against an engine that serves its base model alone and stays empty, or is to load adapters.
+func TestEngineWithoutAdapterSlotsLoadsItsModel(t *testing.T) {
+	k := New()
+	k.Configure(routing.Engine{Models: []routing.Model{{Name: "m"}}})
+	k.SetFencingNumber(7)
+	k.SetDemand(epoch, "e1", Demand{Adapter: adapter(1), Waiting: 1})
+	k.Observe(epoch, "i-1", Report{StartMilli: 1})
+	if o, ok := k.Next(epoch); !ok || o.Model != "m" || !o.Adapter.IsZero() {
+		t.Errorf("next = %+v, %v; want its model loaded", o, ok)
+	}
+	k.Observe(epoch, "i-1", Report{StartMilli: 1, Models: []ident.ModelVersion{{Model: "m", Version: "1"}}})
+	if o, ok := k.Next(epoch); ok {
+		t.Errorf("next = %+v beside its model", o)
+	}
+}
+
 // TestRandomOrdersNeverOverfill guards against orders after which an engine would hold more adapters than it has slots or memory for, which
 // makes it exit, under random demands, uses, lost and delayed orders and restarts.
 func TestRandomOrdersNeverOverfill(t *testing.T) {
