placement: a limited engine gets only requests for its base model

The choice among endpoints that limit their requests went by service alone and not through the one place that decides who may run a request: a request for one base model of a service used up the limit of an engine that holds another one, and was sent to it. Callers got an answer later, or none.

limitedEndpoints asks the placement (Serves), as all other choices do. TestLimitedEngineOfAnotherModelGetsNothing failed before: a request for m2 went to the engine of m1.

TestRequestsStayInTheirService passed without one load ahead of its requests being examined (0 choices), and would have passed if no request had been placed at all.

--- a/daemon/frontend/limit.go
+++ b/daemon/frontend/limit.go
@@ -245,8 +245,9 @@
 
 // limitedEndpoints calls visit with the endpoints that could serve a request but for their limit; the lock is held.
 func (f *Frontend) limitedEndpoints(now time.Time, x *request, visit func(e *endpoint)) {
+	q := f.placementQuery(x)
 	for _, e := range f.endpoints {
-		if !e.limited || e.Service != x.service || e.closed(now) || f.barred(e) || now.Before(e.suspendedUntil) || e.replaced(now) || slices.Contains(x.excluded, e.ID) {
+		if !e.limited || !f.placement.Serves(e.ID, q) || e.closed(now) || f.barred(e) || now.Before(e.suspendedUntil) || e.replaced(now) || slices.Contains(x.excluded, e.ID) {
 			continue
 		}
 		s := e.agentState(now)
--- a/daemon/frontend/limit_test.go
+++ b/daemon/frontend/limit_test.go
@@ -9,6 +9,7 @@
 	"shallotring.dev/platform/message"
 	"shallotring.dev/protocol/control"
 	"shallotring.dev/state/call"
+	"shallotring.dev/state/ident"
 	"shallotring.dev/state/inventory"
 	"shallotring.dev/state/sendlimit"
 )
@@ -84,6 +85,29 @@
 	}
 }
 
+// TestLimitedEngineOfAnotherModelGetsNothing guards against a request that uses up the limit of an engine of its service that holds another base
+// model.
+func TestLimitedEngineOfAnotherModelGetsNothing(t *testing.T) {
+	for model, want := range map[ident.BaseModel]ident.Endpoint{"m1": "i-0", "m2": ""} {
+		clock := quartz.NewMock(t)
+		f := New(message.Headers{}, "edge-1", "a", WithClock(clock))
+		f.Configure(testRoutes)
+		f.UpdateEndpoint(inventory.Endpoint{ID: "i-0", Service: "llm", Address: "127.0.0.1:1", Zone: "a", BatchSize: 6, Models: []ident.ModelVersion{{Model: "m1", Version: "1"}}})
+		e, x := f.endpoints["i-0"], &request{service: "llm", deadline: clock.Now().Add(4 * time.Second)}
+		x.call.Model = model
+		f.recordLimit(x, e, call.ResponseInfo{Limit: sendlimit.Limit{Named: true, PerSecond: 2}}, clock.Now())
+		e.freeAt = clock.Now().Add(time.Second)
+		f.updatePlacement(e)
+		name := ident.Endpoint("")
+		if found, _ := f.soonestLimited(clock.Now(), x); found != nil {
+			name = found.name
+		}
+		if name != want {
+			t.Errorf("a request for %s goes to %q, want %q", model, name, want)
+		}
+	}
+}
+
 // TestEntryCountOutlivesAgents guards against entries that each use the whole of a limit, or of the retry budget, because the agents that
 // tell them how many they are do not respond, or have restarted and been reached by a part of the entries.
 func TestEntryCountOutlivesAgents(t *testing.T) {
--- a/state/placement/choose.go
+++ b/state/placement/choose.go
@@ -72,6 +72,12 @@
 	return c.selection(), true
 }
 
+// Serves reports whether an endpoint can run a request, though it may take none now.
+func (t *Table) Serves(name ident.Endpoint, q Query) bool {
+	e := t.endpoints[name]
+	return e != nil && e.serves(q)
+}
+
 // compareInstances compares random instances of a plain service, two anywhere and one in the entry's zone, and all of them if neither accepts the request.
 func (c *choice) compareInstances(p *pool) {
 	if p == nil || len(p.endpoints) == 0 {
--- a/state/placement/endpoint.go
+++ b/state/placement/endpoint.go
@@ -144,10 +144,13 @@
 	return key != 0 && p.key == key && seconds-p.at < prefixExpirySeconds
 }
 
+// accepts reports whether an endpoint may get a request now.
 func (e *endpoint) accepts(q Query) bool {
-	if e.Leaving || contains(q.Exclude, e.Endpoint) {
-		return false
-	}
+	return !e.Leaving && !contains(q.Exclude, e.Endpoint) && e.serves(q)
+}
+
+// serves reports whether an endpoint can run a request, now or later: it belongs to the service and holds the base model.
+func (e *endpoint) serves(q Query) bool {
 	return e.Service == q.Service && (q.isPlain() || (e.BaseModel == q.BaseModel && !contains(e.Failing, q.Adapter)))
 }
 
--- a/state/placement/permission_test.go
+++ b/state/placement/permission_test.go
@@ -13,9 +13,10 @@
 // TestRequestsStayInTheirService guards against a request that runs, loads an adapter or fetches a prompt at an engine of another service, because
 // both services have the base model or the adapter: over random services, engines, holdings, leavings and requests.
 func TestRequestsStayInTheirService(t *testing.T) {
+	found := make(map[string]int)
 	for seed := range uint64(50) {
 		r := rand.New(rand.NewPCG(seed, 1))
-		table := New(WithRandom(rand.New(rand.NewPCG(seed, 2))), WithZoneCost(time.Millisecond))
+		table := New(WithRandom(rand.New(rand.NewPCG(seed, 2))), WithZoneCost(time.Millisecond), WithTerms(DirectTerms))
 		now := time.Now()
 		services := []ident.Service{"chat", "report", "plain"}
 		of := make(map[ident.Endpoint]ident.Service)
@@ -48,21 +49,32 @@
 				}
 			}
 			check := func(what string, name ident.Endpoint, ok bool) {
-				if ok && of[name] != q.Service {
+				if !ok {
+					return
+				}
+				if found[what]++; of[name] != q.Service {
 					t.Fatalf("seed %d, request %d: %s of service %s at %s of service %s", seed, i, what, q.Service, name, of[name])
 				}
+				if !table.Serves(name, q) {
+					t.Fatalf("seed %d, request %d: %s of service %s at %s, which does not serve it", seed, i, what, q.Service, name)
+				}
 			}
 			name, ok := table.Choose(now, q)
 			check("request", name, ok)
 			if !ok {
 				continue
 			}
-			if source, found := table.Source(now, name, q); found {
-				check("prompt", source, found)
-			}
+			source, ok := table.Source(now, name, q)
+			check("prompt", source, ok)
 			table.Sent(now, name, q)
-			prefetched, found := table.Prefetch(now, q)
-			check("load", prefetched, found)
+			prefetched, ok := table.Prefetch(now, q)
+			check("load", prefetched, ok)
+		}
+	}
+	t.Logf("choices: %v", found)
+	for what, least := range map[string]int{"request": 10_000, "prompt": 100, "load": 100} {
+		if found[what] < least {
+			t.Errorf("%d choices of a %s were examined, %d are needed", found[what], what, least)
 		}
 	}
 }
