gate: an unanswered load keeps its slot until it must have ended

An agent of the product's own form that got no response to a load (a broken connection) unloaded the adapter and gave its slot to another one once the engine no longer listed it. The load could still be on its way or in progress and took effect afterwards: the engine then held more adapters than it has slots or memory for, and crashed with the requests of all callers on it, or refused the next load.

The slot stays taken until 30 s after the load was sent (the time after which an engine has ended a load) and 5 s more, which is the bound for a late command that unloads have had before. If the engine lists the adapter before that, it is used. Both hold after the claim was renewed. A response of any status ends the doubt, as before.

TestUnansweredLoadKeepsItsSlot failed before.

--- a/daemon/agent/orders.go
+++ b/daemon/agent/orders.go
@@ -13,7 +13,6 @@
 
 // Timeouts of calls to the engine; queryTimeout also limits cancels and requests for load permits.
 const (
-	loadTimeout   = 30 * time.Second
 	unloadTimeout = 10 * time.Second
 	queryTimeout  = 2 * time.Second
 )
@@ -39,7 +38,7 @@
 		Adapter: x.Adapter.Adapter, Version: x.Adapter.Version,
 	}
 	a.log.Event(event)
-	ctx, cancel := context.WithTimeout(a.work, loadTimeout)
+	ctx, cancel := context.WithTimeout(a.work, gate.DefaultConfig().LoadTimeout)
 	defer cancel()
 	digest, err := a.client.Load(ctx, x.Incarnation, x.Adapter, x.Path)
 	event.Kind, event.Duration = timeline.LoadFinished, a.clock.Since(started)
@@ -47,6 +46,7 @@
 	if err != nil {
 		event.Kind, event.Detail = timeline.LoadFailed, err.Error()
 		result.Failed, result.NoEffect, result.Detail = true, engine.EffectOf(err) == engine.NoEffect, err.Error()
+		result.Unanswered = !engine.Answered(err)
 	} else if digest != x.Digest {
 		event.Kind, event.Detail = timeline.LoadFailed, "the engine lists another digest than the declared one"
 	}
--- a/protocol/engine/effect.go
+++ b/protocol/engine/effect.go
@@ -52,6 +52,12 @@
 	return MayHaveEffect
 }
 
+// Answered reports whether the endpoint has responded to the call that returned err.
+func Answered(err error) bool {
+	var c *CallError
+	return err == nil || errors.As(err, &c) && c.Status != 0
+}
+
 // connectTrace records the connection on which a request is sent; if there is none, no byte of the request was sent.
 type connectTrace struct {
 	connected atomic.Bool
--- a/soak/fleet/agent.go
+++ b/soak/fleet/agent.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	loadTimeout           = 30 * time.Second
 	unloadTimeout         = 10 * time.Second
 	listTimeout           = 2 * time.Second
 	settleTimeout         = 2 * time.Second
--- a/soak/fleet/order.go
+++ b/soak/fleet/order.go
@@ -106,11 +106,11 @@
 
 func (a *agent) load(x gate.Load) {
 	a.fleet.log.Add([3]string{string(a.endpoint.name), x.Adapter.String()}, "%s starts to load %s", a.id, x.Path)
-	a.sendCommand(x.Incarnation, loadTimeout, func(o backend.Order, respond func(backend.Result, string)) {
+	a.sendCommand(x.Incarnation, a.gate.LoadTimeout, func(o backend.Order, respond func(backend.Result, string)) {
 		a.endpoint.backend.Load(o, x.Adapter, x.Path, respond)
 	}, func(r commandResponse, e engine.Effect) {
 		a.fleet.log.Add([3]string{string(a.endpoint.name), x.Adapter.String()}, "%s: load ended, effect %d", a.id, e)
-		a.step(gate.LoadEnded{Number: x.Number, Digest: r.digest, Failed: e != engine.Done, NoEffect: e == engine.NoEffect})
+		a.step(gate.LoadEnded{Number: x.Number, Digest: r.digest, Failed: e != engine.Done, NoEffect: e == engine.NoEffect, Unanswered: e == engine.MayHaveEffect && r.startID == ""})
 	})
 }
 
--- a/state/gate/event.go
+++ b/state/gate/event.go
@@ -65,7 +65,9 @@
 	Failed bool
 	// NoEffect is set on a failed load that certainly changed nothing at the engine.
 	NoEffect bool
-	Detail   string
+	// Unanswered is set on a failed load without a response of the engine: it may be on its way or in progress.
+	Unanswered bool
+	Detail     string
 }
 
 // UnloadEnded reports that an unload has finished or failed. An unload counts as failed unless the engine's list confirms it.
--- a/state/gate/gate.go
+++ b/state/gate/gate.go
@@ -47,6 +47,8 @@
 	// QuarantineDuration is the time for which an adapter is not loaded after an unload with an unknown effect, because the
 	// delayed command could evict the adapter while it is in use again.
 	QuarantineDuration time.Duration
+	// LoadTimeout is the time after which an engine has ended a load, whether it has responded or not.
+	LoadTimeout time.Duration
 	// LoadTime is the expected duration of a load from its permit on.
 	LoadTime time.Duration
 	// PermitRetryInterval is the time between a refused request for a permit and the next one.
@@ -72,6 +74,7 @@
 		LoadBackoff:         250 * time.Millisecond,
 		FailingDuration:     10 * time.Second,
 		QuarantineDuration:  5 * time.Second,
+		LoadTimeout:         30 * time.Second,
 		LoadTime:            250 * time.Millisecond,
 		PermitRetryInterval: 100 * time.Millisecond,
 		SurveyInterval:      time.Second,
@@ -238,7 +241,9 @@
 func (g *Gate) applyIncarnation(i ident.Incarnation) {
 	g.Incarnation = i
 	g.returnWaiting(outcome.StaleClaim, func(*try) bool { return true })
+	restore := g.keepUnanswered()
 	g.resetEngineView()
+	restore()
 }
 
 func (g *Gate) configure(c Configure) {
--- a/state/gate/load.go
+++ b/state/gate/load.go
@@ -22,6 +22,8 @@
 	// unloadPending is set while an unload is to be sent, though not before unloadNotBefore.
 	unloadPending   bool
 	unloadNotBefore time.Time
+	// unanswered is set while a load that was not answered may still take effect.
+	unanswered bool
 	// quarantineUntil is the time until which an unload with an unknown effect may still evict the adapter.
 	quarantineUntil time.Time
 }
@@ -33,6 +35,9 @@
 	adapter ident.AdapterVersion
 	digest  string
 	load    bool
+	sentAt  time.Time
+	// startID is the process of the engine that got the order.
+	startID ident.StartID
 	// stale is set once the view of the engine has been reset since the order was sent.
 	stale bool
 }
@@ -160,7 +165,7 @@
 	}
 	g.adapterRecord(av).loadAttempts++
 	g.lastNumber++
-	g.orders[g.lastNumber] = &order{adapter: av, digest: declared.Digest, load: true}
+	g.orders[g.lastNumber] = &order{adapter: av, digest: declared.Digest, load: true, sentAt: g.now, startID: g.startID}
 	g.emit(Load{Number: g.lastNumber, Incarnation: g.Incarnation, Adapter: av, Path: declared.Path, Digest: declared.Digest})
 	return true
 }
@@ -286,7 +291,7 @@
 }
 
 func (g *Gate) sendUnload(av ident.AdapterVersion, a *adapter) {
-	a.unloadPending = false
+	a.unloadPending, a.unanswered = false, false
 	if v, ok := g.checkUnload(av); !ok {
 		g.reportViolation(v)
 		return
@@ -305,6 +310,10 @@
 	g.viewVersion++
 	g.emit(ReturnPermit{})
 	if o.stale {
+		if e.Unanswered && o.startID == g.startID {
+			g.slots.Reserve(g.now, o.adapter)
+			g.holdUnanswered(o)
+		}
 		return
 	}
 	a := g.adapterRecord(o.adapter)
@@ -325,6 +334,43 @@
 	}
 	// The load may still take effect, so the slot stays taken until an unload is confirmed.
 	a.unloadPending = true
+	if e.Unanswered {
+		g.holdUnanswered(o)
+	}
+}
+
+// holdUnanswered keeps the slot of a load that was not answered until it must have ended: an unload that overtakes it would free a slot that
+// it takes afterwards.
+func (g *Gate) holdUnanswered(o *order) {
+	a := g.adapterRecord(o.adapter)
+	a.unloadPending, a.unanswered = true, true
+	a.unloadNotBefore = later(g.now, o.sentAt.Add(g.LoadTimeout)).Add(g.QuarantineDuration)
+}
+
+// keepUnanswered returns a function that takes the slots of unanswered loads again after the view of the engine was reset.
+func (g *Gate) keepUnanswered() (restore func()) {
+	kept := make(map[ident.AdapterVersion]*adapter)
+	for av, a := range g.adapters {
+		if a.unanswered {
+			kept[av] = a
+		}
+	}
+	return func() {
+		for av, a := range kept {
+			g.slots.Reserve(g.now, av)
+			g.adapters[av] = a
+		}
+	}
+}
+
+// adoptLoad makes an adapter resident whose load was not answered and has taken effect before it was to be unloaded.
+func (g *Gate) adoptLoad(av ident.AdapterVersion, digest string) {
+	if a := g.adapters[av]; a == nil || !a.unanswered || !a.unloadPending {
+		return
+	}
+	g.slots.Loaded(g.now, av)
+	g.queue.Loaded(g.now, av)
+	g.adapters[av] = &adapter{digest: digest}
 }
 
 // backOff sets the time of the next load; after the last attempt the tries that wait for the adapter are refused.
--- a/state/gate/load_test.go
+++ b/state/gate/load_test.go
@@ -202,3 +202,43 @@
 		t.Errorf("load in flight: %+v", r)
 	}
 }
+
+// Guards against a slot that is given to another adapter while an unanswered load may still take it, so that the engine gets more than it
+// holds, and against a load that took effect and is of no use.
+func TestUnansweredLoadKeepsItsSlot(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		g := newGate(t, func(c *Config) { c.Slots = 2 })
+		g.Step(startTime, newRun("r0", a1)) // keeps the other slot
+		g.Step(startTime, grantPermits(1))
+		x := firstCommand[Load](g.Step(startTime, newRun("r1", a2)))
+		g.Step(startTime, LoadEnded{Number: x.Number, Failed: true, Unanswered: true})
+		g.Step(startTime, newRun("r2", a3))
+		end := startTime.Add(g.LoadTimeout + g.QuarantineDuration)
+		for now := startTime.Add(time.Second); now.Before(end); now = now.Add(time.Second) {
+			out := append(g.Step(now, Permits{Granted: 1, Until: now.Add(time.Second)}), g.Step(now, Tick{})...)
+			if c := firstCommand[Load](out); c.Number != 0 {
+				t.Errorf("%v after the load, %s is loaded", now.Sub(startTime), c.Adapter)
+			}
+			if c := firstCommand[Unload](out); c.Number != 0 {
+				t.Errorf("%v after the load, %s is unloaded", now.Sub(startTime), c.Adapter)
+			}
+			s := Surveyed{Number: firstCommand[Survey](out).Number, StartID: g.startID, Adapters: []ListedAdapter{{Adapter: a1, Digest: "d"}}, Running: []Request{{ID: "r0/1", Adapter: a1}}}
+			if listed {
+				s.Adapters = append(s.Adapters, ListedAdapter{Adapter: a2, Digest: "d"})
+			}
+			out = g.Step(now, s)
+			if started := firstCommand[Start](out).ID == newRun("r1", a2).ID; started != listed {
+				t.Errorf("listed %t: the try for the adapter started: %t", listed, started)
+			}
+			if listed {
+				break
+			}
+		}
+		if listed {
+			continue
+		}
+		if c := firstCommand[Unload](g.Step(end, Tick{})); c.Adapter != a2 {
+			t.Errorf("%s is unloaded at the end, want %s", c.Adapter, a2)
+		}
+	}
+}
--- a/state/gate/random_test.go
+++ b/state/gate/random_test.go
@@ -18,14 +18,18 @@
 	t      *testing.T
 	random *rand.Rand
 	gate   *Gate
-	now    time.Time
-	seed   uint64
+	// slots is the number of adapters that the engine holds, which operators change.
+	slots int
+	now   time.Time
+	seed  uint64
 	// digests counts the changes of the declared weights; each change is a new revision.
 	digests map[ident.AdapterVersion]int
 	// startID, loaded and running are the state of the modelled engine.
 	startID ident.StartID
 	loaded  map[ident.AdapterVersion]string
 	running map[string]ident.AdapterVersion
+	// late holds the unanswered loads that are still on their way to the engine.
+	late []lateLoad
 	// pending events are delivered in any order, some of them twice.
 	pending []Event
 	sent    []Run
@@ -40,11 +44,20 @@
 	completed  int
 }
 
+// lateLoad is a load that takes effect at a time.
+type lateLoad struct {
+	Load
+	at time.Time
+}
+
+// maxSlots is the number of adapters that the modelled engine holds at most.
+const maxSlots = 3
+
 func newSimulation(t *testing.T, seed uint64, fencing bool) *simulation {
 	c := DefaultConfig()
 	c.Endpoint, c.Incarnation, c.Slots, c.BatchSize, c.QueueLimit, c.ChecksFencing = "e1", 1, 2, 3, 12, fencing
 	return &simulation{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), gate: New(c), now: time.Unix(1000, 0),
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), gate: New(c), slots: c.Slots, now: time.Unix(1000, 0),
 		digests: make(map[ident.AdapterVersion]int), startID: "s0", loaded: make(map[ident.AdapterVersion]string),
 		running: make(map[string]ident.AdapterVersion), starts: make(map[ident.TryID]int), ran: make(map[ident.TryID]bool),
 		notRun: make(map[ident.TryID]bool), accepted: make(map[ident.TryID]int), keys: make(map[callerKey]ident.TryID),
@@ -69,6 +82,7 @@
 // randomEvent advances the time and sends one random event to the gate or changes the modelled engine.
 func (s *simulation) randomEvent() {
 	s.now = s.now.Add(time.Duration(s.random.IntN(60)) * time.Millisecond)
+	s.deliverLate()
 	switch n := s.random.IntN(100); {
 	case n < 25:
 		s.request()
@@ -95,6 +109,19 @@
 	}
 }
 
+func (s *simulation) deliverLate() {
+	s.late = slices.DeleteFunc(s.late, func(l lateLoad) bool {
+		if s.now.Before(l.at) {
+			return false
+		}
+		if len(s.loaded) >= maxSlots {
+			s.fail("late load of %s into a full engine", l.Adapter)
+		}
+		s.loaded[l.Adapter] = l.Path
+		return true
+	})
+}
+
 func (s *simulation) request() {
 	av := s.adapter()
 	r := Run{
@@ -129,6 +156,7 @@
 
 func (s *simulation) restart() {
 	s.startID = ident.StartID(fmt.Sprint("s", s.random.Uint32()))
+	s.late = nil
 	clear(s.loaded)
 	clear(s.running)
 }
@@ -201,6 +229,8 @@
 		s.pending = append(s.pending, Permits{Granted: s.random.IntN(2), Until: s.now.Add(2 * time.Second)})
 	case Survey:
 		s.survey(x)
+	case Restarted:
+		s.late = nil // they were on their way to the previous process
 	case Drained:
 		s.drained = true
 	case Violation:
@@ -270,8 +300,8 @@
 }
 
 func (s *simulation) load(x Load) {
-	if len(s.loaded) >= s.gate.Slots {
-		s.fail("load of %s into a full engine", x.Adapter)
+	if len(s.loaded) >= s.slots {
+		s.fail("load of %s into an engine that holds %d adapters of %d", x.Adapter, len(s.loaded), s.slots)
 	}
 	e := LoadEnded{Number: x.Number, Digest: x.Path}
 	n := s.random.IntN(100)
@@ -280,6 +310,10 @@
 	}
 	if n >= 70 {
 		e.Failed, e.NoEffect, e.Digest = true, n >= 90, ""
+		e.Unanswered = n < 90 && s.chance(50)
+	}
+	if e.Unanswered && n >= 80 {
+		s.late = append(s.late, lateLoad{x, s.now.Add(time.Duration(s.random.Int64N(int64(s.gate.LoadTimeout))))})
 	}
 	s.pending = append(s.pending, e)
 }
--- a/state/gate/survey.go
+++ b/state/gate/survey.go
@@ -132,6 +132,7 @@
 func (g *Gate) adoptEngineState(s Surveyed) {
 	g.synced = true
 	for _, m := range s.Adapters {
+		g.adoptLoad(m.Adapter, m.Digest)
 		g.slots.Loaded(g.now, m.Adapter)
 		g.queue.Loaded(g.now, m.Adapter)
 		g.adapterRecord(m.Adapter).digest = m.Digest
@@ -172,6 +173,7 @@
 	listed := make(map[ident.AdapterVersion]bool)
 	for _, m := range s.Adapters {
 		listed[m.Adapter] = true
+		g.adoptLoad(m.Adapter, m.Digest)
 		a := g.adapterRecord(m.Adapter)
 		a.digest = m.Digest
 		if g.slots.State(m.Adapter) == slots.Absent {
--- a/state/slots/slots.go
+++ b/state/slots/slots.go
@@ -52,7 +52,7 @@
 // Capacity returns the number of slots.
 func (s *Slots) Capacity() int { return s.capacity }
 
-// Free returns the number of free slots.
+// Free returns the number of free slots; it is negative while more adapters are held than there are slots.
 func (s *Slots) Free() int { return s.capacity - len(s.slots) }
 
 // State returns the state of an adapter.
@@ -104,10 +104,15 @@
 	if s.Free() <= 0 || s.State(av) != Absent {
 		return false
 	}
-	s.slots[av] = &slot{state: Loading, loadStarted: now, loadTime: initialLoadTime}
+	s.Reserve(now, av)
 	return true
 }
 
+// Reserve records that the engine may load an adapter, although no slot may be free.
+func (s *Slots) Reserve(now time.Time, av ident.AdapterVersion) {
+	s.slots[av] = &slot{state: Loading, loadStarted: now, loadTime: initialLoadTime}
+}
+
 // Loaded records that the engine lists the adapter as loaded.
 func (s *Slots) Loaded(now time.Time, av ident.AdapterVersion) {
 	h, ok := s.slots[av]
