agent: loads stay within the memory of the engine in the product's own form

The agent of the product's own form counted adapter slots only: Endpoint resources had no memory, and a change of Slots took effect at the next start of the agent.

Endpoint has MemoryMegabytes, BaseModelMegabytes and AdapterMegabytes; the number of adapters follows from them by the same arithmetic as on the platform (routing.Engine). Placement, agents and the soak use that number. A change takes effect while the agent runs; before the next load it evicts what does not fit any more. A declaration that leaves room for no adapter is rejected.

TestLoadsFollowLoweredSlots and TestRandomSchedules fail without the resize, the former also if only one adapter is evicted. The soak checks each order to load against what the engine holds, with engines whose memory holds two or three adapters for three slots: with Slots alone all ten of TestSchedules' schedules fail.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -194,7 +194,7 @@
 func (a *Agent) gateConfig(e *resource.Endpoint, i ident.Incarnation) gate.Config {
 	c := gate.DefaultConfig()
 	c.Endpoint, c.Service, c.ChecksFencing = e.Name, e.Kind == resource.Service, e.ChecksFencing
-	c.Incarnation, c.Slots, c.BatchSize = i, e.Slots, e.BatchSize
+	c.Incarnation, c.Slots, c.BatchSize = i, e.AdapterSlots(), e.BatchSize
 	policy := a.configuration.Current().Policy()
 	c.QueueLimit, c.LoadTime = policy.QueuePerEndpoint, time.Duration(policy.LoadTime)
 	// Tries with an idempotency key are remembered for at least an hour longer than their keys are retained.
--- a/daemon/agent/configuration.go
+++ b/daemon/agent/configuration.go
@@ -49,7 +49,7 @@
 			a.drain("endpoint is leaving or no longer declared")
 			continue
 		}
-		a.post(gate.Configure{BatchSize: e.BatchSize, LoadTime: time.Duration(set.Policy().LoadTime)})
+		a.post(gate.Configure{BatchSize: e.BatchSize, Slots: e.AdapterSlots(), LoadTime: time.Duration(set.Policy().LoadTime)})
 	}
 }
 
--- a/daemon/agent/fake_test.go
+++ b/daemon/agent/fake_test.go
@@ -77,7 +77,8 @@
 const digest = "00"
 
 func newConfiguration(kind resource.EndpointKind) fixedConfiguration {
-	e := resource.Endpoint{Name: "e1", Kind: kind, BaseModel: "base", Service: "custody", Slots: 1, BatchSize: 4, ChecksFencing: true}
+	e := resource.Endpoint{Name: "e1", Kind: kind, BaseModel: "base", Service: "custody", Slots: 4, MemoryMegabytes: 100, BaseModelMegabytes: 50,
+		AdapterMegabytes: 50, BatchSize: 4, ChecksFencing: true}
 	ad := func(name ident.Adapter) resource.Adapter {
 		return resource.Adapter{
 			Name: name, BaseModel: "base", Default: "v1",
--- a/daemon/entry/placer.go
+++ b/daemon/entry/placer.go
@@ -255,7 +255,7 @@
 		Zone:      k.resource.Zone,
 		Leaving:   k.resource.Leaving || k.claim.Leaving || k.report.GetLeaving(),
 		BatchSize: k.resource.BatchSize,
-		Slots:     k.resource.Slots,
+		Slots:     k.resource.AdapterSlots(),
 	}
 	if k.report == nil {
 		return r
--- a/soak/backend/endpoint.go
+++ b/soak/backend/endpoint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -58,6 +59,8 @@
 type Observer interface {
 	Ran(r *Run)
 	Evicted(e *Endpoint, av ident.AdapterVersion, o Order, users []*Run)
+	// Overloaded is called with an order to load an adapter for which the endpoint has no memory, and the adapters that it holds or loads.
+	Overloaded(e *Endpoint, av ident.AdapterVersion, o Order, held []ident.AdapterVersion)
 }
 
 // Result is the result of a command or a request.
@@ -93,9 +96,11 @@
 
 	highestFencingNumber ident.Incarnation
 	loaded               map[ident.AdapterVersion]string
-	running              []*Run
-	lastSerial           int
-	starts               int
+	// loading has the orders of the loads in progress.
+	loading    map[ident.AdapterVersion]Order
+	running    []*Run
+	lastSerial int
+	starts     int
 }
 
 // Start starts or restarts the endpoint's process with no adapter loaded. A restart ends all runs.
@@ -103,7 +108,7 @@
 	e.starts++
 	e.highestFencingNumber = 0 // an engine has no disk on which to store it
 	e.StartID = ident.StartID(fmt.Sprintf("%s-start-%d", e.Name, e.starts))
-	e.loaded = make(map[ident.AdapterVersion]string)
+	e.loaded, e.loading = make(map[ident.AdapterVersion]string), make(map[ident.AdapterVersion]Order)
 	list := e.running
 	e.running = nil
 	for _, r := range list {
@@ -153,12 +158,15 @@
 	if e.SlowWeightStore() {
 		duration = e.Clock.Between(time.Second, 6*time.Second)
 	}
+	e.checkMemory(o, av)
+	e.loading[av] = o
 	start := e.StartID
 	e.Clock.After(duration, func() {
 		if e.StartID != start {
 			done(Failed, "")
 			return
 		}
+		delete(e.loading, av)
 		if _, loaded := e.loaded[av]; !loaded {
 			if e.Clock.Chance(e.FailedLoadsPerMille()) || len(e.loaded) >= e.Slots {
 				done(Failed, "")
@@ -173,6 +181,22 @@
 	})
 }
 
+// checkMemory reports an order to load more than the endpoint holds. The sender of an order cannot know of loads that others have begun.
+func (e *Endpoint) checkMemory(o Order, av ident.AdapterVersion) {
+	held := make(map[ident.AdapterVersion]bool)
+	for x := range e.loaded {
+		held[x] = true
+	}
+	for x, other := range e.loading {
+		if other.Sender == o.Sender && other.Incarnation == o.Incarnation {
+			held[x] = true
+		}
+	}
+	if !held[av] && len(held) >= e.Slots {
+		e.Observer.Overloaded(e, av, o, slices.SortedFunc(maps.Keys(held), func(a, b ident.AdapterVersion) int { return strings.Compare(a.String(), b.String()) }))
+	}
+}
+
 // Digest returns the digest of the weights at a path of the weight store.
 func Digest(path string) string {
 	sum := sha256.Sum256([]byte(path))
--- a/soak/fleet/agent.go
+++ b/soak/fleet/agent.go
@@ -75,7 +75,7 @@
 		}
 		c := gate.DefaultConfig()
 		c.Endpoint, c.Service, c.ChecksFencing = e.Name, e.Kind == resource.Service, e.ChecksFencing
-		c.Incarnation, c.Slots, c.BatchSize, c.QueueLimit = a.claim.incarnation, e.Slots, e.BatchSize, 16
+		c.Incarnation, c.Slots, c.BatchSize, c.QueueLimit = a.claim.incarnation, e.AdapterSlots(), e.BatchSize, 16
 		a.gate = gate.New(c)
 		a.claim.gateIncarnation, a.claim.reportedStatus = a.claim.incarnation, gate.ClaimHeld
 		a.lastPermitResponse = a.clock().Now()
@@ -96,7 +96,7 @@
 		a.drain()
 		return
 	}
-	a.step(gate.Configure{BatchSize: e.BatchSize})
+	a.step(gate.Configure{BatchSize: e.BatchSize, Slots: e.AdapterSlots()})
 }
 
 // drain makes the gate finish its tries and accept no new ones.
--- a/soak/fleet/entry.go
+++ b/soak/fleet/entry.go
@@ -142,7 +142,7 @@
 	}
 	r := placement.Report{
 		Endpoint: state.endpoint, Kind: state.resource.Kind, BaseModel: state.resource.BaseModel, Service: state.resource.Service,
-		Zone: state.resource.Zone, Leaving: state.resource.Leaving, BatchSize: state.resource.BatchSize, Slots: state.resource.Slots,
+		Zone: state.resource.Zone, Leaving: state.resource.Leaving, BatchSize: state.resource.BatchSize, Slots: state.resource.AdapterSlots(),
 	}
 	if p := state.report; p != nil {
 		r.Leaving = r.Leaving || p.Leaving
--- a/soak/fleet/fleet.go
+++ b/soak/fleet/fleet.go
@@ -25,10 +25,17 @@
 const (
 	adapterCount = 10
 	entryCount   = 3
+	// The slots of an engine and its memory, which holds two or three adapters.
+	engineSlots     = 3
+	engineMegabytes = 1000
+	modelMegabytes  = 900
 	// quietDuration is the time without new requests and faults in which all requests must finish.
 	quietDuration = 90 * time.Second
 )
 
+// adapterMegabytes are the sizes of adapters at the engines, two engines each.
+var adapterMegabytes = [2]ident.Megabytes{30, 45}
+
 // Fleet is the simulation of one schedule: all processes, the fakes around them, and the judge that checks the guarantees.
 type Fleet struct {
 	options       Options
@@ -82,7 +89,8 @@
 	}
 	for n := range 4 {
 		f.addEndpoint(resource.Endpoint{Name: ident.Endpoint(fmt.Sprintf("engine-%d", n)), Kind: resource.Engine, BaseModel: baseModel,
-			Host: "host", Zone: "zone", ChecksFencing: n%2 == 0, Slots: 3, BatchSize: 4})
+			Host: "host", Zone: "zone", ChecksFencing: n%2 == 0, Slots: engineSlots, MemoryMegabytes: engineMegabytes, BaseModelMegabytes: modelMegabytes,
+			AdapterMegabytes: adapterMegabytes[n/2], BatchSize: 4})
 	}
 	for n := range 2 {
 		f.addEndpoint(resource.Endpoint{Name: ident.Endpoint(fmt.Sprintf("custody-%d", n)), Kind: resource.Service, Service: serviceName,
@@ -93,7 +101,7 @@
 func (f *Fleet) addEndpoint(e resource.Endpoint) {
 	f.storeResource(&e)
 	f.endpoints = append(f.endpoints, &endpoint{name: e.Name, backend: &backend.Endpoint{
-		Name: e.Name, PlainService: e.Kind == resource.Service, ChecksFencing: e.ChecksFencing, Slots: e.Slots, Clock: f.clock, Observer: f.judge,
+		Name: e.Name, PlainService: e.Kind == resource.Service, ChecksFencing: e.ChecksFencing, Slots: e.AdapterSlots(), Clock: f.clock, Observer: f.judge,
 		WrongAdapter: f.options.Without == AdapterNames, EvictsInUse: f.options.Without == SlotsInUse,
 		SlowWeightStore: func() bool { return f.slowWeights },
 		FailedLoadsPerMille: func() int {
--- a/soak/fleet/operator.go
+++ b/soak/fleet/operator.go
@@ -207,7 +207,7 @@
 	})
 }
 
-// changeEndpoint sets whether an endpoint is leaving, and a random batch size.
+// changeEndpoint sets whether an endpoint is leaving, a random batch size and, for an engine, a random number of slots.
 func (f *Fleet) changeEndpoint(o *operator, name ident.Endpoint, leaving bool) {
 	n := resource.Name{Kind: resource.KindEndpoint, Name: string(name)}
 	o.edit(n, func(r any) (any, bool) {
@@ -217,6 +217,9 @@
 		}
 		next := *e
 		next.Leaving, next.BatchSize = leaving, 2+f.clock.Random().IntN(5)
+		if next.Kind == resource.Engine {
+			next.Slots = 1 + f.clock.Random().IntN(engineSlots)
+		}
 		return &next, true
 	})
 }
--- a/soak/judge/judge.go
+++ b/soak/judge/judge.go
@@ -32,6 +32,8 @@
 	G7 Guarantee = "G7"
 	// G8: a process never returns to an older configuration, and an accepted change is in force at all live processes.
 	G8 Guarantee = "G8"
+	// Capacity: no engine is ordered to load more than it holds.
+	Capacity Guarantee = "capacity"
 	// Final: every request gets a final outcome in time.
 	Final Guarantee = "final"
 	// Assertion: a module has detected and reported a violated invariant itself.
@@ -271,6 +273,11 @@
 	}
 }
 
+// Overloaded records an order to load more than an engine holds, which crashes it.
+func (j *Judge) Overloaded(e *backend.Endpoint, av ident.AdapterVersion, o backend.Order, held []ident.AdapterVersion) {
+	j.addOrderViolation(Capacity, e, o, []string{string(e.Name), av.String()}, "%s orders a load of %s at an engine that holds %v", o.Sender, av, held)
+}
+
 // AdapterDeclared records a write of an adapter resource.
 func (j *Judge) AdapterDeclared(a *resource.Adapter, at ident.Revision) {
 	if j.adapterRevisions[a.Name] == nil {
--- a/state/gate/event.go
+++ b/state/gate/event.go
@@ -132,6 +132,8 @@
 // Configure reports the parts of the Endpoint and Policy resources that can change while the agent runs.
 type Configure struct {
 	BatchSize int
+	// Slots is the number of adapters that the engine holds; zero leaves it unchanged.
+	Slots int
 	// LoadTime is the expected duration of a load; zero leaves it unchanged.
 	LoadTime time.Duration
 	Leaving  bool
--- a/state/gate/gate.go
+++ b/state/gate/gate.go
@@ -250,6 +250,9 @@
 	if c.BatchSize > 0 {
 		g.BatchSize = c.BatchSize
 	}
+	if c.Slots > 0 && !g.Service {
+		g.slots.Resize(c.Slots)
+	}
 	if c.LoadTime > 0 {
 		g.LoadTime = c.LoadTime
 	}
--- a/state/gate/load.go
+++ b/state/gate/load.go
@@ -174,7 +174,7 @@
 // freed, so that no permit is held for a load that cannot start. No try starts on the reserved adapter, because the load would
 // lose its slot.
 func (g *Gate) reserveVictim(p *loadPlan) (ok bool) {
-	if g.slots.Free() > 0 || p.unloadingSlots > 0 {
+	if g.slots.Free()+p.unloadingSlots > 0 {
 		return true
 	}
 	g.reservedVictim, ok = g.victim(p)
@@ -197,18 +197,18 @@
 	return p.previousVictim, true
 }
 
-// makeRoom evicts an adapter if the slots being unloaded are too few for the planned loads. Nothing is evicted before there
-// is a permit to use the slot.
+// makeRoom evicts adapters if the slots being unloaded are too few for the planned loads: one for each load, and more after the
+// number of slots has been lowered. Nothing is evicted before there is a permit to use the slot.
 func (g *Gate) makeRoom(p *loadPlan) (ok bool) {
-	if p.unloadingSlots >= len(p.planned) {
-		return true
-	}
-	av, ok := g.victim(p)
-	if ok {
+	for g.slots.Free()+p.unloadingSlots < len(p.planned) {
+		av, ok := g.victim(p)
+		if !ok {
+			return false
+		}
 		g.evict(av)
 		p.unloadingSlots++
 	}
-	return ok
+	return true
 }
 
 func (g *Gate) permitsHeld() int {
--- a/state/gate/load_test.go
+++ b/state/gate/load_test.go
@@ -203,6 +203,25 @@
 	}
 }
 
+// Guards against an engine that is ordered to load more than it holds after its number of slots was lowered, as by a larger adapter, and
+// against a load that never starts because only one adapter is evicted for it.
+func TestLoadsFollowLoweredSlots(t *testing.T) {
+	g := newGate(t, func(c *Config) { c.Slots = 2 })
+	loadAdapter(t, g, "r0", a2)
+	now := startTime.Add(3 * time.Second) // after the grace period in which an unused adapter is not evicted
+	g.Step(now, Configure{Slots: 1})
+	g.Step(now, newRun("r1", a3))
+	unloads := g.Step(now, Permits{Granted: 1, Until: now.Add(time.Minute)})
+	expect(t, "permit response", unloads, "Unload", "Unload")
+	for i, c := range unloads {
+		x, _ := c.(Unload)
+		out := g.Step(now, UnloadEnded{Number: x.Number})
+		if started := firstCommand[Load](out).Adapter == a3; started != (i == 1) {
+			t.Errorf("after unload %d: load started: %v", i+1, started)
+		}
+	}
+}
+
 // Guards against a slot that is given to another adapter while an unanswered load may still take it, so that the engine gets more than it
 // holds, and against a load that took effect and is of no use.
 func TestUnansweredLoadKeepsItsSlot(t *testing.T) {
--- a/state/gate/random_test.go
+++ b/state/gate/random_test.go
@@ -104,6 +104,9 @@
 		s.digests[s.adapter()]++
 	case n < 79:
 		s.step(StartIDObserved{StartID: ident.StartID(fmt.Sprint("s", s.random.IntN(3)))})
+	case n < 80:
+		s.slots = 1 + s.random.IntN(maxSlots)
+		s.step(Configure{Slots: s.slots})
 	default:
 		s.step(Tick{})
 	}
--- a/state/resource/codec_test.go
+++ b/state/resource/codec_test.go
@@ -76,6 +76,42 @@
 	}
 }
 
+// TestAdapterSlotsFitTheMemory guards against an engine that is ordered to load more adapters than its memory holds because it has slots for them,
+// and against the declaration of one that could hold none.
+func TestAdapterSlotsFitTheMemory(t *testing.T) {
+	for _, c := range []struct {
+		name, fields string
+		want         int
+		invalid      string
+	}{
+		{"not stated", "", 4, ""},
+		{"fewer than slots", "MemoryMegabytes = 1000\nBaseModelMegabytes = 900\nAdapterMegabytes = 40", 2, ""},
+		{"more than slots", "MemoryMegabytes = 1000\nBaseModelMegabytes = 100\nAdapterMegabytes = 40.5", 4, ""},
+		{"no size of the base model", "MemoryMegabytes = 100\nAdapterMegabytes = 40", 2, ""},
+		{"no adapter fits", "MemoryMegabytes = 1000\nBaseModelMegabytes = 980\nAdapterMegabytes = 40", 0, "holds no adapter"},
+		{"the base model does not fit", "MemoryMegabytes = 1000\nBaseModelMegabytes = 1100\nAdapterMegabytes = 40", 0, "holds no adapter"},
+		{"no size of adapters", "MemoryMegabytes = 1000\nBaseModelMegabytes = 900", 0, "AdapterMegabytes"},
+		{"sizes without memory", "AdapterMegabytes = 40", 0, "MemoryMegabytes"},
+		{"negative", "MemoryMegabytes = -1", 0, "negative"},
+	} {
+		list, err := ParseFile(strings.Replace(example, "Slots = 4", "Slots = 4\n"+c.fields, 1))
+		if c.invalid != "" {
+			if err == nil || !strings.Contains(err.Error(), c.invalid) {
+				t.Errorf("%s: error %v does not name %q", c.name, err, c.invalid)
+			}
+			continue
+		}
+		if err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		for _, r := range list {
+			if e, ok := r.(*Endpoint); ok && e.AdapterSlots() != c.want {
+				t.Errorf("%s: %d adapters, want %d", c.name, e.AdapterSlots(), c.want)
+			}
+		}
+	}
+}
+
 // exampleShard returns the stored form of a shard with one resource of the example, which was last changed at revision 7.
 func exampleShard(tb testing.TB, n Name) (number int, value []byte) {
 	list, err := ParseFile(example)
--- a/state/resource/resource.go
+++ b/state/resource/resource.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"shallotring.dev/state/ident"
+	"shallotring.dev/state/routing"
 )
 
 // ShardCount is the number of values in the key-value service over which the configuration is split.
@@ -91,14 +92,26 @@
 	Zone    ident.Zone
 	// ChecksFencing states that the endpoint rejects orders with a stale fencing number.
 	ChecksFencing bool
-	// Slots is the number of adapters that can be resident in the engine at once.
+	// Slots is the number of adapters that can be resident in the engine at once, if its memory holds as many.
 	Slots int
+	// MemoryMegabytes is the memory of an engine for the weights of its base model and of adapters; zero if it is not stated.
+	MemoryMegabytes ident.Megabytes `json:",omitempty" toml:",omitempty"`
+	// BaseModelMegabytes is the size of the base model, and AdapterMegabytes that of the largest adapter.
+	BaseModelMegabytes ident.Megabytes `json:",omitempty" toml:",omitempty"`
+	AdapterMegabytes   ident.Megabytes `json:",omitempty" toml:",omitempty"`
 	// BatchSize is the number of requests that the endpoint runs at once.
 	BatchSize int
 	// Leaving keeps new work away from the endpoint, so that it can be removed.
 	Leaving bool
 }
 
+// AdapterSlots returns the number of adapters that an engine holds beside its base model: its slots, or fewer if its memory holds fewer.
+func (e *Endpoint) AdapterSlots() int {
+	c := routing.Engine{Adapters: e.Slots, Memory: e.MemoryMegabytes,
+		Models: []routing.Model{{Name: e.BaseModel, Size: e.BaseModelMegabytes, AdapterSize: e.AdapterMegabytes}}}
+	return c.AdapterSlots()
+}
+
 // Route declares how requests to a plain service are handled.
 type Route struct {
 	Name    string
--- a/state/resource/validate.go
+++ b/state/resource/validate.go
@@ -72,6 +72,9 @@
 		if e.Slots < 1 {
 			return eris.New("Slots: must be at least 1 for an engine")
 		}
+		if err = validateMemory(e); err != nil {
+			return err
+		}
 	case Service:
 		if e.Service == "" {
 			return eris.New("Service: must be set for a plain service")
@@ -85,6 +88,21 @@
 	return nil
 }
 
+// validateMemory rejects an engine that could never hold an adapter, since all requests for one would be refused.
+func validateMemory(e *Endpoint) (err error) {
+	switch {
+	case e.MemoryMegabytes < 0 || e.BaseModelMegabytes < 0 || e.AdapterMegabytes < 0:
+		return eris.New("MemoryMegabytes, BaseModelMegabytes, AdapterMegabytes: must not be negative")
+	case e.MemoryMegabytes == 0 && (e.BaseModelMegabytes > 0 || e.AdapterMegabytes > 0):
+		return eris.New("MemoryMegabytes: must be set with BaseModelMegabytes or AdapterMegabytes")
+	case e.MemoryMegabytes > 0 && e.AdapterMegabytes == 0:
+		return eris.New("AdapterMegabytes: must be set with MemoryMegabytes")
+	case e.AdapterSlots() < 1:
+		return eris.New("MemoryMegabytes: holds no adapter beside the base model")
+	}
+	return nil
+}
+
 func validateRoute(r *Route) (err error) {
 	if r.Service == "" {
 		return eris.New("Service: must be set")
--- a/state/slots/history.go
+++ b/state/slots/history.go
@@ -36,9 +36,12 @@
 }
 
 func newHistory(capacity int) history {
-	return history{maxAdapters: max(capacity, 1) * historyPerSlot, counts: make(map[ident.AdapterVersion]decayingCount)}
+	return history{maxAdapters: maxHistory(capacity), counts: make(map[ident.AdapterVersion]decayingCount)}
 }
 
+// maxHistory returns the number of adapters whose demand is recorded at an engine with a number of slots.
+func maxHistory(capacity int) int { return max(capacity, 1) * historyPerSlot }
+
 func (h *history) add(now time.Time, av ident.AdapterVersion) {
 	c, ok := h.counts[av]
 	if !ok && len(h.counts) >= h.maxAdapters {
--- a/state/slots/slots.go
+++ b/state/slots/slots.go
@@ -52,6 +52,11 @@
 // Capacity returns the number of slots.
 func (s *Slots) Capacity() int { return s.capacity }
 
+// Resize changes the number of slots. Adapters beyond it stay until they are evicted.
+func (s *Slots) Resize(capacity int) {
+	s.capacity, s.history.maxAdapters = capacity, maxHistory(capacity)
+}
+
 // Free returns the number of free slots; it is negative while more adapters are held than there are slots.
 func (s *Slots) Free() int { return s.capacity - len(s.slots) }
 
