frontend: an instance is checked after a response that ends with its connection

After such a response the entry tries to connect to the instance, 100 ms later and at most once a second for each instance. A refused connection shows its end, an accepted one counts as a complete run of the request, which speaks for sound requests; a probation that ends this way releases the request.

--- a/daemon/direct/repeat_test.go
+++ b/daemon/direct/repeat_test.go
@@ -238,6 +238,15 @@
 	}
 }
 
+// TestRequestThatCrashesIdleInstances guards against a request whose crashes nothing shows: instances end after a response without a length that looks
+// complete, and no other request is in progress there (review, trial deskcrash).
+func TestRequestThatCrashesIdleInstances(t *testing.T) {
+	t.Parallel()
+	p := newRepeatTraffic(t, trial.Size{Engines: 1, Entries: 2, Instances: 4}, standin.Poison{Target: "/o/bad", Body: "bad", Probability: 1, Stage: standin.AfterEvent})
+	p.crashOnFatal()
+	p.repeatUntil(3*contactTime, 600*time.Millisecond)
+}
+
 // TestLateEntryKnowsRequestsThatCrashEngines guards against an entry that sends a request to engines that it has crashed before because the
 // entry has started later, with and without agents.
 func TestLateEntryKnowsRequestsThatCrashEngines(t *testing.T) {
--- a/daemon/frontend/ended.go
+++ b/daemon/frontend/ended.go
@@ -22,6 +22,10 @@
 	// the first of them before it is sent elsewhere.
 	endCheckTimeout = 250 * time.Millisecond
 	endCheckWait    = 50 * time.Millisecond
+	// orderlyCheckDelay is the delay of the connection attempt after a response that looks complete, and orderlyCheckInterval the time between two
+	// of them at one endpoint.
+	orderlyCheckDelay    = 100 * time.Millisecond
+	orderlyCheckInterval = time.Second
 )
 
 // endCheckDelays are the delays before the connection attempts: an endpoint may accept connections for a moment after it has closed others.
@@ -49,6 +53,8 @@
 	endedAt time.Time
 	// checked is closed after the first connection attempt of the check that is in progress; nil if there is none.
 	checked chan struct{}
+	// orderlyCheckedAt is the time of the last check after a response that looks complete.
+	orderlyCheckedAt time.Time
 }
 
 // dropSuspects forgets the interrupted requests that are older than a time.
@@ -70,18 +76,43 @@
 		f.recordEnd(e, i.at, endKnown)
 		return nil
 	}
-	// Some endpoints end each response with its connection, so these are not checked.
-	if !i.orderly && e.checked == nil && f.ctx != nil && f.ctx.Err() == nil {
+	if f.ctx == nil || f.ctx.Err() != nil {
+		return e.checked
+	}
+	// Some endpoints end each response with its connection, so not each of these is checked. Agents report the ends of engines.
+	if i.orderly && e.link == nil && i.at.Sub(e.orderlyCheckedAt) >= orderlyCheckInterval {
+		e.orderlyCheckedAt = i.at
+		f.wg.Go(func() { f.checkOrderly(e, i) })
+	}
+	if !i.orderly && e.checked == nil {
 		done := make(chan struct{})
 		e.checked = done
 		f.wg.Go(func() { f.checkEnd(e, done) })
 	}
-	if e.checked == nil {
-		return nil
-	}
 	return e.checked
 }
 
+// checkOrderly tries to connect to an endpoint after a response that has ended with its connection and looks complete. Where few requests come, nothing
+// else shows that the endpoint has ended, or that it has survived the request.
+func (f *Frontend) checkOrderly(e *endpoint, i interruption) {
+	wait.For(f.ctx, f.clock, orderlyCheckDelay)
+	if f.ctx.Err() != nil {
+		return
+	}
+	if f.refusesConnections(e.pool.Address()) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.recordEnd(e, f.clock.Now(), connectionRefused)
+		return
+	}
+	if !f.suspecting.Load() {
+		return
+	}
+	for _, p := range i.fingerprints() {
+		f.recordSurvival(p, i.probation == p)
+	}
+}
+
 // awaitCheck waits for the first connection attempt of a check, for endCheckWait at most.
 func (f *Frontend) awaitCheck(ctx context.Context, checked <-chan struct{}) {
 	t := f.clock.NewTimer(endCheckWait)
--- a/daemon/frontend/quarantine.go
+++ b/daemon/frontend/quarantine.go
@@ -35,6 +35,8 @@
 	// parts are those of its prompt that other requests may share, suspects what was known of them when it ended.
 	parts    []call.Part
 	suspects []quarantine.Suspect
+	// probation is that of the request, zero if it was none.
+	probation fingerprint.Fingerprint
 	// orderly is set if the response looks complete, which it may although the endpoint has ended.
 	orderly bool
 }
@@ -99,7 +101,7 @@
 // recordInterruption records that the end of its connection to the endpoint ended a request, and waits for a moment until it is known whether
 // the endpoint has ended.
 func (f *Frontend) recordInterruption(ctx context.Context, x *request, e *endpoint, orderly bool) {
-	i := interruption{identity: x.identify(), parts: x.call.SharedParts(), orderly: orderly}
+	i := interruption{identity: x.identify(), parts: x.call.SharedParts(), probation: x.probation, orderly: orderly}
 	if x.call.Model != "" && !orderly {
 		x.interruptions++
 	}
