direct: the test of keys waits for the version that has them

TestKeysOpenRoutesUntilTheyAreTakenAway failed once beside load (11 to 16 on eight cores): keys reached endpoints with the caller's tenant. It waited until requests with keys are served, which version 1 does too, since it has no tenants; the checks could run before version 2 was in force at the entry.

It waits until an unknown key is refused as well, which only version 2 does. All checks are as before.

--- a/daemon/direct/tenant_test.go
+++ b/daemon/direct/tenant_test.go
@@ -66,8 +66,9 @@
 	b := standin.Tenant{Name: "b", Keys: []string{"kb"}}
 	k.Configure(2, standin.Tenant{Name: "a", Keys: []string{"ka1", "ka2"}, Priority: &urgent}, b)
 	for entry := range 2 {
-		waitFor(t, "requests with keys are served", func() bool {
-			return k.status(entry, "/g/1", "ka1") == http.StatusOK && k.status(entry, "/l/1", "kb") == http.StatusOK
+		// Version 1 has no tenants and serves any key, so a refusal shows that version 2 is in force.
+		waitFor(t, "version 2 is in force, and requests with keys are served", func() bool {
+			return k.status(entry, "/l/1", "kx") == http.StatusUnauthorized && k.status(entry, "/g/1", "ka1") == http.StatusOK && k.status(entry, "/l/1", "kb") == http.StatusOK
 		})
 		for _, c := range []struct {
 			target, key    string
