suspicion: a content that several requests have at one end is under suspicion

Copies for different adapters are different requests with one content. When an engine ended under two of them, the end did not count against the content: of a content in general use, some requests are at any end. A content that comes often enough has two copies at each engine that crashes and was never found.

The end counts now. If all requests with the content at the ends were sent less than 250 ms before, which is rare for one in general use, three ends suffice as for a whole request; if not, three that follow each other are needed, in which a copy was sent after the end before. Complete runs speak for the content as before. The other requests of such ends stay under suspicion, since one of them may turn out to be the reason; then the content is released.

--- a/state/suspicion/list.go
+++ b/state/suspicion/list.go
@@ -114,39 +114,35 @@
 	x := l.ending(now, e)
 	for _, b := range e.Requests {
 		for _, p := range []fingerprint.Fingerprint{b.Request, b.Content} {
-			if _, ok := l.verdicts[p]; ok {
+			if _, ok := l.verdicts[p]; ok && !l.suspects[p].isShared() {
 				l.explain(x)
 			}
 		}
 	}
 	for _, b := range e.Requests {
-		at := presence{ending: x, sentAt: e.At.Add(-b.Ran)}
+		at := presence{ending: x, sentAt: e.At.Add(-b.Ran), firstSentAt: e.At.Add(-b.Ran)}
 		l.place(now, b.Request, at)
 		if b.Content == (fingerprint.Fingerprint{}) {
 			continue
 		}
-		switch other, ok := x.contents[b.Content]; {
-		case !ok:
+		other, ok := x.contents[b.Content]
+		if at.shared = ok && other != b.Request; !ok {
 			x.contents[b.Content] = b.Request
-			l.place(now, b.Content, at)
-		case other != b.Request:
-			// Different requests have this content, so it does not identify the one that may be the reason.
-			x.contents[b.Content] = fingerprint.Fingerprint{}
-			if c, ok := l.withdraw(b.Content, x); ok {
-				changes = append(changes, c)
-			}
+		}
+		l.place(now, b.Content, at)
+		if at.shared {
+			changes = l.review(b.Content, changes)
 		}
 	}
 	// What several requests have in common is under suspicion only for ends that none of the requests explains.
 	for _, b := range e.Requests {
 		changes = l.judge(now, b.Request, changes)
 	}
-	l.explainAll(changes)
+	changes = l.explainAll(changes)
 	for _, b := range e.Requests {
 		changes = l.judge(now, b.Content, changes)
 	}
-	l.explainAll(changes)
-	return changes
+	return l.explainAll(changes)
 }
 
 // place records that a request was at an endpoint that ended, unless the end is explained.
@@ -163,40 +159,75 @@
 	}
 }
 
-// withdraw removes an end from those that count against a request, which may release it.
-func (l *List) withdraw(p fingerprint.Fingerprint, x *ending) (c Change, released bool) {
-	s := l.suspects[p]
-	if s == nil {
-		return c, false
-	}
-	s.ends = slices.DeleteFunc(s.ends, func(e presence) bool { return e.ending == x })
+// review releases a content whose ends do not suffice any more.
+func (l *List) review(p fingerprint.Fingerprint, changes []Change) []Change {
 	v, ok := l.verdicts[p]
-	if !ok || len(s.ends) >= minEnds {
-		return c, false
+	if s := l.suspects[p]; !ok || s == nil || s.evidence() >= minEnds {
+		return changes
 	}
 	delete(l.verdicts, p)
-	return Change{Verdict: v, Released: true}, true
+	return append(changes, Change{Verdict: v, Released: true})
+}
+
+// evidence returns the number of ends that count against a request. A content that different requests have at one end may just be in much use, so that
+// it is at most endpoints of any outage: unless all its requests were fresh, only those of its ends count that are evidence of their own.
+func (s *suspect) evidence() int {
+	if s.isShared() && slices.ContainsFunc(s.ends, func(e presence) bool { return !e.isFresh() }) {
+		return countRounds(s.ends, false)
+	}
+	return len(s.ends)
+}
+
+// isShared reports whether different requests were at one of the ends, which is the case for contents alone.
+func (s *suspect) isShared() bool {
+	return s != nil && slices.ContainsFunc(s.ends, func(e presence) bool { return e.shared })
 }
 
 // explainAll marks the ends under requests that have just been put in quarantine. Requests that were at all of these ends alike stay in
 // quarantine together, until a probation tells which of them is the reason.
-func (l *List) explainAll(changes []Change) {
+func (l *List) explainAll(changes []Change) []Change {
 	for _, c := range changes {
-		if s := l.suspects[c.Request]; s != nil && !c.Released {
-			for _, x := range s.ends {
-				l.explain(x.ending)
-			}
+		s := l.suspects[c.Request]
+		if s == nil || c.Released || s.isShared() {
+			// One of the requests that share a content may turn out to be the reason.
+			continue
+		}
+		for _, x := range s.ends {
+			l.explain(x.ending)
+		}
+		changes = l.releaseShared(s, changes)
+	}
+	return changes
+}
+
+// releaseShared releases the contents that several requests have and that are in quarantine for ends that one of the requests explains, of which another
+// entry may have reported later.
+func (l *List) releaseShared(by *suspect, changes []Change) []Change {
+	for p := range l.verdicts {
+		s := l.suspects[p]
+		if s == nil || s == by || !s.isShared() {
+			continue
 		}
+		s.ends = slices.DeleteFunc(s.ends, func(e presence) bool {
+			return slices.ContainsFunc(by.ends, func(x presence) bool { return x.ending == e.ending })
+		})
+		changes = l.review(p, changes)
 	}
+	return changes
 }
 
 // add records that the request was at an endpoint that ended, perhaps sent by several entries.
 func (s *suspect) add(x presence) {
 	for i, known := range s.ends {
 		if known.ending == x.ending {
-			if x.sentAt.After(known.sentAt) {
-				s.ends[i] = x
+			x.shared = x.shared || known.shared
+			if known.sentAt.After(x.sentAt) {
+				x.sentAt = known.sentAt
 			}
+			if known.firstSentAt.Before(x.firstSentAt) {
+				x.firstSentAt = known.firstSentAt
+			}
+			s.ends[i] = x
 			return
 		}
 	}
@@ -246,7 +277,10 @@
 // judge puts a request in quarantine if the evidence suffices, and adds the change.
 func (l *List) judge(now time.Time, p fingerprint.Fingerprint, changes []Change) []Change {
 	s := l.suspects[p]
-	if _, ok := l.verdicts[p]; ok || s == nil || len(s.ends) < minEnds || survivalsPerEnd*(len(s.ends)-minEnds) < s.survivals {
+	if _, ok := l.verdicts[p]; ok || s == nil {
+		return changes
+	}
+	if n := s.evidence(); n < minEnds || survivalsPerEnd*(n-minEnds) < s.survivals {
 		return changes
 	}
 	var c Change
