roster: entries without agents count each other in the store

The limit that an endpoint names binds all entries together.

Where there are agents nothing is written.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -16,6 +16,7 @@
 	"shallotring.dev/coordination/mirror"
 	"shallotring.dev/coordination/quarantinerecord"
 	"shallotring.dev/coordination/requestrecord"
+	"shallotring.dev/coordination/roster"
 	"shallotring.dev/daemon/frontend"
 	"shallotring.dev/platform/boot"
 	"shallotring.dev/platform/catalog"
@@ -139,6 +140,7 @@
 	wg.Go(func() { quarantined.Run(background) })
 	wg.Go(func() { e.quarantine.Run(background) })
 	wg.Go(func() { e.requests.Run(background) })
+	wg.Go(func() { roster.New(e.store, e.settings.Host, e.frontend, roster.WithLog(e.log)).Run(background) })
 	wg.Go(func() { operators.Run(background) })
 	wg.Go(func() { endpoints.Run(background) })
 	wg.Go(func() { e.frontend.Run(background) })
--- a/daemon/frontend/endpoint.go
+++ b/daemon/frontend/endpoint.go
@@ -321,7 +321,29 @@
 // entryCountMemory, or the last one while no agent reports; the lock is held.
 func (f *Frontend) entryCount(now time.Time) int {
 	f.updateEntryCount(now)
-	return max(f.entries, 1)
+	return max(f.entries, f.rosterEntries, 1)
+}
+
+// NeedsEntries reports whether an endpoint has a limit and there is no agent that could tell the number of entries.
+func (f *Frontend) NeedsEntries() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.links) > 0 {
+		return false
+	}
+	for _, e := range f.endpoints {
+		if e.limited {
+			return true
+		}
+	}
+	return false
+}
+
+// SetEntries sets the number of entries according to the store, 0 if it is not known.
+func (f *Frontend) SetEntries(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rosterEntries = n
 }
 
 // updateEntryCount records the number of entries that agents report; the lock is held.
--- a/daemon/frontend/frontend.go
+++ b/daemon/frontend/frontend.go
@@ -108,6 +108,8 @@
 	quarantineRecord QuarantineRecord
 	// links has the link to each agent by its address. A link outlives the endpoint, since a restarted engine has the same agent.
 	links map[string]*agentLink
+	// rosterEntries is the number of entries according to the store, 0 if it is not known.
+	rosterEntries int
 	// entries is the number of entries as of entriesAt, 0 before an agent has reported it.
 	entries   int
 	entriesAt time.Time
