suspicion: a request with a fatal content does not clear the content

Copies of a fatal content for several adapters are at part of its ends each.

A request clears a content that several requests have only if it was at all of the content's ends. Until then the ends stay counted, so that a later end without the request brings the content back under suspicion.

The new case of TestVerdicts failed before.

--- a/state/suspicion/list.go
+++ b/state/suspicion/list.go
@@ -195,25 +195,36 @@
 		for _, x := range s.ends {
 			l.explain(x.ending)
 		}
-		changes = l.releaseShared(s, changes)
+	}
+	return l.releaseExplained(changes)
+}
+
+// releaseExplained releases the contents in quarantine whose ends a request explains of which another entry has reported later.
+func (l *List) releaseExplained(changes []Change) []Change {
+	for p, v := range l.verdicts {
+		if s := l.suspects[p]; s.isShared() && l.isExplained(s) {
+			delete(l.verdicts, p)
+			changes = append(changes, Change{Verdict: v, Released: true})
+		}
 	}
 	return changes
 }
 
-// releaseShared releases the contents that several requests have and that are in quarantine for ends that one of the requests explains, of which another
-// entry may have reported later.
-func (l *List) releaseShared(by *suspect, changes []Change) []Change {
+// isExplained reports whether one request in quarantine was at all ends of a content that several requests have. One that was at a part of them
+// may be one of several with a fatal content.
+func (l *List) isExplained(s *suspect) bool {
 	for p := range l.verdicts {
-		s := l.suspects[p]
-		if s == nil || s == by || !s.isShared() {
+		by := l.suspects[p]
+		if by == nil || by == s || by.isShared() {
 			continue
 		}
-		s.ends = slices.DeleteFunc(s.ends, func(e presence) bool {
-			return slices.ContainsFunc(by.ends, func(x presence) bool { return x.ending == e.ending })
-		})
-		changes = l.review(p, changes)
+		if !slices.ContainsFunc(s.ends, func(e presence) bool {
+			return !slices.ContainsFunc(by.ends, func(x presence) bool { return x.ending == e.ending })
+		}) {
+			return true
+		}
 	}
-	return changes
+	return false
 }
 
 // add records that the request was at an endpoint that ended, perhaps sent by several entries.
@@ -280,7 +291,7 @@
 	if _, ok := l.verdicts[p]; ok || s == nil {
 		return changes
 	}
-	if n := s.evidence(); n < minEnds || survivalsPerEnd*(n-minEnds) < s.survivals {
+	if n := s.evidence(); n < minEnds || survivalsPerEnd*(n-minEnds) < s.survivals || s.isShared() && l.isExplained(s) {
 		return changes
 	}
 	var c Change
@@ -312,7 +323,7 @@
 	}
 	x.explained = true
 	for p, s := range l.suspects {
-		if _, ok := l.verdicts[p]; ok {
+		if _, ok := l.verdicts[p]; ok || s.isShared() {
 			continue
 		}
 		s.ends = slices.DeleteFunc(s.ends, func(e presence) bool { return e.ending == x })
--- a/state/suspicion/list_test.go
+++ b/state/suspicion/list_test.go
@@ -98,6 +98,8 @@
 		{"one content, several requests at each of three ends at once, one of them sent long before", ends(withContent(end(1, 0, fatal, sound)), withContent(longRun(end(2, 0, sound, other))),
 			withContent(end(3, 0, fatal, other))), nil},
 		{"one content, several requests at each end, a complete run", []step{{end: withContent(end(1, 0, fatal, sound))}, {end: withContent(end(2, s, sound, other))}, contentSurvivals(1), {end: withContent(end(3, 2*s, fatal, other))}}, nil},
+		{"one content, several requests, one of them at three of five ends", ends(withContent(longRun(end(1, 0, fatal, sound))), withContent(end(2, 0, fatal, other)), withContent(end(3, 0, fatal, sound)),
+			withContent(end(4, s, sound, other)), withContent(end(5, 2*s, sound, other))), []fingerprint.Fingerprint{fatal, content}},
 		{"one content, several requests, one of them at all ends", ends(withContent(end(1, 0, fatal, sound)), withContent(end(2, s, fatal, other)), withContent(end(3, 2*s, fatal, sound))), []fingerprint.Fingerprint{fatal}},
 		{"one content, several requests, one of them at all ends, reported later", ends(withContent(end(1, 0, fatal, sound)), withContent(end(2, s, fatal, other)), withContent(end(3, 2*s, other, sound)), withContent(end(3, 2*s, fatal))),
 			[]fingerprint.Fingerprint{fatal}},
