soak: a schedule without the memory of engines shows that the judge finds it

The check of orders to load against what engines hold had no schedule that shows that the judge reports a missing mechanism.

--- a/soak/fleet/agent.go
+++ b/soak/fleet/agent.go
@@ -75,7 +75,7 @@
 		}
 		c := gate.DefaultConfig()
 		c.Endpoint, c.Service, c.ChecksFencing = e.Name, e.Kind == resource.Service, e.ChecksFencing
-		c.Incarnation, c.Slots, c.BatchSize, c.QueueLimit = a.claim.incarnation, e.AdapterSlots(), e.BatchSize, 16
+		c.Incarnation, c.Slots, c.BatchSize, c.QueueLimit = a.claim.incarnation, a.adapterSlots(e), e.BatchSize, 16
 		a.gate = gate.New(c)
 		a.claim.gateIncarnation, a.claim.reportedStatus = a.claim.incarnation, gate.ClaimHeld
 		a.lastPermitResponse = a.clock().Now()
@@ -96,7 +96,15 @@
 		a.drain()
 		return
 	}
-	a.step(gate.Configure{BatchSize: e.BatchSize, Slots: e.AdapterSlots()})
+	a.step(gate.Configure{BatchSize: e.BatchSize, Slots: a.adapterSlots(e)})
+}
+
+// adapterSlots returns the number of adapters that the agent loads into an engine.
+func (a *agent) adapterSlots(e *resource.Endpoint) int {
+	if a.fleet.options.Without == EngineMemory {
+		return e.Slots
+	}
+	return e.AdapterSlots()
 }
 
 // drain makes the gate finish its tries and accept no new ones.
--- a/soak/fleet/option.go
+++ b/soak/fleet/option.go
@@ -47,6 +47,7 @@
 const (
 	AdapterNames       Mechanism = "adapter-names"       // guarantee G1: the engine runs requests with any loaded adapter
 	SlotsInUse         Mechanism = "slots-in-use"        // guarantee G2: the engine evicts adapters that are in use
+	EngineMemory       Mechanism = "engine-memory"       // capacity: agents count the slots of engines and not their memory
 	FrameChecks        Mechanism = "frame-checks"        // guarantee G3: every frame is rewritten so that it passes the checks
 	Tombstones         Mechanism = "tombstones"          // guarantee G4: every try is settled as never started
 	Ledger             Mechanism = "ledger"              // guarantee G5: every intent is granted
--- a/soak/mechanism_test.go
+++ b/soak/mechanism_test.go
@@ -23,6 +23,7 @@
 	}{
 		{fleet.AdapterNames, judge.G1, nil, 0},
 		{fleet.SlotsInUse, judge.G2, nil, 0},
+		{fleet.EngineMemory, judge.Capacity, nil, 0},
 		{fleet.FrameChecks, judge.G3, nil, 0},
 		{fleet.Tombstones, judge.G4, nil, 5},
 		{fleet.Ledger, judge.G5, nil, 0},
