gate: tries do not wait for a load that was not answered and has not taken effect

With the slot of an unanswered load kept for up to 35 s, the tries that waited for its adapter waited too, until their deadlines, at an agent that could have refused them. They are returned as not run after two surveys of the engine (2 s) in which the load has not shown, and new ones are refused for up to 10 s, so entries send them elsewhere. TestUnansweredLoadKeepsItsSlot failed before.

--- a/state/gate/load.go
+++ b/state/gate/load.go
@@ -9,6 +9,9 @@
 	"shallotring.dev/state/slots"
 )
 
+// unansweredSurveys is the number of surveys in which a load that was not answered may show before the tries that wait for it are refused.
+const unansweredSurveys = 2
+
 // adapter is the gate's record of one adapter at its engine.
 type adapter struct {
 	// digest is the digest that the engine lists for a resident adapter.
@@ -22,8 +25,9 @@
 	// unloadPending is set while an unload is to be sent, though not before unloadNotBefore.
 	unloadPending   bool
 	unloadNotBefore time.Time
-	// unanswered is set while a load that was not answered may still take effect.
+	// unanswered is set while a load that was not answered may still take effect; from refuseAt on, tries do not wait for that.
 	unanswered bool
+	refuseAt   time.Time
 	// quarantineUntil is the time until which an unload with an unknown effect may still evict the adapter.
 	quarantineUntil time.Time
 }
@@ -130,7 +134,9 @@
 			if g.now.Before(a.loadNotBefore) {
 				g.wakeBy(a.loadNotBefore)
 			}
-		case slots.Loading, slots.Unloading:
+		case slots.Loading:
+			g.refuseUnanswered(av, a)
+		case slots.Unloading:
 		}
 	}
 	for g.planLoad(&p) {
@@ -343,10 +349,23 @@
 // it takes afterwards.
 func (g *Gate) holdUnanswered(o *order) {
 	a := g.adapterRecord(o.adapter)
-	a.unloadPending, a.unanswered = true, true
+	a.unloadPending, a.unanswered, a.refuseAt = true, true, g.now.Add(unansweredSurveys*g.SurveyInterval)
 	a.unloadNotBefore = later(g.now, o.sentAt.Add(g.LoadTimeout)).Add(g.QuarantineDuration)
 }
 
+// refuseUnanswered returns the tries that wait for an adapter whose load was not answered and that the engine does not list: they can run elsewhere.
+func (g *Gate) refuseUnanswered(av ident.AdapterVersion, a *adapter) {
+	switch {
+	case !a.unanswered:
+	case g.now.Before(a.refuseAt):
+		g.wakeBy(a.refuseAt)
+	default:
+		a.exhausted, a.failureDetail = true, "the engine has not answered the load"
+		a.loadNotBefore = g.now.Add(min(g.FailingDuration, a.unloadNotBefore.Sub(g.now)))
+		g.returnWaiting(outcome.LoadFailed, func(t *try) bool { return t.Adapter == av })
+	}
+}
+
 // keepUnanswered returns a function that takes the slots of unanswered loads again after the view of the engine was reset.
 func (g *Gate) keepUnanswered() (restore func()) {
 	kept := make(map[ident.AdapterVersion]*adapter)
--- a/state/gate/load_test.go
+++ b/state/gate/load_test.go
@@ -223,7 +223,7 @@
 }
 
 // Guards against a slot that is given to another adapter while an unanswered load may still take it, so that the engine gets more than it
-// holds, and against a load that took effect and is of no use.
+// holds, against a load that took effect and is of no use, and against tries that wait until their deadline for one that did not.
 func TestUnansweredLoadKeepsItsSlot(t *testing.T) {
 	for _, listed := range []bool{false, true} {
 		g := newGate(t, func(c *Config) { c.Slots = 2 })
@@ -232,7 +232,7 @@
 		x := firstCommand[Load](g.Step(startTime, newRun("r1", a2)))
 		g.Step(startTime, LoadEnded{Number: x.Number, Failed: true, Unanswered: true})
 		g.Step(startTime, newRun("r2", a3))
-		end := startTime.Add(g.LoadTimeout + g.QuarantineDuration)
+		end, returned := startTime.Add(g.LoadTimeout+g.QuarantineDuration), time.Duration(0)
 		for now := startTime.Add(time.Second); now.Before(end); now = now.Add(time.Second) {
 			out := append(g.Step(now, Permits{Granted: 1, Until: now.Add(time.Second)}), g.Step(now, Tick{})...)
 			if c := firstCommand[Load](out); c.Number != 0 {
@@ -241,6 +241,9 @@
 			if c := firstCommand[Unload](out); c.Number != 0 {
 				t.Errorf("%v after the load, %s is unloaded", now.Sub(startTime), c.Adapter)
 			}
+			if c := firstCommand[Finish](out); c.ID == newRun("r1", a2).ID && c.Refusal.Reason == outcome.LoadFailed && returned == 0 {
+				returned = now.Sub(startTime)
+			}
 			s := Surveyed{Number: firstCommand[Survey](out).Number, StartID: g.startID, Adapters: []ListedAdapter{{Adapter: a1, Digest: "d"}}, Running: []Request{{ID: "r0/1", Adapter: a1}}}
 			if listed {
 				s.Adapters = append(s.Adapters, ListedAdapter{Adapter: a2, Digest: "d"})
@@ -256,6 +259,9 @@
 		if listed {
 			continue
 		}
+		if returned != 2*g.SurveyInterval {
+			t.Errorf("the try that waits for the load is returned after %v, want %v", returned, 2*g.SurveyInterval)
+		}
 		if c := firstCommand[Unload](g.Step(end, Tick{})); c.Adapter != a2 {
 			t.Errorf("%s is unloaded at the end, want %s", c.Adapter, a2)
 		}
