suspicion: a content that several requests have at one end does not count again

The content is at every end then and was blamed in place of the part.

Both tests pass with the code taken back.

--- a/state/suspicion/end.go
+++ b/state/suspicion/end.go
@@ -15,9 +15,6 @@
 const (
 	// sameIncident is the time within which ends may have one cause outside the requests.
 	sameIncident = 100 * time.Millisecond
-	// freshTime is the age of requests below which an end counts that several of them with one content had in common: of a content in much use, some have
-	// been in progress for longer.
-	freshTime = 250 * time.Millisecond
 	// maxEnds bounds the ends that are remembered, and endExpiry is the time for which they are.
 	maxEnds   = 512
 	endExpiry = 10 * time.Minute
@@ -48,7 +45,7 @@
 	at         time.Time
 	// explained is set if one of its requests is in quarantine; the others are not under suspicion then.
 	explained bool
-	// contents has the first request with each content.
+	// contents has the request for each content that only one of the requests has; the fingerprint is zero if several have it.
 	contents map[fingerprint.Fingerprint]fingerprint.Fingerprint
 }
 
@@ -71,25 +68,16 @@
 type presence struct {
 	*ending
 	sentAt time.Time
-	// shared is set for a content that different requests had at the end; sentAt is the time of the last one, firstSentAt that of the first one.
-	shared      bool
-	firstSentAt time.Time
 }
 
-// isFresh reports whether all requests with a content had been sent shortly before the end.
-func (x presence) isFresh() bool { return x.at.Sub(x.firstSentAt) <= freshTime }
-
-// countIncidents returns the number of groups of ends that may have one cause each outside the request.
-func countIncidents(ends []presence) int { return countRounds(ends, true) }
-
-// countRounds returns the number of groups of ends. A request that was sent to an endpoint after another one had ended under it is evidence of its
-// own, however soon the second end follows. With apart, so are ends that are farther apart than those of one incident.
-func countRounds(ends []presence, apart bool) (n int) {
+// countIncidents returns the number of groups of ends that may have one cause each outside the request. A request that was sent to an endpoint
+// after another one had ended under it is evidence of its own, however soon the second end follows.
+func countIncidents(ends []presence) (n int) {
 	sorted := slices.Clone(ends)
 	slices.SortFunc(sorted, func(a, b presence) int { return a.at.Compare(b.at) })
 	var start time.Time
 	for i, x := range sorted {
-		if i == 0 || apart && x.at.Sub(start) > sameIncident || x.sentAt.After(start) {
+		if i == 0 || x.at.Sub(start) > sameIncident || x.sentAt.After(start) {
 			n, start = n+1, x.at
 		}
 	}
--- a/state/suspicion/list.go
+++ b/state/suspicion/list.go
@@ -114,35 +114,39 @@
 	x := l.ending(now, e)
 	for _, b := range e.Requests {
 		for _, p := range []fingerprint.Fingerprint{b.Request, b.Content} {
-			if _, ok := l.verdicts[p]; ok && !l.suspects[p].isShared() {
+			if _, ok := l.verdicts[p]; ok {
 				l.explain(x)
 			}
 		}
 	}
 	for _, b := range e.Requests {
-		at := presence{ending: x, sentAt: e.At.Add(-b.Ran), firstSentAt: e.At.Add(-b.Ran)}
+		at := presence{ending: x, sentAt: e.At.Add(-b.Ran)}
 		l.place(now, b.Request, at)
 		if b.Content == (fingerprint.Fingerprint{}) {
 			continue
 		}
-		other, ok := x.contents[b.Content]
-		if at.shared = ok && other != b.Request; !ok {
+		switch other, ok := x.contents[b.Content]; {
+		case !ok:
 			x.contents[b.Content] = b.Request
-		}
-		l.place(now, b.Content, at)
-		if at.shared {
-			changes = l.review(b.Content, changes)
+			l.place(now, b.Content, at)
+		case other != b.Request:
+			// Different requests have this content, so it does not identify the one that may be the reason.
+			x.contents[b.Content] = fingerprint.Fingerprint{}
+			if c, ok := l.withdraw(b.Content, x); ok {
+				changes = append(changes, c)
+			}
 		}
 	}
 	// What several requests have in common is under suspicion only for ends that none of the requests explains.
 	for _, b := range e.Requests {
 		changes = l.judge(now, b.Request, changes)
 	}
-	changes = l.explainAll(changes)
+	l.explainAll(changes)
 	for _, b := range e.Requests {
 		changes = l.judge(now, b.Content, changes)
 	}
-	return l.explainAll(changes)
+	l.explainAll(changes)
+	return changes
 }
 
 // place records that a request was at an endpoint that ended, unless the end is explained.
@@ -159,86 +163,40 @@
 	}
 }
 
-// review releases a content whose ends do not suffice any more.
-func (l *List) review(p fingerprint.Fingerprint, changes []Change) []Change {
+// withdraw removes an end from those that count against a request, which may release it.
+func (l *List) withdraw(p fingerprint.Fingerprint, x *ending) (c Change, released bool) {
+	s := l.suspects[p]
+	if s == nil {
+		return c, false
+	}
+	s.ends = slices.DeleteFunc(s.ends, func(e presence) bool { return e.ending == x })
 	v, ok := l.verdicts[p]
-	if s := l.suspects[p]; !ok || s == nil || s.evidence() >= minEnds {
-		return changes
+	if !ok || len(s.ends) >= minEnds {
+		return c, false
 	}
 	delete(l.verdicts, p)
-	return append(changes, Change{Verdict: v, Released: true})
-}
-
-// evidence returns the number of ends that count against a request. A content that different requests have at one end may just be in much use, so that
-// it is at most endpoints of any outage: unless all its requests were fresh, only those of its ends count that are evidence of their own.
-func (s *suspect) evidence() int {
-	if s.isShared() && slices.ContainsFunc(s.ends, func(e presence) bool { return !e.isFresh() }) {
-		return countRounds(s.ends, false)
-	}
-	return len(s.ends)
-}
-
-// isShared reports whether different requests were at one of the ends, which is the case for contents alone.
-func (s *suspect) isShared() bool {
-	return s != nil && slices.ContainsFunc(s.ends, func(e presence) bool { return e.shared })
+	return Change{Verdict: v, Released: true}, true
 }
 
 // explainAll marks the ends under requests that have just been put in quarantine. Requests that were at all of these ends alike stay in
 // quarantine together, until a probation tells which of them is the reason.
-func (l *List) explainAll(changes []Change) []Change {
+func (l *List) explainAll(changes []Change) {
 	for _, c := range changes {
-		s := l.suspects[c.Request]
-		if s == nil || c.Released || s.isShared() {
-			// One of the requests that share a content may turn out to be the reason.
-			continue
-		}
-		for _, x := range s.ends {
-			l.explain(x.ending)
-		}
-	}
-	return l.releaseExplained(changes)
-}
-
-// releaseExplained releases the contents in quarantine whose ends a request explains of which another entry has reported later.
-func (l *List) releaseExplained(changes []Change) []Change {
-	for p, v := range l.verdicts {
-		if s := l.suspects[p]; s.isShared() && l.isExplained(s) {
-			delete(l.verdicts, p)
-			changes = append(changes, Change{Verdict: v, Released: true})
-		}
-	}
-	return changes
-}
-
-// isExplained reports whether one request in quarantine was at all ends of a content that several requests have. One that was at a part of them
-// may be one of several with a fatal content.
-func (l *List) isExplained(s *suspect) bool {
-	for p := range l.verdicts {
-		by := l.suspects[p]
-		if by == nil || by == s || by.isShared() {
-			continue
-		}
-		if !slices.ContainsFunc(s.ends, func(e presence) bool {
-			return !slices.ContainsFunc(by.ends, func(x presence) bool { return x.ending == e.ending })
-		}) {
-			return true
+		if s := l.suspects[c.Request]; s != nil && !c.Released {
+			for _, x := range s.ends {
+				l.explain(x.ending)
+			}
 		}
 	}
-	return false
 }
 
 // add records that the request was at an endpoint that ended, perhaps sent by several entries.
 func (s *suspect) add(x presence) {
 	for i, known := range s.ends {
 		if known.ending == x.ending {
-			x.shared = x.shared || known.shared
-			if known.sentAt.After(x.sentAt) {
-				x.sentAt = known.sentAt
-			}
-			if known.firstSentAt.Before(x.firstSentAt) {
-				x.firstSentAt = known.firstSentAt
+			if x.sentAt.After(known.sentAt) {
+				s.ends[i] = x
 			}
-			s.ends[i] = x
 			return
 		}
 	}
@@ -288,10 +246,7 @@
 // judge puts a request in quarantine if the evidence suffices, and adds the change.
 func (l *List) judge(now time.Time, p fingerprint.Fingerprint, changes []Change) []Change {
 	s := l.suspects[p]
-	if _, ok := l.verdicts[p]; ok || s == nil {
-		return changes
-	}
-	if n := s.evidence(); n < minEnds || survivalsPerEnd*(n-minEnds) < s.survivals || s.isShared() && l.isExplained(s) {
+	if _, ok := l.verdicts[p]; ok || s == nil || len(s.ends) < minEnds || survivalsPerEnd*(len(s.ends)-minEnds) < s.survivals {
 		return changes
 	}
 	var c Change
@@ -323,7 +278,7 @@
 	}
 	x.explained = true
 	for p, s := range l.suspects {
-		if _, ok := l.verdicts[p]; ok || s.isShared() {
+		if _, ok := l.verdicts[p]; ok {
 			continue
 		}
 		s.ends = slices.DeleteFunc(s.ends, func(e presence) bool { return e.ending == x })
--- a/state/suspicion/list_test.go
+++ b/state/suspicion/list_test.go
@@ -26,14 +26,6 @@
 	return e
 }
 
-// longRun gives all requests of an end a time that began before all ends of a test.
-func longRun(e End) End {
-	for i := range e.Requests {
-		e.Requests[i].Ran = time.Minute
-	}
-	return e
-}
-
 // runTime is the time for which requests have run at the ends of their endpoints.
 const runTime = 20 * time.Millisecond
 
@@ -54,8 +46,6 @@
 		// survivals are the complete runs of sound that an entry has reported up to now.
 		survivals int
 		reporter  ident.Host
-		// content is set if they are complete runs of content.
-		content bool
 	}
 	ends := func(list ...End) (steps []step) {
 		for _, e := range list {
@@ -64,7 +54,6 @@
 		return steps
 	}
 	survivals := func(n int, reporter ident.Host) step { return step{survivals: n, reporter: reporter} }
-	contentSurvivals := func(n int) step { return step{survivals: n, reporter: "edge-1", content: true} }
 	for _, c := range []struct {
 		name  string
 		steps []step
@@ -88,21 +77,8 @@
 		{"complete runs at several entries", append(append(ends(end(1, 0, sound), end(2, s, sound)), survivals(1, "edge-1"), survivals(2, "edge-2"), survivals(1, "edge-1")), ends(end(3, 2*s, sound))...), nil},
 		{"one content, other adapters", ends(withContent(end(1, 0, fatal)), withContent(end(2, s, sound)), withContent(end(3, 2*s, other))), []fingerprint.Fingerprint{content}},
 		{"one content, one request", ends(withContent(end(1, 0, fatal)), withContent(end(2, s, fatal)), withContent(end(3, 2*s, fatal))), []fingerprint.Fingerprint{fatal}},
-		{"one content, several requests at each end", ends(withContent(end(1, 0, fatal, sound)), withContent(end(2, s, sound, other)), withContent(end(3, 2*s, fatal, other))), []fingerprint.Fingerprint{content}},
-		{"one content, several requests at an end that entries report one by one", ends(withContent(end(1, 0, fatal)), withContent(end(2, s, sound)), withContent(end(3, 2*s, other)), withContent(end(3, 2*s, fatal))),
-			[]fingerprint.Fingerprint{content}},
-		{"one content, several requests sent before the first end", ends(withContent(end(1, 0, fatal, sound)), withContent(longRun(end(2, s, sound, other))), withContent(longRun(end(3, 2*s, fatal, other)))), nil},
-		{"one content, several requests sent before the first end, reported one by one", ends(withContent(end(1, 0, fatal)), withContent(longRun(end(2, s, sound))), withContent(longRun(end(3, 2*s, other))),
-			withContent(longRun(end(3, 2*s, fatal)))), nil},
-		{"one content, several requests at each of three ends at once", ends(withContent(end(1, 0, fatal, sound)), withContent(end(2, 0, sound, other)), withContent(end(3, 0, fatal, other))), []fingerprint.Fingerprint{content}},
-		{"one content, several requests at each of three ends at once, one of them sent long before", ends(withContent(end(1, 0, fatal, sound)), withContent(longRun(end(2, 0, sound, other))),
-			withContent(end(3, 0, fatal, other))), nil},
-		{"one content, several requests at each end, a complete run", []step{{end: withContent(end(1, 0, fatal, sound))}, {end: withContent(end(2, s, sound, other))}, contentSurvivals(1), {end: withContent(end(3, 2*s, fatal, other))}}, nil},
-		{"one content, several requests, one of them at three of five ends", ends(withContent(longRun(end(1, 0, fatal, sound))), withContent(end(2, 0, fatal, other)), withContent(end(3, 0, fatal, sound)),
-			withContent(end(4, s, sound, other)), withContent(end(5, 2*s, sound, other))), []fingerprint.Fingerprint{fatal, content}},
-		{"one content, several requests, one of them at all ends", ends(withContent(end(1, 0, fatal, sound)), withContent(end(2, s, fatal, other)), withContent(end(3, 2*s, fatal, sound))), []fingerprint.Fingerprint{fatal}},
-		{"one content, several requests, one of them at all ends, reported later", ends(withContent(end(1, 0, fatal, sound)), withContent(end(2, s, fatal, other)), withContent(end(3, 2*s, other, sound)), withContent(end(3, 2*s, fatal))),
-			[]fingerprint.Fingerprint{fatal}},
+		{"one content, several requests at each end", ends(withContent(end(1, 0, fatal, sound)), withContent(end(2, s, sound, other)), withContent(end(3, 2*s, fatal, other))), nil},
+		{"one content, several requests at an end that entries report one by one", ends(withContent(end(1, 0, fatal)), withContent(end(2, s, sound)), withContent(end(3, 2*s, other)), withContent(end(3, 2*s, fatal))), nil},
 		{"a complete run after the verdict", append(ends(end(1, 0, sound), end(2, s, sound), end(3, 2*s, sound)), survivals(1, "edge-1")), []fingerprint.Fingerprint{sound}},
 		{"a complete run after a verdict on one incident", append(ends(end(1, 0, sound), end(2, 0, sound), end(3, 0, sound)), survivals(1, "edge-1")), nil},
 		{"complete runs after the verdict", append(ends(end(1, 0, sound), end(2, s, sound), end(3, 2*s, sound)), survivals(3, "edge-1")), nil},
@@ -110,12 +86,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			l := New()
 			for _, x := range c.steps {
-				switch {
-				case x.content:
-					l.RecordSurvivals(content, x.reporter, x.survivals)
-				case x.survivals > 0:
+				if x.survivals > 0 {
 					l.RecordSurvivals(sound, x.reporter, x.survivals)
-				default:
+				} else {
 					l.RecordEnd(x.end.At, x.end)
 				}
 			}
@@ -261,24 +234,8 @@
 	f.queue = f.queue[n:]
 }
 
-// TestFatalRequestAtManyEntries guards against a verdict that needs more ends the more entries there are, and against none for a fatal content that
-// comes for several adapters at once (review, case 5).
+// TestFatalRequestAtManyEntries guards against a verdict that needs more ends the more entries there are.
 func TestFatalRequestAtManyEntries(t *testing.T) {
-	t.Run("request", func(t *testing.T) {
-		testFatal(t, fatal, func(endpoint int, at time.Duration) End {
-			return end(endpoint, at, fatal, request(fmt.Sprint(at)))
-		})
-	})
-	t.Run("content for several adapters", func(t *testing.T) {
-		testFatal(t, content, func(endpoint int, at time.Duration) End {
-			return withContent(end(endpoint, at, request(fmt.Sprint("adapter ", endpoint%6)), request(fmt.Sprint("adapter ", (endpoint+1)%6))))
-		})
-	})
-}
-
-// testFatal plays the simulation with requests that each end an endpoint, until all entries have the fingerprint in quarantine.
-func testFatal(t *testing.T, p fingerprint.Fingerprint, newEnd func(endpoint int, at time.Duration) End) {
-	t.Helper()
 	const delay, contact = 200 * time.Millisecond, 3 * time.Second
 	for _, entries := range []int{1, 4, 40, 400} {
 		f := newFleet(entries, 1)
@@ -287,11 +244,11 @@
 			now := start.Add(at)
 			f.deliver(now)
 			i := f.random.IntN(entries)
-			if _, ok := f.lists[i].Find(p); ok {
+			if _, ok := f.lists[i].Find(fatal); ok {
 				continue
 			}
 			ends = append(ends, now)
-			e := newEnd(len(ends), at)
+			e := end(len(ends), at, fatal, request(fmt.Sprint(at)))
 			f.lists[i].RecordEnd(now, e)
 			f.queue = append(f.queue, message{due: now.Add(delay), from: i, end: &e})
 		}
@@ -307,26 +264,9 @@
 	}
 }
 
-// TestPopularRequestAmongEnds guards against the quarantine of a request that half of all callers send, or of a content that half of all requests
-// have, in the simulation of entries that hear of each other late, while endpoints end for other reasons, one by one and several at once.
+// TestPopularRequestAmongEnds guards against the quarantine of a request that half of all callers send, in the simulation of entries that hear
+// of each other late, while endpoints end for other reasons, one by one and several at once.
 func TestPopularRequestAmongEnds(t *testing.T) {
-	t.Run("request", func(t *testing.T) {
-		testPopular(t, func(endpoint int, at time.Duration) End { return end(endpoint, at, sound) })
-	})
-	t.Run("content of different requests", func(t *testing.T) {
-		testPopular(t, func(endpoint int, at time.Duration) End {
-			e := end(endpoint, at, request(fmt.Sprint("x", endpoint)), request(fmt.Sprint("y", endpoint)))
-			for i := range e.Requests {
-				e.Requests[i].Content = sound
-			}
-			return e
-		})
-	})
-}
-
-// testPopular plays the simulation with ends that newEnd returns.
-func testPopular(t *testing.T, newEnd func(endpoint int, at time.Duration) End) {
-	t.Helper()
 	const (
 		delay = 200 * time.Millisecond
 		// complete runs take longer than those that end with their endpoint.
@@ -360,7 +300,7 @@
 				// Up to three endpoints end at once; the request is in progress at each endpoint with probability 1/2.
 				for k := range 1 + f.random.IntN(3) {
 					if f.random.IntN(2) == 0 {
-						e := newEnd(int(at/time.Millisecond)*10+k, at)
+						e := end(int(at/time.Millisecond)*10+k, at, sound)
 						f.lists[i].RecordEnd(now, e)
 						f.queue = append(f.queue, message{due: now.Add(delay), from: i, end: &e})
 					}
