entry: a request sees the claims of the moment before it is refused

An entry of the product's own form reads the claims of endpoints every 200 ms, and at once only for retries or while it knows no endpoint at all. A request that came after the claims of the engines, when the placement knew the plain service alone, was refused with no-endpoint although its engines were there.

The claims are read again before a request is refused for want of an endpoint. TestNewClaimServesAtOnce failed before.

--- a/daemon/entry/placer.go
+++ b/daemon/entry/placer.go
@@ -115,11 +115,16 @@
 }
 
 func (c *placer) choose(q placement.Query) placeResult {
-	if len(q.Exclude) > 0 || len(c.endpoints) == 0 {
+	if len(q.Exclude) > 0 {
 		c.refresh()
 	}
 	now := c.entry.clock.Now()
 	name, ok := c.table.Choose(now, q)
+	if !ok {
+		// The claim of an endpoint may be newer than the last refresh.
+		c.refresh()
+		name, ok = c.table.Choose(now, q)
+	}
 	if !ok {
 		name, ok = c.chooseUnconfirmed(now, q)
 	}
--- a/daemon/entry/placer_test.go
+++ b/daemon/entry/placer_test.go
@@ -124,6 +124,20 @@
 	}
 }
 
+// TestNewClaimServesAtOnce guards against the refusal of a request whose endpoints have just been claimed, because the placement knows those of another
+// service already.
+func TestNewClaimServesAtOnce(t *testing.T) {
+	c := newPlacer(startEntry(t, testSettings(), twoAgents(t)).Entry)
+	c.refresh()
+	base := c.endpoints["engine-0"].resource.BaseModel
+	delete(c.endpoints, "engine-0")
+	c.table.Remove("engine-0")
+	c.claims = c.claims[1:]
+	if got := c.choose(placement.Query{BaseModel: base}); got.refusal != nil {
+		t.Errorf("refused: %+v", got.refusal)
+	}
+}
+
 // TestOneMissedReport guards against refusing requests because the agents of all endpoints missed one load report call, as they do when hosts
 // are short of processor time, and against using an agent that refuses connections or misses a second call.
 func TestOneMissedReport(t *testing.T) {
