Show sound requests that stay refused at engines that stream without chunks

Cause: complete runs speak for a request under which engines have ended, but a run whose answer ends with its connection is never counted, and neither is a probation; the verdict stays in the store.

--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -26,11 +26,13 @@
 	Interval time.Duration
 	Type     string
 	Born     int64
+	// Poison is the prompt part on which the engine crashes when it begins to write an answer; empty for none.
+	Poison string
 }
 
 func (o serverOptions) args() []string {
 	return []string{"server", "-address", o.Address, "-id", o.ID, "-model", o.Model, fmt.Sprintf("-unframed=%t", o.Unframed), "-pieces", fmt.Sprint(o.Pieces),
-		"-interval", o.Interval.String(), "-type", o.Type, "-born", fmt.Sprint(o.Born)}
+		"-interval", o.Interval.String(), "-type", o.Type, "-born", fmt.Sprint(o.Born), "-poison", o.Poison}
 }
 
 // pieceOf returns the n-th piece of the answer to a request: an event of a stream, or 100 bytes of another body.
@@ -73,6 +75,7 @@
 	flags.DurationVar(&o.Interval, "interval", 10*time.Millisecond, "")
 	flags.StringVar(&o.Type, "type", "application/octet-stream", "")
 	flags.Int64Var(&o.Born, "born", 0, "")
+	flags.StringVar(&o.Poison, "poison", "", "")
 	_ = flags.Parse(args)
 	l, err := net.Listen("tcp", o.Address)
 	if err != nil {
@@ -138,6 +141,10 @@
 	}
 	for n := range s.Pieces {
 		time.Sleep(s.Interval)
+		if s.Poison != "" && strings.Contains(r.Header.Get("Shallotring-Prompt-Prefix"), ","+s.Poison+":") {
+			fmt.Println("crashes on", id)
+			os.Exit(exitFailed)
+		}
 		if _, err := io.WriteString(c, head+pieceOf(s.serverOptions, id, n)); err != nil {
 			return false
 		}
--- a/review/harness2/unframed.go
+++ b/review/harness2/unframed.go
@@ -88,7 +88,8 @@
 	return fmt.Sprintf(`[{"name":%q,"version":1,"adapters":[]}]`, o.Model)
 }
 
-func runUnframed(f *fleet, trouble bool, c unframedCase) (broken int, err error) {
+// startFleet starts a service with its servers and one entry; restart starts the next lifetime of a server.
+func (f *fleet) startFleet(c unframedCase) (servers []*instance, restart func(i int) (err error), err error) {
 	group := 3
 	service := map[string]any{"name": c.service, "maxConns": 100, "healthPath": "/health"}
 	if c.server.Model != "" {
@@ -98,8 +99,8 @@
 	}
 	f.configure(7, []map[string]any{{"name": "r1", "host": "ficu95.example", "prefix": "/lohu930/", "kind": c.kind, "service": c.service, "timeoutMs": c.timeout.Milliseconds(),
 		"latencyGoalMs": 150, "maxAttempts": 1, "priority": 0, "sticky": c.server.Model != "", "gapTargetMs": 400}}, []map[string]any{service})
-	servers := make([]*instance, c.servers)
-	start := func(i int) (err error) {
+	servers = make([]*instance, c.servers)
+	restart = func(i int) (err error) {
 		o := c.server
 		o.Address, o.Born = f.at(group, i+1, serverPort), time.Now().UnixMilli()
 		o.ID = fmt.Sprintf("i-%d-%d", i+1, o.Born)
@@ -108,22 +109,30 @@
 		return err
 	}
 	for i := range servers {
-		if err = start(i); err != nil {
-			return 0, err
+		if err = restart(i); err != nil {
+			return nil, nil, err
 		}
 		if c.server.Model != "" {
 			if _, err = f.startAgent(i+1, c.service); err != nil {
-				return 0, err
+				return nil, nil, err
 			}
 		}
 	}
 	if _, err = f.startEntry(1); err != nil {
-		return 0, err
+		return nil, nil, err
 	}
 	if err = f.waitReady(1); err != nil {
-		return 0, err
+		return nil, nil, err
 	}
 	time.Sleep(3 * time.Second)
+	return servers, restart, nil
+}
+
+func runUnframed(f *fleet, trouble bool, c unframedCase) (broken int, err error) {
+	servers, restart, err := f.startFleet(c)
+	if err != nil {
+		return 0, err
+	}
 	var wg sync.WaitGroup
 	var answered, incomplete atomic.Int64
 	ctx, cancel := context.WithTimeout(context.Background(), troubleDuration)
@@ -162,7 +171,7 @@
 		servers[i].kill()
 		f.note("server %s crashed", servers[i].ID)
 		time.Sleep(crashDuration)
-		if err = start(i); err != nil {
+		if err = restart(i); err != nil {
 			return 0, err
 		}
 	}
