Show requests to a server that has asked for time and registers again

Cause: the time that a server has asked for is forgotten with its registration, and the same lifetime begins anew without it.

--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -28,11 +28,13 @@
 	Born     int64
 	// Poison is the prompt part on which the engine crashes when it begins to write an answer; empty for none.
 	Poison string
+	// NeedFile is the path of a file that has the time, in Unix milliseconds, up to which the server wants no requests; while it does not exist, the server takes all.
+	NeedFile string
 }
 
 func (o serverOptions) args() []string {
 	return []string{"server", "-address", o.Address, "-id", o.ID, "-model", o.Model, fmt.Sprintf("-unframed=%t", o.Unframed), "-pieces", fmt.Sprint(o.Pieces),
-		"-interval", o.Interval.String(), "-type", o.Type, "-born", fmt.Sprint(o.Born), "-poison", o.Poison}
+		"-interval", o.Interval.String(), "-type", o.Type, "-born", fmt.Sprint(o.Born), "-poison", o.Poison, "-need", o.NeedFile}
 }
 
 // pieceOf returns the n-th piece of the answer to a request: an event of a stream, or 100 bytes of another body.
@@ -76,6 +78,7 @@
 	flags.StringVar(&o.Type, "type", "application/octet-stream", "")
 	flags.Int64Var(&o.Born, "born", 0, "")
 	flags.StringVar(&o.Poison, "poison", "", "")
+	flags.StringVar(&o.NeedFile, "need", "", "")
 	_ = flags.Parse(args)
 	l, err := net.Listen("tcp", o.Address)
 	if err != nil {
@@ -130,6 +133,12 @@
 	if expect := r.Header.Get("Shallotring-Expect-Instance"); expect != "" && expect != s.ID {
 		return respond(c, http.StatusMisdirectedRequest, "Shallotring-Attempt-Id: "+id+"\r\n", "")
 	}
+	if d := s.need(); d > 0 {
+		fmt.Println(time.Now().UnixMilli(), "refuses", id)
+		// The request has waited in the queue before.
+		time.Sleep(queueTime)
+		return respond(c, http.StatusServiceUnavailable, fmt.Sprintf("Shallotring-Attempt-Id: %s\r\nShallotring-Not-Executed: busy\r\nRetry-After: %.3f\r\n", id, s.need().Seconds()), "")
+	}
 	fmt.Println("runs", id)
 	s.count(1)
 	defer s.count(-1)
@@ -189,3 +198,22 @@
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), header, len(body), body)
 	return err == nil
 }
+
+// queueTime is the time after which a server in need refuses a request.
+const queueTime = 100 * time.Millisecond
+
+// need returns the time for which the server wants no requests.
+func (s *server) need() time.Duration {
+	if s.NeedFile == "" {
+		return 0
+	}
+	b, err := os.ReadFile(s.NeedFile)
+	if err != nil {
+		return 0
+	}
+	var milli int64
+	if _, err = fmt.Sscan(string(b), &milli); err != nil {
+		return 0
+	}
+	return time.Until(time.UnixMilli(milli))
+}
--- a/review/harness2/unframed.go
+++ b/review/harness2/unframed.go
@@ -37,6 +37,8 @@
 	servers   int
 	perSecond int
 	server    serverOptions
+	// needFile is the NeedFile of the first server.
+	needFile string
 }
 
 const (
@@ -51,7 +53,8 @@
 type instance struct {
 	*process
 	serverOptions
-	stop chan struct{}
+	// cut is set while the server does not reach the store.
+	cut atomic.Bool
 }
 
 // startServer starts a lifetime of a server and registers it until it ends.
@@ -60,15 +63,15 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &instance{process: p, serverOptions: o, stop: make(chan struct{})}
+	s = &instance{process: p, serverOptions: o}
 	go func() {
-		t := time.NewTicker(heartbeat)
-		defer t.Stop()
-		for seq := 1; ; seq++ {
-			f.store.Put("servers/"+o.ID, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"alverca-a","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"seq":0,"born":%d,"models":%s}`,
-				service, o.Address, o.Born, modelsOf(o))))
+		for {
+			if !s.cut.Load() {
+				f.store.Put("servers/"+o.ID, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"alverca-a","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"seq":0,"born":%d,"models":%s}`,
+					service, o.Address, o.Born, modelsOf(o))))
+			}
 			select {
-			case <-t.C:
+			case <-time.After(heartbeat):
 			case <-p.done:
 				time.Sleep(expiry)
 				f.store.Delete("servers/" + o.ID)
@@ -104,6 +107,9 @@
 		o := c.server
 		o.Address, o.Born = f.at(group, i+1, serverPort), time.Now().UnixMilli()
 		o.ID = fmt.Sprintf("i-%d-%d", i+1, o.Born)
+		if i == 0 {
+			o.NeedFile = c.needFile
+		}
 		servers[i], err = f.startServer(o, c.service)
 		f.note("server %s started", o.ID)
 		return err
