--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -140,6 +140,10 @@
 		return respond(c, http.StatusServiceUnavailable, fmt.Sprintf("Shallotring-Attempt-Id: %s\r\nShallotring-Not-Executed: busy\r\nRetry-After: %.3f\r\n", id, s.need().Seconds()), "")
 	}
 	fmt.Println("runs", id)
+	poisoned := s.Poison != "" && strings.Contains(r.Header.Get("Shallotring-Prompt-Prefix"), ","+s.Poison+":")
+	if poisoned {
+		fmt.Println(time.Now().UnixMilli(), "poison", id)
+	}
 	s.count(1)
 	defer s.count(-1)
 	head := "HTTP/1.1 200 OK\r\nContent-Type: " + s.Type + "\r\nShallotring-Attempt-Id: " + id + "\r\nShallotring-Server-Seal: " + s.ID + ".0.0\r\n"
@@ -150,7 +154,7 @@
 	}
 	for n := range s.Pieces {
 		time.Sleep(s.Interval)
-		if s.Poison != "" && strings.Contains(r.Header.Get("Shallotring-Prompt-Prefix"), ","+s.Poison+":") {
+		if poisoned {
 			fmt.Println("crashes on", id)
 			os.Exit(exitFailed)
 		}
