--- a/protocol/upstream/cut_head_test.go
+++ b/protocol/upstream/cut_head_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"shallotring.dev/standin/rawserver"
 )
 
 // TestCutHead guards against a response whose server closed the connection inside the head, at any byte, on a new connection or after a good
@@ -57,7 +59,7 @@
 // serveOnce serves each connection: a good response first if the connection is kept, then the text, and an orderly end.
 func serveOnce(t *testing.T, kept bool, text string) (address string) {
 	t.Helper()
-	return serveConnections(t, func(c net.Conn) {
+	return rawserver.Start(t, func(c net.Conn) {
 		b := make([]byte, 4096)
 		if kept {
 			c.Read(b)
--- /dev/null
+++ b/standin/rawserver/doc.go
@@ -0,0 +1,2 @@
+// Package rawserver plays servers whose responses no HTTP library would send.
+package rawserver
