upstream, engine, keyvalue: a response with an invalid status is no response

What callers saw: an engine sent a response with the status 000. In the product's own form the client of endpoints passed it on: effect Done, with that status as the status of the result; a cancel that got it counted as carried out. In the platform form the caller gets 502, before and now.

Cause: net/http accepts any three characters that are a number of 0 or more, so 000, 042, +20 and -00 are statuses to it. No reader checked the lower bound but the entry of the platform form. Elsewhere such a response counted as one: - the agent of the platform form took the engine's id from it, and an order that the engine may have executed for rejected; - the client of the store took its era from it, and it ended the count of calls without a response; - the client of the key-value service believed it that a lease has expired or a write was refused. The client of endpoints also took a 101 for a final response, although it never asks for another protocol.

Change: protocol/responsehead checks the status where the head is read. upstream uses it, and protocol/roundtrip brings it to clients of net/http (endpoints, key-value service): the call fails as one whose response cannot be parsed, which may have had an effect. The list of hosts and calls between processes accept nothing but 200 and stay as they are. Statuses above 599 pass as before; all readers take them for server errors.

--- a/protocol/engine/client.go
+++ b/protocol/engine/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/protocol/roundtrip"
 	"shallotring.dev/state/ident"
 )
 
@@ -94,9 +95,9 @@
 
 func newHTTPClient(dial Dial) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: roundtrip.New(&http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, WriteBufferSize: writeBufferBytes,
-		},
+		}),
 		// Following a redirect would send a request again, to an address that no operator declared.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/protocol/keyvalue/client.go
+++ b/protocol/keyvalue/client.go
@@ -17,6 +17,7 @@
 
 	"shallotring.dev/protocol/keyvalue/gateway"
 	"shallotring.dev/protocol/outage"
+	"shallotring.dev/protocol/roundtrip"
 	"shallotring.dev/state/ident"
 )
 
@@ -47,7 +48,9 @@
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
 // WithTransport sets the HTTP transport.
-func WithTransport(t http.RoundTripper) Option { return func(c *Client) { c.http.Transport = t } }
+func WithTransport(t http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = roundtrip.New(t) }
+}
 
 // WithObserver sets a function that is called after each call is sent, with the call's kind, such as "txn", and the error of
 // sending it. A watch counts as one call.
@@ -66,7 +69,7 @@
 		observer: func(string, error) {},
 		outage:   outage.New(),
 		http: &http.Client{
-			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16},
+			Transport: roundtrip.New(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16}),
 			// Following a redirect would send a write twice.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- /dev/null
+++ b/protocol/roundtrip/doc.go
@@ -0,0 +1,2 @@
+// Package roundtrip lets clients of net/http reject broken responses.
+package roundtrip
--- a/protocol/upstream/exchange.go
+++ b/protocol/upstream/exchange.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"shallotring.dev/protocol/responsehead"
 )
 
 // largeBodyBytes is the size from which a request body is written concurrently with reading the response, because a server may
@@ -193,7 +195,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if r.StatusCode >= 100 && r.StatusCode < 200 {
+		if err = responsehead.Check(r.StatusCode); err != nil {
+			return nil, err
+		}
+		if r.StatusCode < http.StatusOK {
 			continue
 		}
 		a.Status, a.Header = r.StatusCode, r.Header
