upstream, roundtrip: a response with a blank in the name of a field is no response

What callers saw: an engine in trouble sent a head with lines such as "X Y: v" or "X : v", and the caller got the 200 with that line. With "Content-Length : 10" or "Transfer-Encoding : chunked" the field was not recognised either, so the body ended elsewhere than the engine had said: callers got the lines of the chunks as the body. In the product's own form fields are not passed on, but the wrong bodies were.

Cause: net/http rejects every byte that HTTP does not allow in the name of a field but the blank. It keeps a name with blanks as it is, beside the fields that it knows by their names. Nobody looked at the names after it.

Change: responsehead.Check fails on a name with a blank, in informational responses too. upstream and roundtrip.Transport call it, so the call fails as one whose response cannot be parsed: 502, or another endpoint if the request may be repeated. The list of hosts and the clients for calls between processes (entry to agent, node, operator) accepted such heads as well, and use the transport now. Control bytes, DEL and bytes above 127 were handled already, in both forms; their cases are kept.

Evidence: without the check TestInvalidFieldNameIsNotForwarded (daemon/frontend) fails in all 28 cases with a blank and passes in the 20 others; TestInvalidFieldNameIsNoResponse fails in protocol/engine (7 cases, those with a blank) and in protocol/upstream, which tries every byte at three places of a name (the blank only). TestInvalidFieldNameProvesNothing (protocol/keyvalue), -IsNoList (protocol/hostlist), -SettlesNothing (daemon/entry), -IsNoAnswerOfAPeer (daemon/node) and -IsNoState (daemon/operator) fail in the three lines with a blank. With it they pass, go test -race, 5 to 60 times each; names with every sign of a token, empty values and values between blanks pass (TestUnusualFieldsPass).

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"shallotring.dev/coordination/registry"
+	"shallotring.dev/protocol/roundtrip"
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/resource"
@@ -176,7 +177,7 @@
 		t.DialTLSContext, err = server.DialTLS(e.settings.PeerTLS, d.DialContext)
 	}
 	e.client = &http.Client{
-		Transport:     t,
+		Transport:     roundtrip.New(t),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return err
--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -16,6 +16,7 @@
 	"shallotring.dev/coordination/configuration"
 	"shallotring.dev/coordination/registry"
 	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/protocol/roundtrip"
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/server"
@@ -124,7 +125,7 @@
 			return nil, err
 		}
 	}
-	p.client = &http.Client{Transport: t}
+	p.client = &http.Client{Transport: roundtrip.New(t)}
 	if p.Store, err = s.Client(keyvalue.WithObserver(countCalls(p.Metrics))); err != nil {
 		return nil, err
 	}
--- a/daemon/operator/status.go
+++ b/daemon/operator/status.go
@@ -12,6 +12,7 @@
 
 	"shallotring.dev/coordination/registry"
 	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/protocol/roundtrip"
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/state/resource"
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	f = &processClient{http: &http.Client{Transport: t}, scheme: "http://"}
+	f = &processClient{http: &http.Client{Transport: roundtrip.New(t)}, scheme: "http://"}
 	if s.usesTLS() {
 		f.scheme = "https://"
 	}
--- a/protocol/hostlist/client.go
+++ b/protocol/hostlist/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/protocol/roundtrip"
 	"shallotring.dev/state/ident"
 )
 
@@ -33,7 +34,7 @@
 
 // New returns a client of the list at the URL.
 func New(url string) *Client {
-	return &Client{url: url, http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+	return &Client{url: url, http: &http.Client{Timeout: callTimeout, Transport: roundtrip.New(&http.Transport{MaxIdleConnsPerHost: 1})}}
 }
 
 // Leaving reports whether the list marks the host as leaving; a host that is not in the list is not leaving.
--- a/protocol/roundtrip/transport.go
+++ b/protocol/roundtrip/transport.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/rotisserie/eris"
 
@@ -22,7 +24,8 @@
 
 // RoundTrip sends a request and returns its response if it is a well-formed one.
 func (t *Transport) RoundTrip(r *http.Request) (response *http.Response, err error) {
-	response, err = t.base.RoundTrip(r)
+	trace := &httptrace.ClientTrace{Got1xxResponse: checkInformational}
+	response, err = t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
@@ -34,10 +37,14 @@
 	return response, nil
 }
 
+func checkInformational(status int, header textproto.MIMEHeader) error {
+	return responsehead.Check(status, http.Header(header))
+}
+
 // check returns an error for a broken head. No client asks for another protocol, so a response that changes to one answers no request.
 func check(r *http.Response) error {
 	if r.StatusCode == http.StatusSwitchingProtocols {
 		return eris.New("the server changes the protocol unasked")
 	}
-	return responsehead.Check(r.StatusCode)
+	return responsehead.Check(r.StatusCode, r.Header)
 }
--- a/protocol/upstream/exchange.go
+++ b/protocol/upstream/exchange.go
@@ -195,7 +195,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err = responsehead.Check(r.StatusCode); err != nil {
+		if err = responsehead.Check(r.StatusCode, r.Header); err != nil {
 			return nil, err
 		}
 		if r.StatusCode < http.StatusOK {
