upstream, roundtrip: the end of a connection completes no response to a request that did not arrive

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response: bytes, the response of a repeatable request, and a stream between two events.

Cause: the end of the connection is the end of such a body, and the system reports a reset to one call alone. If the write of the upload gets it, the read sees an orderly end. upstream writes large bodies beside the read and dropped the error of that write; net/http does the same in the product's own form. A small body whose write fails before the head is read has the same gap. A process that crashes after it has read what had arrived sends no reset at all, only the end: then even a write without an error proves nothing, since the system may still hold what was written.

Change: at the end of the connection of an unframed response, protocol/responseend decides from the result of the write and from what the server has acknowledged by then. The segment that ends a connection acknowledges too, so a server that had read the request leaves nothing open (protocol/socket, SIOCOUTQ). A write that failed makes the response incomplete, whatever its status, as a failed read always has. A successful response that ended before its request had been received is incomplete too; a refusal may come early and still passes. upstream keeps the result of each write and ends one that waits, so that no read hangs. roundtrip.Transport learns the same of net/http by its trace and the connection. Responses with a length or chunks are not touched.

The other tests order the events: TestResetDuringUploadIsNoEnd, TestEndDuringUpload and TestResponseBeforeTheRequestIsNoEnd (protocol/upstream) fail, TestResetDuringUploadIsNotDone and TestEndDuringUpload (protocol/engine) in all 14 cases of a broken response, TestEndDuringUpload (protocol/roundtrip) in both. With the change all pass, go test -race, and so do TestCompleteResponsesToUploads: unframed responses after the whole upload, early refusals with a length and without. Leaving out the acknowledgements, the end of the waiting write, the error of the connection or the exception for refusals each makes a test fail.

Not covered: an orderly end after the server's system has acknowledged the whole request, and before the process has read it, cannot be told from a complete response. Clients of the key-value service and of processes use the result of the write only; what they read shows its own end.

--- a/protocol/engine/guarded.go
+++ b/protocol/engine/guarded.go
@@ -4,13 +4,15 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"shallotring.dev/protocol/socket"
 )
 
 // guardedConn checks the guard immediately before each write to the socket. A check before the request is not enough: the claim
 // can be lost before the write, while the connection is dialled, the request is handed to another goroutine or, under load,
 // the goroutine waits to be scheduled.
 type guardedConn struct {
-	net.Conn
+	*socket.Conn
 	guard func() (err error)
 	// written is the number of bytes written for all requests on the connection.
 	written atomic.Int64
@@ -51,6 +53,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: conn, guard: guard}, nil
+		return &guardedConn{Conn: socket.New(conn), guard: guard}, nil
 	}
 }
--- a/protocol/roundtrip/transport.go
+++ b/protocol/roundtrip/transport.go
@@ -24,7 +24,8 @@
 
 // RoundTrip sends a request and returns its response if it is a well-formed one.
 func (t *Transport) RoundTrip(r *http.Request) (response *http.Response, err error) {
-	trace := &httptrace.ClientTrace{Got1xxResponse: checkInformational}
+	var write requestWrite
+	trace := &httptrace.ClientTrace{Got1xxResponse: checkInformational, GotConn: write.gotConn, WroteHeaders: write.wroteHeaders, WroteRequest: write.wroteRequest}
 	response, err = t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
@@ -34,6 +35,10 @@
 		response.Body.Close()
 		return nil, eris.Wrap(err, "broken response")
 	}
+	// net/http decodes a compressed body and then hides its length.
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed && response.Body != http.NoBody {
+		response.Body = &unframedBody{ReadCloser: response.Body, status: response.StatusCode, attempt: write.last()}
+	}
 	return response, nil
 }
 
--- /dev/null
+++ b/protocol/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket knows of a TCP connection whether it ended after its peer had received everything.
+package socket
--- a/protocol/upstream/endless_test.go
+++ b/protocol/upstream/endless_test.go
@@ -168,7 +168,8 @@
 			server.Close()
 		}()
 		defer client.Close()
-		r := &Response{connection: newConnection(client)}
+		r := &Response{connection: newConnection(client), write: newRequestWrite()}
+		r.write.end(nil)
 		if _, err := r.readHead(http.MethodGet); err == nil {
 			io.Copy(io.Discard, io.LimitReader(r.Body, 1<<20))
 		}
--- a/protocol/upstream/exchange.go
+++ b/protocol/upstream/exchange.go
@@ -14,7 +14,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/protocol/responseend"
 	"shallotring.dev/protocol/responsehead"
+	"shallotring.dev/protocol/socket"
 )
 
 // largeBodyBytes is the size from which a request body is written concurrently with reading the response, because a server may
@@ -58,7 +60,7 @@
 // Framing is how a response marks the end of its body.
 type Framing string
 
-// The framings. A body with CloseFraming ends with its connection; a sender that fails may end it in the same way.
+// The framings. A body with CloseFraming ends with its connection; a sender that fails after it has received the request may end it in the same way.
 const (
 	LengthFraming  Framing = "length"
 	ChunkedFraming Framing = "chunked"
@@ -88,14 +90,30 @@
 	pool              *Pool
 	connection        *connection
 	stopAbort         func() bool
-	requestWritten    chan struct{}
+	write             *requestWrite
 	bodyComplete      bool
 	keepAlive         bool
 	serverIdleTimeout time.Duration
 }
 
+// requestWrite is the writing of one request, which may go on while the response is read.
+type requestWrite struct {
+	done chan struct{}
+	// err is set before done is closed.
+	err error
+}
+
+func newRequestWrite() *requestWrite { return &requestWrite{done: make(chan struct{})} }
+
+func (w *requestWrite) end(err error) {
+	w.err = err
+	close(w.done)
+}
+
 type connection struct {
-	conn        net.Conn
+	conn net.Conn
+	// socket is conn, for reads.
+	socket      *socket.Conn
 	reader      *bufio.Reader
 	head        *headLimit
 	usableUntil time.Time
@@ -131,8 +149,9 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	head := &headLimit{Reader: conn}
-	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+	s := socket.New(conn)
+	head := &headLimit{Reader: s}
+	return &connection{conn: conn, socket: s, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // Do sends a request and returns once the headers of the response have arrived. When the context ends before the response is
@@ -161,26 +180,26 @@
 	defer func() {
 		err = eris.Wrapf(err, "%s to %s, %d bytes of the response received", r.Method, p.address, maxHeadBytes-c.head.remaining)
 	}()
-	response = &Response{pool: p, connection: c, requestWritten: make(chan struct{}), First: !c.used}
+	write := newRequestWrite()
+	response = &Response{pool: p, connection: c, write: write, First: !c.used}
 	c.used = true
 	head := encodeHead(r)
 	if len(r.Body) < largeBodyBytes {
-		if _, err = c.conn.Write(append(head, r.Body...)); err != nil {
+		_, err = c.conn.Write(append(head, r.Body...))
+		write.end(err)
+		if err != nil {
 			// The server may have responded before it closed the connection.
 			if early, e := response.readHead(r.Method); e == nil {
 				return early, nil
 			}
 			return nil, err
 		}
-		close(response.requestWritten)
 	} else {
 		// The result is nil after an error, so the goroutine must not use it.
-		written := response.requestWritten
 		go func() {
 			buffers := net.Buffers{head, r.Body}
-			if _, e := buffers.WriteTo(c.conn); e == nil {
-				close(written)
-			}
+			_, e := buffers.WriteTo(c.conn)
+			write.end(e)
 		}()
 	}
 	return response.readHead(r.Method)
@@ -218,18 +237,32 @@
 // Read records whether the body has been read to its end.
 func (b *body) Read(p []byte) (n int, err error) {
 	n, err = b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.response.bodyComplete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.response.Framing == CloseFraming {
+		if e := b.response.checkEnd(); e != nil {
+			return n, e
+		}
 	}
+	b.response.bodyComplete = true
 	return n, err
 }
 
+// checkEnd returns an error if the end of the connection does not complete the response.
+func (a *Response) checkEnd() error {
+	// The read that found the end of the connection has ended a write that waits for the server.
+	<-a.write.done
+	return responseend.Check(a.Status, a.write.err, !a.connection.socket.Undelivered())
+}
+
 // Close releases the connection for reuse if the request has been written and the response read completely; otherwise it
 // closes the connection.
 func (a *Response) Close() {
 	reusable := a.stopAbort() && a.bodyComplete && a.keepAlive && a.connection.reader.Buffered() == 0
 	select {
-	case <-a.requestWritten:
+	case <-a.write.done:
+		reusable = reusable && a.write.err == nil
 	default:
 		reusable = false
 	}
