roundtrip: only responses over HTTP/1 are unframed, and plainer names

Read as a newcomer, the transport took any response without a length for one that ends with its connection. Over HTTP/2, which the client of the list of hosts could speak, such a response has its own end, and a base transport that calls no trace would have made it fail on a nil attempt. unframed now names its conditions, and a response without an observed write is left as it is. No deployment speaks HTTP/2, and no test shows it.

The trace of a write is called writeTrace, apart from upstream's requestWrite, and a flag replaces a channel that nobody waited for.

--- a/protocol/responsehead/check.go
+++ b/protocol/responsehead/check.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// Check returns an error if a response has a status below 100, such as 000, or a field with a blank in its name: net/http accepts both.
+// Check returns an error if a response has a status below 100, such as 000, or a field with a space in its name: net/http accepts both.
 // Statuses above 599 pass, because readers take them for those of server errors.
 func Check(status int, header http.Header) error {
 	if status < http.StatusContinue {
--- a/protocol/roundtrip/transport.go
+++ b/protocol/roundtrip/transport.go
@@ -24,8 +24,10 @@
 
 // RoundTrip sends a request and returns its response if it is a well-formed one.
 func (t *Transport) RoundTrip(r *http.Request) (response *http.Response, err error) {
-	var write requestWrite
-	trace := &httptrace.ClientTrace{Got1xxResponse: checkInformational, GotConn: write.gotConn, WroteHeaders: write.wroteHeaders, WroteRequest: write.wroteRequest}
+	var write writeTrace
+	trace := &httptrace.ClientTrace{
+		Got1xxResponse: checkInformational, GotConn: write.gotConn, WroteHeaders: write.wroteHeaders, WroteRequest: write.wroteRequest,
+	}
 	response, err = t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
@@ -35,13 +37,17 @@
 		response.Body.Close()
 		return nil, eris.Wrap(err, "broken response")
 	}
-	// net/http decodes a compressed body and then hides its length.
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed && response.Body != http.NoBody {
-		response.Body = &unframedBody{ReadCloser: response.Body, status: response.StatusCode, attempt: write.last()}
+	if a := write.last(); a != nil && unframed(response) {
+		response.Body = &unframedBody{ReadCloser: response.Body, status: response.StatusCode, attempt: a}
 	}
 	return response, nil
 }
 
+// unframed reports whether the body of a response ends with its connection. net/http decodes a compressed body and then hides its length.
+func unframed(r *http.Response) bool {
+	return r.ProtoMajor == 1 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed && r.Body != http.NoBody
+}
+
 func checkInformational(status int, header textproto.MIMEHeader) error {
 	return responsehead.Check(status, http.Header(header))
 }
--- a/protocol/roundtrip/write.go
+++ b/protocol/roundtrip/write.go
@@ -5,12 +5,13 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
 
-// requestWrite observes how net/http writes a request. It may send one several times, on one connection after another.
-type requestWrite struct {
+// writeTrace observes how net/http writes a request, which it may do several times, on one connection after another.
+type writeTrace struct {
 	mu      sync.Mutex
 	attempt *attempt
 }
@@ -18,9 +19,9 @@
 // attempt is the writing of a request on one connection.
 type attempt struct {
 	conn net.Conn
-	// begun is closed when the headers have been written, before the server can have received any of them.
-	begun chan struct{}
-	// result has the error of the write once it has ended, which follows begun in any case.
+	// begun is set when the headers have been written to a buffer, before the server can have received any of them.
+	begun atomic.Bool
+	// result gets the error of the write, or nil, once net/http has written everything to its buffer; it does if begun is set.
 	result chan error
 }
 
@@ -30,20 +31,21 @@
 	Undelivered() bool
 }
 
-func (w *requestWrite) gotConn(info httptrace.GotConnInfo) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.attempt = &attempt{conn: info.Conn, begun: make(chan struct{}), result: make(chan error, 1)}
+func (t *writeTrace) gotConn(info httptrace.GotConnInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attempt = &attempt{conn: info.Conn, result: make(chan error, 1)}
 }
 
-func (w *requestWrite) wroteHeaders() { close(w.last().begun) }
+func (t *writeTrace) wroteHeaders() { t.last().begun.Store(true) }
 
-func (w *requestWrite) wroteRequest(info httptrace.WroteRequestInfo) { w.last().result <- info.Err }
+func (t *writeTrace) wroteRequest(info httptrace.WroteRequestInfo) { t.last().result <- info.Err }
 
-func (w *requestWrite) last() *attempt {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.attempt
+// last returns the newest attempt; it is nil if the base transport calls no trace.
+func (t *writeTrace) last() *attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.attempt
 }
 
 var errNotBegun = eris.New("the server responded before the request was sent")
@@ -51,16 +53,14 @@
 // end returns the error that the connection gave to the write, and whether the server had received the whole request when it ended the connection. The
 // write does not last beyond the end of an unframed response, because net/http closes the connection then.
 func (a *attempt) end() (err error, delivered bool) {
-	select {
-	case <-a.begun:
-	default:
-		// A connection that has ended by now may never be written to.
+	if !a.begun.Load() {
+		// The connection has ended, so net/http may never write to it.
 		return errNotBegun, false
 	}
 	result := <-a.result
 	conn := a.conn
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
 	}
 	c, ok := conn.(monitored)
 	if !ok {
