keyvalue, engine, hostlist: JSON that is whole does not make a broken response complete

What callers saw, in the product's own form: the key-value service answered a write at once with {"succeeded":true} and reset or ended the connection while it was still getting the value, or sent fewer bytes than it had announced. The write counted as made, and an error with the code of a refusal as proof that nothing was written.

Cause: the clients stopped at the end of the JSON value, so the end of the response, where a reset, a short body and the result of the write show, was never read. An error response was read to its end, but the error of reading it was dropped. The lists of adapters, of running requests and of hosts were read in the same way.

Change: jsonvalue.Decode reads a body to its end before it decodes it, and statusError believes no error response that could not be read. The outcome of such a write is unknown.

--- a/protocol/engine/client.go
+++ b/protocol/engine/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/protocol/jsonvalue"
 	"shallotring.dev/protocol/roundtrip"
 	"shallotring.dev/state/ident"
 )
@@ -236,7 +237,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return id, eris.Errorf("endpoint responded with status %d", resp.StatusCode)
 	}
-	return id, json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(into)
+	return id, jsonvalue.Decode(io.LimitReader(resp.Body, maxResponseBytes), into)
 }
 
 func (c *Client) command(ctx context.Context, fencingNumber ident.Incarnation, path string, body any) (err error) {
--- a/protocol/hostlist/client.go
+++ b/protocol/hostlist/client.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/protocol/jsonvalue"
 	"shallotring.dev/protocol/roundtrip"
 	"shallotring.dev/state/ident"
 )
@@ -53,7 +53,7 @@
 		return false, eris.Errorf("host list responded with status %s", response.Status)
 	}
 	var list []Host
-	if err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+	if err = jsonvalue.Decode(io.LimitReader(response.Body, maxListBytes), &list); err != nil {
 		return false, err
 	}
 	for _, h := range list {
--- a/protocol/jsonvalue/doc.go
+++ b/protocol/jsonvalue/doc.go
@@ -1,2 +1,2 @@
-// Package jsonvalue decides whether the bytes of a body are one complete JSON value without keeping them.
+// Package jsonvalue reads bodies that are one JSON value to their end, or decides without keeping them whether they are complete.
 package jsonvalue
--- a/protocol/keyvalue/client.go
+++ b/protocol/keyvalue/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"shallotring.dev/protocol/jsonvalue"
 	"shallotring.dev/protocol/keyvalue/gateway"
 	"shallotring.dev/protocol/outage"
 	"shallotring.dev/protocol/roundtrip"
@@ -170,7 +171,7 @@
 	if response.StatusCode != http.StatusOK {
 		return statusError(effect, response)
 	}
-	if err = json.NewDecoder(response.Body).Decode(result); err != nil {
+	if err = jsonvalue.Decode(response.Body, result); err != nil {
 		return eris.Wrap(errorWithoutResponse(effect), err.Error())
 	}
 	c.outage.Responded(time.Since(sent))
@@ -188,7 +189,10 @@
 // statusError converts an error response. Only an error that states that the service refused the call proves that the call had
 // no effect.
 func statusError(effect callEffect, response *http.Response) (err error) {
-	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err != nil {
+		return eris.Wrapf(errorWithoutResponse(effect), "key-value service responded with status %d: %v", response.StatusCode, err)
+	}
 	var gatewayError gateway.Error
 	_ = json.Unmarshal(text, &gatewayError)
 	switch {
