keyvalue: a write whose value the service has not received does not count as made

The write had no error, and counted as made.

Cause: only connections to endpoints knew what their peer had acknowledged at their end; those to the key-value service were plain ones.

Change: socket.Dial opens connections that know it, for the client of the key-value service, the one with TLS and that of the command line. Calls between processes stay as they are: their servers are our own and send a length or chunks.

Evidence: TestEndDuringWriteProvesNothing with 300 KB fails without the change ("swapped true") and passes with it, 20 times with the race detector. No test covers it over TLS, where the end of a connection without a close message is an error by itself.

--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -17,6 +17,7 @@
 	"shallotring.dev/coordination/registry"
 	"shallotring.dev/protocol/keyvalue"
 	"shallotring.dev/protocol/roundtrip"
+	"shallotring.dev/protocol/socket"
 	"shallotring.dev/protocol/wire"
 	"shallotring.dev/state/ident"
 	"shallotring.dev/transport/server"
@@ -79,7 +80,7 @@
 		return keyvalue.New(s.KeyValue, options...)
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial, err := server.DialTLS(s.KeyValueTLS, dialer.DialContext)
+	dial, err := server.DialTLS(s.KeyValueTLS, socket.Dial(dialer.DialContext))
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/operator/run.go
+++ b/daemon/operator/run.go
@@ -15,6 +15,7 @@
 	"shallotring.dev/coordination/configuration"
 	"shallotring.dev/coordination/registry"
 	"shallotring.dev/protocol/keyvalue"
+	"shallotring.dev/protocol/socket"
 	"shallotring.dev/transport/server"
 	"shallotring.dev/transport/settings"
 	"shallotring.dev/transport/timeline"
@@ -163,9 +164,10 @@
 
 func (s *session) transport() (t *http.Transport, err error) {
 	files := settings.TLS{CAFile: s.CAFile, CertFile: s.CertFile, KeyFile: s.KeyFile}
-	t = &http.Transport{}
+	dial := socket.Dial((&net.Dialer{}).DialContext)
+	t = &http.Transport{DialContext: dial}
 	if s.usesTLS() {
-		t.DialTLSContext, err = server.DialTLS(files, (&net.Dialer{}).DialContext)
+		t.DialTLSContext, err = server.DialTLS(files, dial)
 	}
 	return t, err
 }
--- a/protocol/keyvalue/client.go
+++ b/protocol/keyvalue/client.go
@@ -19,6 +19,7 @@
 	"shallotring.dev/protocol/keyvalue/gateway"
 	"shallotring.dev/protocol/outage"
 	"shallotring.dev/protocol/roundtrip"
+	"shallotring.dev/protocol/socket"
 	"shallotring.dev/state/ident"
 )
 
@@ -70,7 +71,7 @@
 		observer: func(string, error) {},
 		outage:   outage.New(),
 		http: &http.Client{
-			Transport: roundtrip.New(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16}),
+			Transport: roundtrip.New(&http.Transport{DialContext: socket.Dial(dialer.DialContext), MaxIdleConnsPerHost: 16}),
 			// Following a redirect would send a write twice.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/protocol/keyvalue/early_end_test.go
+++ b/protocol/keyvalue/early_end_test.go
@@ -31,7 +31,7 @@
 // TestEndDuringWriteProvesNothing guards against a write that counts as made because of a response that the service ended with its connection before it
 // had received the value.
 func TestEndDuringWriteProvesNothing(t *testing.T) {
-	for _, size := range []int{8 << 20} {
+	for _, size := range []int{300 << 10, 8 << 20} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			done := make(chan struct{})
 			defer close(done)
