--- a/review/harness3/caller.go
+++ b/review/harness3/caller.go
@@ -26,10 +26,10 @@
 
 // request is one request of a caller.
 type request struct {
-	method, path, id, model string
-	tokens, prefix          string
-	body                    []byte
-	timeout                 time.Duration
+	method, path, id, model, key string
+	tokens, prefix               string
+	body                         []byte
+	timeout                      time.Duration
 }
 
 // outcome is what a caller got.
@@ -58,11 +58,14 @@
 }
 
 // send sends a request and reads its answer to the end.
-func (c *caller) send(x request) (o outcome) {
+func (c *caller) send(x request) (o outcome) { return c.sendWithin(x, x.timeout+time.Second) }
+
+// sendWithin is send, and the caller gives up after a time.
+func (c *caller) sendWithin(x request, patience time.Duration) (o outcome) {
 	if x.id == "" {
 		x.id = newID()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), x.timeout+time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	var body io.Reader
 	if x.body != nil {
@@ -86,6 +89,9 @@
 	}
 	set("Shallotring-Attempt-Id", x.id)
 	set("Shallotring-Deadline-Ms", fmt.Sprint(x.timeout.Milliseconds()))
+	if x.key != "" {
+		set("Authorization", "Bearer "+x.key)
+	}
 	set("Shallotring-Model", x.model)
 	set("Shallotring-Token-Usage", x.tokens)
 	set("Shallotring-Prompt-Prefix", x.prefix)
--- a/review/harness3/case_memory.go
+++ b/review/harness3/case_memory.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,12 +20,16 @@
 
 func init() { cases["memory"] = playMemory }
 
-// playMemory lets many callers send large bodies of legal size at once, which stop just short of their end and stay open.
+// playMemory lets many callers send large bodies of legal size at once, which stop just short of their end and stay open. Beside them, ordinary callers open
+// a connection for each request.
 func playMemory(d *deployment, trouble bool) (result int, err error) {
 	const (
 		callers   = 2500
 		bodyBytes = 1 << 20 // the limit of the configuration
-		floodTime = 12 * time.Second
+		floodTime = 14 * time.Second
+		// Ordinary requests are sent once the flood has been there for a while.
+		floodStart = 4 * time.Second
+		budget     = time.Second // that of pledge-record and stock-lookup
 	)
 	d.memoryMb, d.descriptors = 136, 2870
 	for n := range 2 {
@@ -40,17 +46,6 @@
 		return unknown, err
 	}
 	entry := d.entries[0]
-	var served, failed atomic.Int64
-	c := newCaller(d, entry)
-	c.sendAll(20, floodTime+2*time.Second, func() request {
-		return request{method: "POST", path: "/order/1", body: []byte("order"), timeout: 2 * time.Second}
-	}, func(o outcome) {
-		if o.Status == 200 {
-			served.Add(1)
-		} else {
-			failed.Add(1)
-		}
-	})
 	stop := time.Now().Add(floodTime)
 	var opened, ended atomic.Int64
 	for n := range callers {
@@ -58,28 +53,40 @@
 			go holdBodies(entry.at, time.Duration(n)*time.Millisecond, stop, bodyBytes, &opened, &ended)
 		}
 	}
+	var sent, answered atomic.Int64
+	var ordinary sync.WaitGroup
+	ordinary.Go(func() {
+		for time.Sleep(floodStart); time.Now().Before(stop.Add(-budget)); time.Sleep(40 * time.Millisecond) {
+			ordinary.Go(func() {
+				sent.Add(1)
+				c := newCaller(d, entry)
+				defer c.client.CloseIdleConnections()
+				if o := c.sendWithin(request{method: "POST", path: "/order/1", body: []byte("order"), timeout: budget}, budget); o.Status == http.StatusOK && o.Complete {
+					answered.Add(1)
+				}
+			})
+		}
+	})
 	limit, most, over, samples := d.memoryMb<<10, 0, 0, 0
-	for ; time.Now().Before(stop.Add(time.Second)); time.Sleep(100 * time.Millisecond) {
+	for ; time.Now().Before(stop); time.Sleep(100 * time.Millisecond) {
 		anonymous, resident := memoryOf(entry.cmd.Process.Pid)
 		unread, connections := unreadAt(frontPort)
 		sum := anonymous + unread
-		d.record.write("memory", map[string]any{"anonymousKB": anonymous, "residentKB": resident, "unreadKB": unread, "connections": connections, "sumKB": sum, "limitKB": limit})
+		d.record.write("memory", map[string]any{"anonymousKB": anonymous, "residentKB": resident, "unreadKB": unread, "connections": connections, "sumKB": sum, "limitKB": limit, "ready": d.ready()})
 		samples++
 		if sum > limit {
 			over++
 		}
-		if sum > most {
-			most = sum
-			d.record.write("most", map[string]any{"anonymousKB": anonymous, "unreadKB": unread, "connections": connections})
-		}
+		most = max(most, sum)
 	}
-	c.wait()
-	d.record.say("%d connections with bodies opened, %d ended; most memory %d KB (anonymous, and bytes received and not yet read), limit %d KB, over it in %d of %d samples; other callers: %d served, %d not; entry ended: %t",
-		opened.Load(), ended.Load(), most, limit, over, samples, served.Load(), failed.Load(), entry.ended.Load())
+	ordinary.Wait()
+	d.record.say("%d connections with bodies opened, %d ended; entry ended: %t", opened.Load(), ended.Load(), entry.ended.Load())
+	d.record.say("most memory %d KB (anonymous, and bytes received and not yet read), limit %d KB, over it in %d of %d samples", most, limit, over, samples)
+	d.record.say("ordinary callers: %d requests, %d answered within their time budget of %s", sent.Load(), answered.Load(), budget)
 	switch {
-	case served.Load() == 0 || trouble && opened.Load() < callers/2:
+	case sent.Load() == 0 || trouble && opened.Load() < callers/2:
 		return unknown, fmt.Errorf("the callers could not connect")
-	case over > 0 || entry.ended.Load():
+	case over > 0 || entry.ended.Load() || 4*answered.Load() < sent.Load():
 		return broken, nil
 	}
 	return held, nil
