--- a/review/harness3/caller.go
+++ b/review/harness3/caller.go
@@ -26,10 +26,10 @@
 
 // request is one request of a caller.
 type request struct {
-	method, path, id, model, key string
-	tokens, prefix               string
-	body                         []byte
-	timeout                      time.Duration
+	method, path, id, model string
+	tokens, prefix          string
+	body                    []byte
+	timeout                 time.Duration
 }
 
 // outcome is what a caller got.
@@ -89,9 +89,6 @@
 	}
 	set("Shallotring-Attempt-Id", x.id)
 	set("Shallotring-Deadline-Ms", fmt.Sprint(x.timeout.Milliseconds()))
-	if x.key != "" {
-		set("Authorization", "Bearer "+x.key)
-	}
 	set("Shallotring-Model", x.model)
 	set("Shallotring-Token-Usage", x.tokens)
 	set("Shallotring-Prompt-Prefix", x.prefix)
--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -48,8 +48,6 @@
 	done      chan struct{}
 	// memoryMb and descriptors are the limits of each machine.
 	memoryMb, descriptors int
-	// quotas is set if the tenants of the deployment have quotas.
-	quotas bool
 }
 
 // process is a process that the case has started.
@@ -66,7 +64,6 @@
 	service, address, inner, model string
 	slots                          int
 	input                          io.WriteCloser
-	born                           int64
 }
 
 func openDeployment(programs string, r *record) (d *deployment, err error) {
@@ -161,7 +158,6 @@
 	if err = d.start(&e.process, in, w, self, nil, arguments...); err != nil {
 		return nil, err
 	}
-	e.born = time.Now().UnixMilli()
 	d.mu.Lock()
 	d.engines = append(d.engines, e)
 	d.mu.Unlock()
@@ -242,16 +238,12 @@
 
 // settings returns the settings that all processes share.
 func (d *deployment) settings(name, ip string) []string {
-	list := []string{"node=" + name, "zone=a", "region=r", "zones.a=r", "ip=" + ip, fmt.Sprintf("portRange=%d,%d", controlPort, controlPort+15), "bootstrap=true", "inFaultBudget=false",
+	return []string{"node=" + name, "zone=a", "region=r", "zones.a=r", "ip=" + ip, fmt.Sprintf("portRange=%d,%d", controlPort, controlPort+15), "bootstrap=true", "inFaultBudget=false",
 		"limits.cpuShare=0.32", "limits.cores=1", fmt.Sprint("limits.memoryMb=", d.memoryMb), fmt.Sprint("limits.maxFds=", d.descriptors), "limits.linkMbps=1000.0", "limits.diskMb=0", "discovery=platform", "entry=vip", "heartbeatMs=1200",
 		"bounds.reuseAfterS=2", "bounds.contactMs=3000", "bounds.ackMs=4000", "bounds.drainMs=2000", "bounds.graceS=8", "bounds.lossSlackMs=200", "bounds.configMs=2000", "bounds.downgradeMs=250",
 		"bounds.maxSkewMs=5000", "bounds.budgetRatio=0.2", "bounds.budgetWindowS=10", "bounds.budgetExtra=54", "bounds.recoveryS=12", "bounds.maxDelayMs=120", "bounds.enforceFencing=true",
 		"bounds.leaseMs=3000", "bounds.thawMs=300", "bounds.version_ms=5000", "platform.address=" + d.address(0, 1, storePort), "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000",
 		"platform.historyS=20", "platform.valueBytes=1048576", "platform.minTtlMs=1000"}
-	if d.quotas {
-		list = append(list, "bounds.strictRevoke=true", "bounds.revokeMs=5000", "bounds.quotaWindowS=8", "bounds.quotaExcess=0.1", "bounds.quotaSlack=110000")
-	}
-	return list
 }
 
 func (d *deployment) startProgram(p *process, program, ip string, settings []string) (err error) {
